Set up build, checks, core types and interfaces

Cause: the repository was empty. Ruled out: Qt's HTTP server and network access manager (see docs/design.md section 8). Change: CMake project, formatter and linter settings, bounded ring, duty threads, contract types, link and platform interfaces, frame schema with generated header, logging and metrics.

--- /dev/null
+++ b/include/burdockspur/core/duty.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace Burdockspur
+{
+/// @brief A named thread with one responsibility.
+///
+/// Derived classes implement run() and make it return after requestStop(). The destructor of the most
+/// derived class must call stop(), because run() uses its members.
+class Duty
+{
+public:
+    /// @param name at most 15 characters are visible in process listings
+    explicit Duty(std::string_view name);
+    virtual ~Duty();
+    Duty(const Duty &) = delete;
+    Duty(Duty &&) = delete;
+    auto operator=(const Duty &) -> Duty & = delete;
+    auto operator=(Duty &&) -> Duty & = delete;
+
+    /// @brief Starts the thread; call once.
+    auto start() -> void;
+
+    /// @brief Asks the thread to end and waits for it; harmless when it was not started.
+    auto stop() -> void;
+
+    /// @brief Name given at construction.
+    [[nodiscard]] auto name() const noexcept -> std::string_view
+    {
+        return m_name;
+    }
+
+protected:
+    /// @brief Body of the thread.
+    virtual auto run() -> void = 0;
+
+    /// @brief Makes run() return soon; called from another thread.
+    virtual auto requestStop() -> void = 0;
+
+private:
+    std::string m_name;
+    std::thread m_thread;
+};
+}
--- /dev/null
+++ b/src/core/eventloopduty.cpp
@@ -0,0 +1,47 @@
+#include "burdockspur/core/eventloopduty.hpp"
+
+#include <QEventLoop>
+#include <QSocketNotifier>
+
+#include <vector>
+
+namespace Burdockspur
+{
+struct EventLoopDuty::Watches {
+    std::vector<std::unique_ptr<QSocketNotifier>> m_notifiers;
+};
+
+EventLoopDuty::EventLoopDuty(std::string_view name) : Duty(name)
+{
+}
+
+EventLoopDuty::~EventLoopDuty() = default;
+
+auto EventLoopDuty::watch(int descriptor, std::function<void()> handler) -> void
+{
+    auto notifier = std::make_unique<QSocketNotifier>(descriptor, QSocketNotifier::Read);
+    QObject::connect(notifier.get(), &QSocketNotifier::activated, notifier.get(), std::move(handler));
+    m_watches->m_notifiers.push_back(std::move(notifier));
+}
+
+auto EventLoopDuty::run() -> void
+{
+    QEventLoop loop;
+    m_loop = &loop;
+    m_watches = std::make_unique<Watches>();
+    watch(m_stopRequest.descriptor(), [this] {
+        m_stopRequest.clear();
+        m_loop->quit();
+    });
+    setUp();
+    loop.exec();
+    tearDown();
+    m_watches.reset();
+    m_loop = nullptr;
+}
+
+auto EventLoopDuty::requestStop() -> void
+{
+    m_stopRequest.signal();
+}
+}
--- /dev/null
+++ b/src/operations/log.cpp
@@ -0,0 +1,123 @@
+#include "burdockspur/operations/log.hpp"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+
+namespace Burdockspur
+{
+namespace
+{
+struct LevelEntry {
+    LogLevel m_level;
+    std::string_view m_name;
+    log4cxx::LevelPtr (*m_native)();
+};
+
+constexpr std::array<LevelEntry, 4> levelTable{{
+    {LogLevel::Debug, "debug", &log4cxx::Level::getDebug},
+    {LogLevel::Info, "info", &log4cxx::Level::getInfo},
+    {LogLevel::Warning, "warning", &log4cxx::Level::getWarn},
+    {LogLevel::Error, "error", &log4cxx::Level::getError},
+}};
+
+std::atomic<bool> configured{false};
+
+[[nodiscard]] auto logger() -> const log4cxx::LoggerPtr &
+{
+    static const log4cxx::LoggerPtr instance = log4cxx::Logger::getLogger("burdockspur");
+    return instance;
+}
+
+[[nodiscard]] auto needsQuotes(std::string_view value) noexcept -> bool
+{
+    return value.empty() || std::ranges::any_of(value, [](char character) {
+               const auto byte = static_cast<unsigned char>(character);
+               return byte <= ' ' || character == '"' || character == '=' || character == '\\' || byte == 0x7F;
+           });
+}
+
+auto appendEscaped(std::string &line, char character) -> void
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    const auto byte = static_cast<unsigned char>(character);
+    if (character == '"' || character == '\\') {
+        line += '\\';
+        line += character;
+    } else if (character == '\n') {
+        line += "\\n";
+    } else if (byte < ' ' || byte == 0x7F) {
+        line += "\\x";
+        line += digits[byte >> 4U];
+        line += digits[byte & 0xFU];
+    } else {
+        line += character;
+    }
+}
+
+auto appendPair(std::string &line, std::string_view key, std::string_view value) -> void
+{
+    if (!line.empty()) {
+        line += ' ';
+    }
+    line.append(key).append("=");
+    if (!needsQuotes(value)) {
+        line.append(value);
+        return;
+    }
+    line += '"';
+    for (const char character : value) {
+        appendEscaped(line, character);
+    }
+    line += '"';
+}
+}
+
+auto configureLogging(std::string_view program, std::string_view host, std::string_view level) -> Result<void>
+{
+    const auto *const entry = std::ranges::find(levelTable, level, &LevelEntry::m_name);
+    if (entry == levelTable.end()) {
+        return failure(ErrorCode::BadSettings, "unknown log level '" + std::string(level) + "', expected debug, info, warning or error");
+    }
+    std::string prefix;
+    appendPair(prefix, "program", program);
+    appendPair(prefix, "host", host);
+    std::string pattern = "ts=%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z'}{UTC} level=%p{lower} ";
+    // A percent sign would start a conversion of the pattern.
+    std::ranges::replace(prefix, '%', '_');
+    pattern += prefix + " %m%n";
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::Logger::getRootLogger()->removeAllAppenders();
+    log4cxx::BasicConfigurator::configure(appender);
+    logger()->setLevel(entry->m_native());
+    configured = true;
+    return {};
+}
+
+auto formatLogLine(std::string_view event, std::initializer_list<LogField> fields) -> std::string
+{
+    std::string line;
+    appendPair(line, "event", event);
+    for (const auto &field : fields) {
+        appendPair(line, field.m_key, field.m_value);
+    }
+    return line;
+}
+
+auto logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) -> void
+{
+    if (!configured) {
+        return;
+    }
+    const auto native = levelTable[static_cast<std::size_t>(level)].m_native();
+    if (logger()->isEnabledFor(native)) {
+        logger()->forcedLog(native, formatLogLine(event, fields));
+    }
+}
+}
