--- /dev/null
+++ b/include/burdockspur/impl/retiredsockets.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <QObject>
+#include <QTcpSocket>
+
+#include <memory>
+#include <vector>
+
+namespace Burdockspur
+{
+/// @brief Deletes sockets in a later pass of the event loop, because a socket must outlive its own signals.
+///
+/// Unlike QObject::deleteLater() it also frees them when the event loop has already ended.
+class RetiredSockets
+{
+public:
+    /// @brief Takes a socket out of service; its signals are disconnected at once.
+    auto retire(std::unique_ptr<QTcpSocket> socket) -> void
+    {
+        if (!socket) {
+            return;
+        }
+        QObject::disconnect(socket.get(), nullptr, nullptr, nullptr);
+        m_sockets.push_back(std::move(socket));
+        if (m_sockets.size() == 1) {
+            QMetaObject::invokeMethod(
+                &m_context,
+                [this] {
+                    m_sockets.clear();
+                },
+                Qt::QueuedConnection);
+        }
+    }
+
+private:
+    std::vector<std::unique_ptr<QTcpSocket>> m_sockets;
+    QObject m_context;
+};
+}
--- a/include/burdockspur/link/frameclient.hpp
+++ b/include/burdockspur/link/frameclient.hpp
@@ -43,6 +43,6 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 }
--- a/include/burdockspur/link/frameserver.hpp
+++ b/include/burdockspur/link/frameserver.hpp
@@ -52,6 +52,6 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 }
--- a/include/burdockspur/link/httpclient.hpp
+++ b/include/burdockspur/link/httpclient.hpp
@@ -34,7 +34,7 @@
 struct HttpClientLimits {
     std::size_t m_maxConnectionsPerEndpoint = 8;
     std::size_t m_maxQueuedPerEndpoint = 1024; ///< calls that wait for a connection
-    std::uint64_t m_maxBodyBytes = 8 * 1024 * 1024;
+    std::uint64_t m_maxBodyBytes = std::uint64_t{8} * 1024 * 1024;
     Milliseconds m_connectTimeout{1'000};
     Milliseconds m_idleTimeout{15'000}; ///< shorter than the server's, so that a kept connection is rarely stale
 };
@@ -69,6 +69,6 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 }
--- /dev/null
+++ b/tests/linktesting.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <QCoreApplication>
+#include <QHostAddress>
+#include <QNetworkProxy>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Burdockspur::Testing
+{
+/// @brief Creates the application object that Qt's event loops need.
+inline auto requireApplication() -> void
+{
+    static int argumentCount = 1;
+    static char name[] = "test";
+    static char *arguments[] = {name, nullptr};
+    static const QCoreApplication application(argumentCount, arguments);
+}
+
+/// @brief Runs the event loop until a condition holds; the test runner's timeout ends a wait in vain.
+template<typename Condition>
+auto waitUntil(Condition condition) -> void
+{
+    requireApplication();
+    while (!condition()) {
+        QCoreApplication::processEvents(QEventLoop::AllEvents | QEventLoop::WaitForMoreEvents);
+    }
+}
+
+/// @brief One end of a connection that sends and receives bytes as the test says.
+class RawPeer
+{
+public:
+    /// @brief Connects to a server on the loopback address.
+    explicit RawPeer(std::uint16_t port, qint64 readBuffer = 0) : m_socket(std::make_unique<QTcpSocket>())
+    {
+        requireApplication();
+        m_socket->setProxy(QNetworkProxy::NoProxy);
+        m_socket->setReadBufferSize(readBuffer);
+        m_socket->connectToHost(QHostAddress::LocalHost, port);
+    }
+
+    /// @brief Takes an accepted connection.
+    explicit RawPeer(QTcpSocket *socket) : m_socket(socket)
+    {
+        m_socket->setParent(nullptr);
+    }
+
+    auto send(std::string_view bytes) -> void
+    {
+        waitUntil([this] {
+            return m_socket->state() != QAbstractSocket::ConnectingState && m_socket->state() != QAbstractSocket::HostLookupState;
+        });
+        m_socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
+        m_socket->flush();
+    }
+
+    /// @brief Everything received so far.
+    [[nodiscard]] auto received() -> const std::string &
+    {
+        const QByteArray bytes = m_socket->readAll();
+        m_received.append(bytes.data(), static_cast<std::size_t>(bytes.size()));
+        return m_received;
+    }
+
+    [[nodiscard]] auto isClosed() const -> bool
+    {
+        return m_socket->state() == QAbstractSocket::UnconnectedState;
+    }
+
+    auto waitForText(std::string_view text) -> void
+    {
+        waitUntil([&] {
+            return received().contains(text) || isClosed();
+        });
+    }
+
+    auto waitForClose() -> void
+    {
+        waitUntil([&] {
+            (void)received();
+            return isClosed();
+        });
+        (void)received();
+    }
+
+    /// @brief Closes at once; unread bytes make it a reset.
+    auto close() -> void
+    {
+        m_socket->abort();
+    }
+
+    [[nodiscard]] auto socket() -> QTcpSocket &
+    {
+        return *m_socket;
+    }
+
+private:
+    std::unique_ptr<QTcpSocket> m_socket;
+    std::string m_received;
+};
+
+/// @brief A text that is larger than the buffers of a connection.
+[[nodiscard]] inline auto largeText(std::size_t size) -> std::string
+{
+    std::string text;
+    text.resize(size, 'x');
+    return text;
+}
+
+/// @brief Number of occurrences of a text.
+[[nodiscard]] inline auto countOf(std::string_view text, std::string_view part) -> std::size_t
+{
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string_view::npos; at = text.find(part, at + part.size())) {
+        ++count;
+    }
+    return count;
+}
+}
