Add HttpClient; feed header and body to Beast apart

Cause: workers and the platform are called over HTTP, and no request may be sent twice. A test of the client also showed that Beast 1.74 in its eager mode goes on with the body after an error of the header: a body beyond the limit was accepted when it arrived together with its header. Ruled out: a QTimer per call; trusting Qt's state of a kept connection, which lags behind the kernel (a peek with recv() finds the close); responses that end with the connection, which cannot be told from truncated ones; the lost error as a fault of this code (put() loops without looking at it). Latency not measured yet. Conclusion: the client can be used by the platform, host and shard modules.

--- a/include/burdockspur/impl/retiredsockets.hpp
+++ b/include/burdockspur/impl/retiredsockets.hpp
@@ -14,13 +14,14 @@
 class RetiredSockets
 {
 public:
-    /// @brief Takes a socket out of service; its signals are disconnected at once.
+    /// @brief Closes a socket and disconnects its signals at once, so that bytes that it still holds are never sent.
     auto retire(std::unique_ptr<QTcpSocket> socket) -> void
     {
         if (!socket) {
             return;
         }
         QObject::disconnect(socket.get(), nullptr, nullptr, nullptr);
+        socket->abort();
         m_sockets.push_back(std::move(socket));
         if (m_sockets.size() == 1) {
             QMetaObject::invokeMethod(
--- a/include/burdockspur/link/httpclient.hpp
+++ b/include/burdockspur/link/httpclient.hpp
@@ -23,7 +23,7 @@
 
 /// @brief Why a call has no response.
 struct HttpFailure {
-    Error m_error; ///< ConnectionClosed, Timeout, Overloaded or AnswerCorrupt
+    Error m_error; ///< ConnectionClosed, Timeout, Overloaded, AnswerCorrupt, or BadRequest for a request that is not valid HTTP
     bool m_sent = false; ///< false: not a single byte of the request left; true: the server may have seen it
 };
 
@@ -44,10 +44,13 @@
 /// Lives in the thread of an EventLoopDuty. It keeps connections, has one request in progress on each,
 /// and never sends a request twice: a request whose connection breaks fails with m_sent set. After a
 /// timeout the connection and the endpoint's idle connections are closed, because they may be silent too.
+/// A response without Content-Length or chunks is AnswerCorrupt: its end cannot be told from a broken
+/// connection.
 class HttpClient
 {
 public:
-    /// @brief Takes the reply; called exactly once for each call, never from within call().
+    /// @brief Takes the reply; called exactly once for each call, never from within call(). Calls that are open
+    /// when the client is destroyed get no reply.
     using Callback = std::function<void(HttpReply &&)>;
 
     explicit HttpClient(const HttpClientLimits &limits);
--- /dev/null
+++ b/src/link/httpclient.cpp
@@ -0,0 +1,556 @@
+#include "burdockspur/link/httpclient.hpp"
+
+#include "burdockspur/core/identifiers.hpp"
+#include "burdockspur/impl/deadlinesweep.hpp"
+#include "burdockspur/impl/httptext.hpp"
+#include "burdockspur/impl/inputbuffer.hpp"
+#include "burdockspur/impl/responseparser.hpp"
+#include "burdockspur/impl/retiredsockets.hpp"
+#include "burdockspur/operations/log.hpp"
+
+#include <QHostAddress>
+#include <QNetworkProxy>
+#include <QTcpSocket>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace Burdockspur
+{
+namespace
+{
+/// Bytes that a connection reads ahead of its parser.
+constexpr std::size_t readAheadBytes = std::size_t{64} * 1024;
+
+/// Keeps the sum of the clock and a timeout in range.
+constexpr std::chrono::hours maxTimeout{24};
+
+struct EndpointHash {
+    [[nodiscard]] auto operator()(const HttpEndpoint &endpoint) const noexcept -> std::size_t
+    {
+        return hashOf(endpoint.m_address, endpoint.m_port);
+    }
+};
+
+struct Call {
+    QByteArray m_bytes;
+    HttpClient::Callback m_callback;
+    TimePoint m_deadline;
+    bool m_isHead = false;
+    bool m_sent = false; ///< at least one byte was accepted by the kernel
+};
+
+struct Pool;
+
+enum class ConnectionState : std::uint8_t {
+    Connecting,
+    Idle,
+    Busy,
+};
+
+struct Connection : std::enable_shared_from_this<Connection> {
+    Connection(Pool &pool, const HttpClientLimits &limits) : m_pool(pool), m_parser(limits.m_maxBodyBytes)
+    {
+    }
+
+    /// False once the server has closed a kept connection or sent something without a request. Asks the
+    /// kernel, because the event loop may not have seen the close yet.
+    [[nodiscard]] auto isUsable() const -> bool
+    {
+        char byte = 0;
+        const auto descriptor = static_cast<int>(m_socket->socketDescriptor());
+        const auto count = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return m_socket->state() == QAbstractSocket::ConnectedState && m_socket->bytesAvailable() == 0 && count < 0
+            && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+    Pool &m_pool;
+    std::unique_ptr<QTcpSocket> m_socket; ///< null once closed
+    ConnectionState m_state = ConnectionState::Connecting;
+    TimePoint m_deadline = TimePoint::max(); ///< to connect, or to close when idle
+    std::optional<Call> m_call; ///< present while busy
+    ResponseParser m_parser;
+    InputBuffer m_input;
+    bool m_isKept = false; ///< has answered a call before
+    bool m_hasInput = false; ///< bytes of the response to m_call have arrived
+};
+
+using ConnectionPointer = std::shared_ptr<Connection>;
+
+/// Connections and waiting calls of one endpoint.
+struct Pool {
+    [[nodiscard]] auto isEmpty() const noexcept -> bool
+    {
+        return m_connections.empty() && m_queue.empty();
+    }
+
+    HttpEndpoint m_endpoint;
+    QHostAddress m_address;
+    std::deque<Call> m_queue;
+    std::vector<ConnectionPointer> m_connections;
+    std::vector<Connection *> m_idle; ///< most recently used last
+    std::size_t m_connecting = 0;
+};
+
+/// @returns the bytes to send, or nothing for a request that would not be one valid message
+[[nodiscard]] auto encode(const HttpEndpoint &endpoint, const HttpRequest &request) -> std::optional<QByteArray>
+{
+    const bool isSafeTarget = !request.m_target.empty() && isSafeValue(request.m_target) && request.m_target.find_first_of(" \t") == std::string::npos;
+    if (!isToken(request.m_method) || !isSafeTarget) {
+        return std::nullopt;
+    }
+    constexpr std::size_t headBytes = 512;
+    std::string head;
+    head.reserve(headBytes);
+    head.append(request.m_method).append(" ").append(request.m_target).append(" HTTP/1.1\r\nHost: ");
+    const bool isIpv6 = endpoint.m_address.contains(':');
+    head.append(isIpv6 ? "[" : "").append(endpoint.m_address).append(isIpv6 ? "]:" : ":").append(std::to_string(endpoint.m_port));
+    head.append("\r\nConnection: keep-alive\r\n");
+    for (const auto &field : request.m_fields) {
+        if (!isToken(field.m_name) || !isSafeValue(field.m_value)) {
+            return std::nullopt;
+        }
+        if (!isFramingField(field.m_name)) {
+            head.append(field.m_name).append(": ").append(field.m_value).append("\r\n");
+        }
+    }
+    const bool mayOmitLength = request.m_body.empty() && (request.m_method == "GET" || request.m_method == "HEAD");
+    if (!mayOmitLength) {
+        head.append("Content-Length: ").append(std::to_string(request.m_body.size())).append("\r\n");
+    }
+    head.append("\r\n");
+    QByteArray bytes;
+    bytes.reserve(static_cast<qsizetype>(head.size()) + static_cast<qsizetype>(request.m_body.size()));
+    bytes.append(head.data(), static_cast<qsizetype>(head.size()));
+    bytes.append(request.m_body.data(), static_cast<qsizetype>(request.m_body.size()));
+    return bytes;
+}
+
+auto logPool(LogLevel level, std::string_view event, const Pool &pool) -> void
+{
+    logEvent(level, event, {{"address", pool.m_endpoint.m_address}, {"port", pool.m_endpoint.m_port}, {"connections", pool.m_connections.size()}});
+}
+
+[[nodiscard]] auto callFailure(ErrorCode code, std::string message, bool sent) -> HttpReply
+{
+    return std::unexpected(HttpFailure{.m_error = {code, std::move(message)}, .m_sent = sent});
+}
+}
+
+class HttpClient::Private
+{
+public:
+    explicit Private(const HttpClientLimits &limits)
+        : m_limits(limits), m_sweep([this](TimePoint now) {
+            return sweep(now);
+        })
+    {
+    }
+
+    auto call(const HttpEndpoint &endpoint, const HttpRequest &request, Duration timeout, Callback callback) -> void
+    {
+        ++m_openCalls;
+        ++m_deferDepth;
+        Call call;
+        call.m_callback = std::move(callback);
+        call.m_deadline = Clock::now() + std::min<Duration>(timeout, maxTimeout);
+        call.m_isHead = request.m_method == "HEAD";
+        auto bytes = encode(endpoint, request);
+        Pool &pool = poolOf(endpoint);
+        if (!bytes) {
+            deliver(std::move(call), callFailure(ErrorCode::BadRequest, "the request is not a valid HTTP message", false));
+        } else if (timeout <= Duration::zero()) {
+            deliver(std::move(call), callFailure(ErrorCode::Timeout, "no time left for the call", false));
+        } else if (pool.m_address.isNull()) {
+            deliver(std::move(call), callFailure(ErrorCode::ConnectionClosed, "not an IP address: " + endpoint.m_address, false));
+        } else {
+            call.m_bytes = std::move(*bytes);
+            m_sweep.arm(call.m_deadline);
+            assign(pool, std::move(call));
+        }
+        --m_deferDepth;
+    }
+
+    [[nodiscard]] auto poolOf(const HttpEndpoint &endpoint) -> Pool &
+    {
+        auto &pool = m_pools[endpoint];
+        if (!pool) {
+            pool = std::make_unique<Pool>();
+            pool->m_endpoint = endpoint;
+            pool->m_address = QHostAddress(QString::fromStdString(endpoint.m_address));
+        }
+        return *pool;
+    }
+
+    auto assign(Pool &pool, Call &&call) -> void
+    {
+        if (Connection *const idle = takeIdle(pool); idle != nullptr) {
+            start(*idle, std::move(call));
+            return;
+        }
+        const bool canOpen = pool.m_connections.size() < m_limits.m_maxConnectionsPerEndpoint;
+        if (!canOpen && pool.m_queue.size() >= m_limits.m_maxQueuedPerEndpoint + pool.m_connecting) {
+            deliver(std::move(call), callFailure(ErrorCode::Overloaded, "too many calls wait for a connection", false));
+            return;
+        }
+        pool.m_queue.push_back(std::move(call));
+        openConnections(pool);
+    }
+
+    /// @returns a kept connection that is still open, or nullptr
+    [[nodiscard]] auto takeIdle(Pool &pool) -> Connection *
+    {
+        while (!pool.m_idle.empty()) {
+            Connection *const connection = pool.m_idle.back();
+            if (connection->isUsable()) {
+                pool.m_idle.pop_back();
+                return connection;
+            }
+            close(*connection);
+        }
+        return nullptr;
+    }
+
+    auto openConnections(Pool &pool) -> void
+    {
+        while (pool.m_connecting < pool.m_queue.size() && pool.m_connections.size() < m_limits.m_maxConnectionsPerEndpoint) {
+            open(pool);
+        }
+    }
+
+    auto open(Pool &pool) -> void
+    {
+        const auto connection = std::make_shared<Connection>(pool, m_limits);
+        connection->m_socket = std::make_unique<QTcpSocket>();
+        connection->m_deadline = Clock::now() + m_limits.m_connectTimeout;
+        pool.m_connections.push_back(connection);
+        ++pool.m_connecting;
+        QTcpSocket *const socket = connection->m_socket.get();
+        socket->setProxy(QNetworkProxy::NoProxy);
+        socket->setReadBufferSize(readAheadBytes);
+        // Signals of a socket are disconnected when its connection is closed, so the pointer stays valid.
+        Connection *const raw = connection.get();
+        QObject::connect(socket, &QTcpSocket::connected, &m_context, [this, raw] {
+            connected(*raw);
+        });
+        QObject::connect(socket, &QTcpSocket::readyRead, &m_context, [this, raw] {
+            received(raw->shared_from_this());
+        });
+        QObject::connect(socket, &QTcpSocket::bytesWritten, &m_context, [raw] {
+            if (raw->m_call) {
+                raw->m_call->m_sent = true;
+            }
+        });
+        QObject::connect(socket, &QTcpSocket::disconnected, &m_context, [this, raw] {
+            broken(raw->shared_from_this());
+        });
+        QObject::connect(socket, &QTcpSocket::errorOccurred, &m_context, [this, raw] {
+            broken(raw->shared_from_this());
+        });
+        m_sweep.arm(connection->m_deadline);
+        m_isOpening = true;
+        socket->connectToHost(pool.m_address, pool.m_endpoint.m_port);
+        m_isOpening = false;
+    }
+
+    auto connected(Connection &connection) -> void
+    {
+        if (!connection.isUsable()) {
+            // Opening another at once would repeat without a pause against a server that closes each connection.
+            failConnect(connection, ErrorCode::ConnectionClosed, "closed before the request");
+            return;
+        }
+        connection.m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+        --connection.m_pool.m_connecting;
+        becomeIdle(connection);
+        serveQueue(connection.m_pool);
+    }
+
+    auto becomeIdle(Connection &connection) -> void
+    {
+        connection.m_state = ConnectionState::Idle;
+        connection.m_deadline = Clock::now() + m_limits.m_idleTimeout;
+        connection.m_pool.m_idle.push_back(&connection);
+        m_sweep.arm(connection.m_deadline);
+    }
+
+    /// Gives waiting calls the idle connections, and opens connections for the others.
+    auto serveQueue(Pool &pool) -> void
+    {
+        while (!pool.m_queue.empty()) {
+            Connection *const idle = takeIdle(pool);
+            if (idle == nullptr) {
+                openConnections(pool);
+                return;
+            }
+            Call call = std::move(pool.m_queue.front());
+            pool.m_queue.pop_front();
+            start(*idle, std::move(call));
+        }
+    }
+
+    auto start(Connection &connection, Call &&call) -> void
+    {
+        connection.m_state = ConnectionState::Busy;
+        connection.m_deadline = TimePoint::max();
+        connection.m_hasInput = false;
+        connection.m_parser.restart(call.m_isHead);
+        const ConnectionPointer keeper = connection.shared_from_this();
+        connection.m_call = std::move(call);
+        // Shared, not copied; kept in the call for the case that nothing of it can be written.
+        connection.m_socket->write(connection.m_call->m_bytes);
+        // Without it, Qt would send in the next pass of the event loop.
+        connection.m_socket->flush();
+    }
+
+    auto received(const ConnectionPointer &connection) -> void
+    {
+        if (!connection->m_socket) {
+            return;
+        }
+        if (connection->m_state != ConnectionState::Busy) {
+            logPool(LogLevel::Warning, "http_unexpected_response", connection->m_pool);
+            close(*connection);
+            return;
+        }
+        while (connection->m_input.fill(*connection->m_socket, 2 * readAheadBytes) > 0) {
+            connection->m_hasInput = true;
+            const auto consumed = connection->m_parser.feed(connection->m_input.view());
+            if (!consumed) {
+                fail(connection, ErrorCode::AnswerCorrupt, consumed.error().m_message);
+                return;
+            }
+            connection->m_input.consume(*consumed);
+            if (connection->m_parser.isComplete()) {
+                finish(connection);
+                return;
+            }
+        }
+    }
+
+    auto finish(const ConnectionPointer &connection) -> void
+    {
+        QTcpSocket &socket = *connection->m_socket;
+        const bool isReusable = connection->m_parser.keepsAlive() && connection->m_input.empty() && socket.bytesAvailable() == 0 && socket.bytesToWrite() == 0
+            && socket.state() == QAbstractSocket::ConnectedState;
+        HttpResponse response = connection->m_parser.take();
+        Call call = std::move(*connection->m_call);
+        connection->m_call.reset();
+        connection->m_isKept = true;
+        if (isReusable) {
+            becomeIdle(*connection);
+        } else {
+            close(*connection);
+        }
+        serveQueue(connection->m_pool);
+        deliver(std::move(call), std::move(response));
+    }
+
+    /// The connection was closed by the server or could not be opened.
+    auto broken(const ConnectionPointer &connection) -> void
+    {
+        if (m_isOpening) {
+            // A connection that fails at once would open the next one from here, as deep as the queue is long.
+            QMetaObject::invokeMethod(
+                &m_context,
+                [this, connection] {
+                    broken(connection);
+                },
+                Qt::QueuedConnection);
+            return;
+        }
+        if (connection->m_socket && connection->m_state == ConnectionState::Busy) {
+            // The end of the response may have arrived together with the close.
+            received(connection);
+        }
+        if (!connection->m_socket) {
+            return;
+        }
+        if (connection->m_state == ConnectionState::Connecting) {
+            failConnect(*connection, ErrorCode::ConnectionClosed, connection->m_socket->errorString().toStdString());
+        } else if (connection->m_state == ConnectionState::Idle) {
+            close(*connection);
+        } else if (connection->m_isKept && !connection->m_call->m_sent) {
+            Pool &pool = connection->m_pool;
+            pool.m_queue.push_front(std::move(*connection->m_call));
+            connection->m_call.reset();
+            close(*connection);
+            serveQueue(pool);
+        } else if (connection->m_hasInput) {
+            fail(connection, ErrorCode::AnswerCorrupt, "the connection closed inside the response");
+        } else {
+            fail(connection, ErrorCode::ConnectionClosed, "the connection closed before the response");
+        }
+    }
+
+    /// Ends one waiting call for each connection that could not be opened, so that each attempt is one call's.
+    auto failConnect(Connection &connection, ErrorCode code, std::string_view reason) -> void
+    {
+        Pool &pool = connection.m_pool;
+        std::string message = "cannot connect to " + pool.m_endpoint.m_address + ":" + std::to_string(pool.m_endpoint.m_port) + ": ";
+        message.append(reason);
+        const ConnectionPointer keeper = connection.shared_from_this();
+        close(connection);
+        if (!pool.m_queue.empty()) {
+            Call call = std::move(pool.m_queue.front());
+            pool.m_queue.pop_front();
+            serveQueue(pool);
+            deliver(std::move(call), callFailure(code, std::move(message), false));
+        }
+    }
+
+    /// Fails the call of a busy connection and closes the connection.
+    auto fail(const ConnectionPointer &connection, ErrorCode code, std::string message) -> void
+    {
+        Pool &pool = connection->m_pool;
+        Call call = std::move(*connection->m_call);
+        connection->m_call.reset();
+        close(*connection);
+        serveQueue(pool);
+        const bool sent = call.m_sent;
+        deliver(std::move(call), callFailure(code, std::move(message), sent));
+    }
+
+    auto close(Connection &connection) -> void
+    {
+        if (!connection.m_socket) {
+            return;
+        }
+        Pool &pool = connection.m_pool;
+        m_retired.retire(std::move(connection.m_socket));
+        pool.m_connecting -= connection.m_state == ConnectionState::Connecting ? 1 : 0;
+        std::erase(pool.m_idle, &connection);
+        std::erase_if(pool.m_connections, [&connection](const ConnectionPointer &held) {
+            return held.get() == &connection;
+        });
+    }
+
+    auto deliver(Call &&call, HttpReply &&reply) -> void
+    {
+        if (m_deferDepth == 0) {
+            --m_openCalls;
+            call.m_callback(std::move(reply));
+            return;
+        }
+        m_deferred.emplace_back(std::move(call.m_callback), std::move(reply));
+        if (m_deferred.size() == 1) {
+            QMetaObject::invokeMethod(
+                &m_context,
+                [this] {
+                    deliverDeferred();
+                },
+                Qt::QueuedConnection);
+        }
+    }
+
+    auto deliverDeferred() -> void
+    {
+        for (auto &[callback, reply] : std::exchange(m_deferred, {})) {
+            --m_openCalls;
+            callback(std::move(reply));
+        }
+    }
+
+    [[nodiscard]] auto sweep(TimePoint now) -> TimePoint
+    {
+        ++m_deferDepth;
+        TimePoint next = TimePoint::max();
+        for (const auto &[endpoint, pool] : m_pools) {
+            sweepQueue(*pool, now);
+            sweepConnections(*pool, now);
+            serveQueue(*pool);
+            next = std::min(next, nextDeadline(*pool));
+        }
+        std::erase_if(m_pools, [](const auto &entry) {
+            return entry.second->isEmpty();
+        });
+        --m_deferDepth;
+        return next;
+    }
+
+    auto sweepQueue(Pool &pool, TimePoint now) -> void
+    {
+        std::deque<Call> kept;
+        for (auto &call : std::exchange(pool.m_queue, {})) {
+            if (call.m_deadline <= now) {
+                deliver(std::move(call), callFailure(ErrorCode::Timeout, "no connection became free in time", false));
+            } else {
+                kept.push_back(std::move(call));
+            }
+        }
+        pool.m_queue = std::move(kept);
+    }
+
+    auto sweepConnections(Pool &pool, TimePoint now) -> void
+    {
+        const bool isSilent = std::ranges::any_of(pool.m_connections, [now](const ConnectionPointer &connection) {
+            return connection->m_call && connection->m_call->m_deadline <= now;
+        });
+        if (isSilent) {
+            // Connections can become silent together, while new ones work.
+            logPool(LogLevel::Info, "http_idle_connections_closed", pool);
+            while (!pool.m_idle.empty()) {
+                close(*pool.m_idle.back());
+            }
+        }
+        // A copy, because closing changes the list.
+        for (const auto &connection : std::vector(pool.m_connections)) {
+            if (!connection->m_socket) {
+                continue;
+            }
+            if (connection->m_call && connection->m_call->m_deadline <= now) {
+                fail(connection, ErrorCode::Timeout, "no response in time");
+            } else if (connection->m_deadline <= now && connection->m_state == ConnectionState::Connecting) {
+                failConnect(*connection, ErrorCode::Timeout, "no connection in time");
+            } else if (connection->m_deadline <= now) {
+                close(*connection);
+            }
+        }
+    }
+
+    [[nodiscard]] static auto nextDeadline(const Pool &pool) -> TimePoint
+    {
+        TimePoint next = TimePoint::max();
+        for (const auto &call : pool.m_queue) {
+            next = std::min(next, call.m_deadline);
+        }
+        for (const auto &connection : pool.m_connections) {
+            next = std::min(next, connection->m_call ? connection->m_call->m_deadline : connection->m_deadline);
+        }
+        return next;
+    }
+
+    HttpClientLimits m_limits;
+    RetiredSockets m_retired;
+    std::unordered_map<HttpEndpoint, std::unique_ptr<Pool>, EndpointHash> m_pools;
+    std::vector<std::pair<Callback, HttpReply>> m_deferred;
+    std::size_t m_openCalls = 0;
+    int m_deferDepth = 0; ///< above 0, callbacks are delivered in a later pass of the event loop
+    bool m_isOpening = false;
+    QObject m_context;
+    DeadlineSweep m_sweep;
+};
+
+HttpClient::HttpClient(const HttpClientLimits &limits) : m_d(std::make_unique<Private>(limits))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+auto HttpClient::call(const HttpEndpoint &endpoint, HttpRequest &&request, Duration timeout, Callback callback) -> void
+{
+    m_d->call(endpoint, request, timeout, std::move(callback));
+}
+
+auto HttpClient::openCalls() const noexcept -> std::size_t
+{
+    return m_d->m_openCalls;
+}
+}
--- a/src/link/requestparser.cpp
+++ b/src/link/requestparser.cpp
@@ -1,5 +1,6 @@
 #include "burdockspur/impl/requestparser.hpp"
 
+#include "burdockspur/impl/beastfeed.hpp"
 #include "burdockspur/impl/httptext.hpp"
 
 #include <boost/beast/http/parser.hpp>
@@ -38,7 +39,6 @@
     auto restart() -> void
     {
         m_parser.emplace();
-        m_parser->eager(true);
         m_parser->header_limit(m_maxHeaderBytes);
         m_parser->body_limit(m_maxBodyBytes);
         m_headerBytes = 0;
@@ -57,8 +57,8 @@
         }
         const bool inHeader = !m_parser->is_header_done();
         boost::system::error_code error;
-        const std::size_t consumed = m_parser->put(boost::asio::const_buffer(input.data(), input.size()), error);
-        if (error && error != http::error::need_more) {
+        const std::size_t consumed = feedParser(*m_parser, input, error);
+        if (error) {
             return errorOf(error);
         }
         if (inHeader && !m_parser->is_header_done()) {
--- /dev/null
+++ b/tests/httpclienttest.cpp
@@ -0,0 +1,459 @@
+#include "burdockspur/link/httpclient.hpp"
+#include "burdockspur/core/randomsource.hpp"
+#include "burdockspur/link/httpserver.hpp"
+#include "linktesting.hpp"
+
+#include <gtest/gtest.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <map>
+#include <optional>
+
+using namespace Burdockspur;
+using namespace Burdockspur::Testing;
+
+namespace
+{
+constexpr std::chrono::hours longTime{1};
+
+class HttpClientTest : public testing::Test
+{
+protected:
+    HttpClientTest()
+    {
+        requireApplication();
+        m_client = std::make_unique<HttpClient>(m_limits);
+    }
+
+    auto restartClient() -> void
+    {
+        m_client = std::make_unique<HttpClient>(m_limits);
+    }
+
+    static auto request(std::string_view method, std::string_view target, std::string_view body = {}) -> HttpRequest
+    {
+        return {.m_method = std::string(method), .m_target = std::string(target), .m_fields = {{"X-Name", "v"}}, .m_body = std::string(body)};
+    }
+
+    static auto endpoint(std::uint16_t port) -> HttpEndpoint
+    {
+        return {.m_address = "127.0.0.1", .m_port = port};
+    }
+
+    /// Starts a call whose reply is appended to m_replies.
+    auto call(std::uint16_t port, HttpRequest &&request, Duration timeout = longTime) -> void
+    {
+        m_client->call(endpoint(port), std::move(request), timeout, [this](HttpReply &&reply) {
+            m_replies.push_back(std::move(reply));
+        });
+    }
+
+    auto waitForReplies(std::size_t count) -> void
+    {
+        waitUntil([&] {
+            return m_replies.size() >= count;
+        });
+    }
+
+    auto expectFailure(std::size_t index, ErrorCode code, bool sent) -> void
+    {
+        waitForReplies(index + 1);
+        ASSERT_FALSE(m_replies[index]) << "reply " << index;
+        EXPECT_EQ(errorName(m_replies[index].error().m_error.m_code), errorName(code)) << m_replies[index].error().m_error.m_message;
+        EXPECT_EQ(m_replies[index].error().m_sent, sent);
+    }
+
+    auto expectBody(std::size_t index, std::string_view body) -> void
+    {
+        waitForReplies(index + 1);
+        ASSERT_TRUE(m_replies[index]) << m_replies[index].error().m_error.m_message;
+        EXPECT_EQ(m_replies[index]->m_body, body);
+    }
+
+    HttpClientLimits m_limits;
+    std::unique_ptr<HttpClient> m_client;
+    std::vector<HttpReply> m_replies;
+};
+
+constexpr std::string_view okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+}
+
+// Guards against a client that loses parts of a request or response, or opens a connection for each call.
+TEST_F(HttpClientTest, CallsReuseTheConnection)
+{
+    std::unique_ptr<HttpServer> server;
+    std::size_t mostConnections = 0;
+    server = std::make_unique<HttpServer>(HttpLimits{}, [&](ExchangeId id, HttpRequest &&seen) {
+        mostConnections = std::max(mostConnections, server->openConnections());
+        HttpResponse response = jsonResponse(201, seen.m_method + seen.m_target + seen.m_body);
+        response.m_fields.push_back({"X-Echo", std::string(seen.field("x-name"))});
+        server->respond(id, std::move(response));
+    });
+    const auto port = server->listen("127.0.0.1", 0);
+    ASSERT_TRUE(port);
+    constexpr std::size_t total = 50;
+    for (std::size_t i = 0; i < total; ++i) {
+        call(*port, request("PUT", "/v1/x?i=" + std::to_string(i), "body"));
+        expectBody(i, "PUT/v1/x?i=" + std::to_string(i) + "body");
+        EXPECT_EQ(m_replies[i]->m_status, 201);
+        EXPECT_EQ(m_replies[i]->field("x-echo"), "v");
+    }
+    EXPECT_EQ(mostConnections, 1U);
+    EXPECT_EQ(m_client->openCalls(), 0U);
+}
+
+// Guards against more connections to a worker than it allows, and against calls that are lost in the queue.
+TEST_F(HttpClientTest, ConnectionsAreBoundedAndWaitingCallsServed)
+{
+    m_limits.m_maxConnectionsPerEndpoint = 4;
+    restartClient();
+    std::vector<ExchangeId> exchanges;
+    HttpServer server(HttpLimits{}, [&](ExchangeId id, HttpRequest &&) {
+        exchanges.push_back(id);
+    });
+    const auto port = server.listen("127.0.0.1", 0);
+    ASSERT_TRUE(port);
+    constexpr std::size_t total = 40;
+    for (std::size_t i = 0; i < total; ++i) {
+        call(*port, request("GET", "/"));
+    }
+    EXPECT_EQ(m_client->openCalls(), total);
+    for (std::size_t answered = 0; answered < total; ++answered) {
+        waitUntil([&] {
+            return exchanges.size() > answered;
+        });
+        EXPECT_LE(server.openConnections(), 4U);
+        EXPECT_TRUE(server.respond(exchanges[answered], jsonResponse(200, "ok")));
+    }
+    waitForReplies(total);
+    for (std::size_t i = 0; i < total; ++i) {
+        expectBody(i, "ok");
+    }
+    EXPECT_EQ(m_client->openCalls(), 0U);
+}
+
+// Guards against a queue without bound, and against a callback from within call().
+TEST_F(HttpClientTest, FullQueueIsOverloaded)
+{
+    m_limits.m_maxConnectionsPerEndpoint = 1;
+    m_limits.m_maxQueuedPerEndpoint = 2;
+    restartClient();
+    RawServer server;
+    call(server.port(), request("GET", "/0"));
+    server.peer(0).waitForText("\r\n\r\n");
+    call(server.port(), request("GET", "/1"));
+    call(server.port(), request("GET", "/2"));
+    call(server.port(), request("GET", "/3"));
+    EXPECT_TRUE(m_replies.empty());
+    expectFailure(0, ErrorCode::Overloaded, false);
+    EXPECT_EQ(m_client->openCalls(), 3U);
+    server.peer(0).send(okAnswer);
+    server.peer(0).waitForText("GET /1 ");
+    server.peer(0).send(okAnswer);
+    server.peer(0).waitForText("GET /2 ");
+    server.peer(0).send(okAnswer);
+    waitForReplies(4);
+    EXPECT_EQ(server.peers().size(), 1U);
+}
+
+// Guards against a request that is sent a second time when its connection closes: a seat would be held twice.
+TEST_F(HttpClientTest, PostIsNeverSentAgain)
+{
+    RawServer server;
+    call(server.port(), request("POST", "/hold", "seat"));
+    server.peer(0).waitForText("seat");
+    server.peer(0).close();
+    expectFailure(0, ErrorCode::ConnectionClosed, true);
+    // The same on a connection that has answered before.
+    call(server.port(), request("GET", "/first"));
+    server.peer(1).waitForText("\r\n\r\n");
+    server.peer(1).send(okAnswer);
+    expectBody(1, "ok");
+    call(server.port(), request("POST", "/again", "place"));
+    server.peer(1).waitForText("place");
+    server.peer(1).close();
+    expectFailure(2, ErrorCode::ConnectionClosed, true);
+    // A later call shows that nothing else was sent in between.
+    call(server.port(), request("GET", "/last"));
+    server.peer(2).waitForText("\r\n\r\n");
+    server.peer(2).send(okAnswer);
+    expectBody(3, "ok");
+    EXPECT_EQ(countOf(server.allReceived(), "POST /hold "), 1U);
+    EXPECT_EQ(countOf(server.allReceived(), "POST /again "), 1U);
+}
+
+// Guards against a call that fails only because the server closed a kept connection earlier.
+TEST_F(HttpClientTest, ClosedKeptConnectionIsReplaced)
+{
+    RawServer server;
+    for (std::size_t i = 0; i < 20; ++i) {
+        call(server.port(), request("POST", "/" + std::to_string(i) + "x", "body"));
+        server.peer(i).waitForText("body");
+        server.peer(i).send(okAnswer);
+        expectBody(i, "ok");
+        // The client cannot have seen the close yet, because its event loop does not run in between.
+        if (i % 2 == 0) {
+            server.peer(i).close();
+        } else {
+            ::shutdown(static_cast<int>(server.peer(i).socket().socketDescriptor()), SHUT_WR);
+        }
+    }
+    const std::string all = server.allReceived();
+    for (std::size_t i = 0; i < 20; ++i) {
+        EXPECT_EQ(countOf(all, "POST /" + std::to_string(i) + "x "), 1U);
+    }
+}
+
+// Guards against partial responses that are taken for complete ones.
+TEST_F(HttpClientTest, TruncatedOrMalformedResponseIsAFailure)
+{
+    m_limits.m_maxBodyBytes = 1000;
+    restartClient();
+    RawServer server;
+    const std::vector<std::string> answers{
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhal",
+        "HTTP/1.1 200 OK\r\nContent-Le",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nno length",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'x'),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" + std::string(1001, 'x') + "\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX: " + std::string(100'000, 'x'),
+        "garbage\r\n\r\n",
+    };
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        call(server.port(), request("GET", "/"));
+        server.peer(i).waitForText("\r\n\r\n");
+        server.peer(i).send(answers[i]);
+        server.peer(i).socket().disconnectFromHost();
+        expectFailure(i, ErrorCode::AnswerCorrupt, true);
+    }
+    call(server.port(), request("GET", "/"));
+    server.peer(answers.size()).waitForText("\r\n\r\n");
+    server.peer(answers.size()).send(okAnswer);
+    expectBody(answers.size(), "ok");
+}
+
+// Guards against a complete response that is lost because the close arrives together with it.
+TEST_F(HttpClientTest, ResponseFollowedByCloseIsComplete)
+{
+    RawServer server;
+    const std::string body = largeText(1'000'000);
+    call(server.port(), request("GET", "/"));
+    server.peer(0).waitForText("\r\n\r\n");
+    server.peer(0).send("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + body);
+    server.peer(0).socket().disconnectFromHost();
+    expectBody(0, body);
+}
+
+// Guards against connections that have become silent together: the next call must not use another of them.
+TEST_F(HttpClientTest, SilentKeptConnectionsAreReplaced)
+{
+    RawServer server;
+    constexpr std::size_t kept = 3;
+    for (std::size_t i = 0; i < kept; ++i) {
+        call(server.port(), request("GET", "/warm"));
+    }
+    for (std::size_t i = 0; i < kept; ++i) {
+        server.peer(i).waitForText("\r\n\r\n");
+    }
+    for (std::size_t i = 0; i < kept; ++i) {
+        server.peer(i).send(okAnswer);
+    }
+    waitForReplies(kept);
+    call(server.port(), request("POST", "/silent"), Milliseconds(50));
+    expectFailure(kept, ErrorCode::Timeout, true);
+    for (std::size_t i = 0; i < kept; ++i) {
+        server.peer(i).waitForClose();
+    }
+    call(server.port(), request("GET", "/new"));
+    server.peer(kept).waitForText("GET /new ");
+    server.peer(kept).send(okAnswer);
+    expectBody(kept + 1, "ok");
+    EXPECT_EQ(countOf(server.allReceived(), "POST /silent "), 1U);
+}
+
+// Guards against "may have run" for requests that never left, which could then not be tried elsewhere.
+TEST_F(HttpClientTest, UnsentCallsAreReportedAsUnsent)
+{
+    std::uint16_t unusedPort = 0;
+    {
+        const RawServer server;
+        unusedPort = server.port();
+    }
+    call(unusedPort, request("POST", "/"));
+    EXPECT_TRUE(m_replies.empty());
+    expectFailure(0, ErrorCode::ConnectionClosed, false);
+    m_limits.m_maxConnectionsPerEndpoint = 1;
+    restartClient();
+    RawServer server;
+    call(server.port(), request("GET", "/holds-the-connection"));
+    server.peer(0).waitForText("\r\n\r\n");
+    call(server.port(), request("POST", "/waits"), Milliseconds(50));
+    expectFailure(1, ErrorCode::Timeout, false);
+    call(server.port(), request("POST", "/late"), Duration::zero());
+    expectFailure(2, ErrorCode::Timeout, false);
+    m_client->call({.m_address = "no address", .m_port = 1}, request("POST", "/"), longTime, [this](HttpReply &&reply) {
+        m_replies.push_back(std::move(reply));
+    });
+    expectFailure(3, ErrorCode::ConnectionClosed, false);
+    server.peer(0).send(okAnswer);
+    expectBody(4, "ok");
+    EXPECT_EQ(countOf(server.allReceived(), "POST"), 0U);
+}
+
+// Guards against a host that drops connection attempts: the call must end at the connect timeout.
+TEST_F(HttpClientTest, ConnectTimeoutEndsTheCall)
+{
+    const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    ASSERT_GE(listener, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    ASSERT_EQ(::bind(listener, reinterpret_cast<sockaddr *>(&address), length), 0);
+    ASSERT_EQ(::listen(listener, 0), 0);
+    ASSERT_EQ(::getsockname(listener, reinterpret_cast<sockaddr *>(&address), &length), 0);
+    const std::uint16_t port = ntohs(address.sin_port);
+    // The only place in the accept queue is taken, so that the kernel drops further attempts.
+    RawPeer filler(port);
+    filler.send("");
+    const RawPeer second(port);
+    m_limits.m_connectTimeout = Milliseconds(50);
+    restartClient();
+    call(port, request("POST", "/"));
+    expectFailure(0, ErrorCode::Timeout, false);
+    ::close(listener);
+}
+
+// Guards against a server that closes each new connection: the client must not reconnect without a pause.
+TEST_F(HttpClientTest, ConnectionsClosedAtOnceEndTheCall)
+{
+    HttpLimits serverLimits;
+    serverLimits.m_maxConnections = 0;
+    HttpServer server(serverLimits, [](ExchangeId, HttpRequest &&) {});
+    const auto port = server.listen("127.0.0.1", 0);
+    ASSERT_TRUE(port);
+    call(*port, request("GET", "/"));
+    waitForReplies(1);
+    const bool isRefusal = m_replies[0] ? m_replies[0]->m_status == 503 : m_replies[0].error().m_error.m_code == ErrorCode::ConnectionClosed;
+    EXPECT_TRUE(isRefusal);
+}
+
+// Guards against responses without a body that wait for one, and interim responses taken for final ones.
+TEST_F(HttpClientTest, ResponsesWithoutBodyAreComplete)
+{
+    RawServer server;
+    call(server.port(), request("HEAD", "/"));
+    server.peer(0).waitForText("HEAD");
+    server.peer(0).send("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n");
+    expectBody(0, "");
+    call(server.port(), request("DELETE", "/"));
+    server.peer(0).waitForText("DELETE");
+    server.peer(0).send("HTTP/1.1 204 No Content\r\n\r\n");
+    expectBody(1, "");
+    call(server.port(), request("POST", "/", "x"));
+    server.peer(0).waitForText("POST");
+    server.peer(0).send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    expectBody(2, "ok");
+    EXPECT_EQ(server.peers().size(), 1U);
+}
+
+// Guards against a response that nobody asked for and that would answer the next call.
+TEST_F(HttpClientTest, UnexpectedBytesCloseAKeptConnection)
+{
+    RawServer server;
+    call(server.port(), request("GET", "/1"));
+    server.peer(0).waitForText("GET /1");
+    server.peer(0).send(std::string(okAnswer) + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+    expectBody(0, "ok");
+    call(server.port(), request("GET", "/2"));
+    server.peer(1).waitForText("GET /2");
+    server.peer(1).send(okAnswer);
+    expectBody(1, "ok");
+}
+
+// Guards against line breaks in a target or field that would add a request or field.
+TEST_F(HttpClientTest, UnsafeRequestsAreRefused)
+{
+    RawServer server;
+    call(server.port(), request("GET", "/ HTTP/1.1\r\nX: y"));
+    call(server.port(), request("GET\r\n", "/"));
+    HttpRequest unsafe = request("GET", "/");
+    unsafe.m_fields.push_back({"X", "a\r\nY: b"});
+    call(server.port(), std::move(unsafe));
+    for (std::size_t i = 0; i < 3; ++i) {
+        expectFailure(i, ErrorCode::BadRequest, false);
+    }
+    EXPECT_TRUE(server.peers().empty());
+}
+
+// Guards against lost or repeated callbacks, requests sent twice, and answers of another call, whatever a
+// server does with its connections.
+TEST_F(HttpClientTest, RandomServerFaultsEndEachCallOnce)
+{
+    constexpr std::uint64_t seed = 4711;
+    constexpr std::uint32_t total = 2'000;
+    RandomSource random(seed);
+    m_limits.m_maxConnectionsPerEndpoint = 6;
+    restartClient();
+    RawServer server;
+    std::map<std::uint32_t, int> replies;
+    std::size_t succeeded = 0;
+    std::map<RawPeer *, std::size_t> handled;
+    std::uint32_t started = 0;
+    const auto startOne = [&] {
+        const std::string number = std::to_string(started);
+        m_client->call(endpoint(server.port()), request("POST", "/" + number + "x"), longTime, [&, index = started, number](HttpReply &&reply) {
+            ++replies[index];
+            if (reply) {
+                ++succeeded;
+                EXPECT_EQ(reply->m_body, number);
+            }
+        });
+        ++started;
+    };
+    const auto serve = [&](RawPeer &peer) {
+        const std::string &text = peer.received();
+        const std::size_t at = text.find("POST /", handled[&peer]);
+        const std::size_t end = text.find("\r\n\r\n", handled[&peer]);
+        if (peer.isClosed() || at == std::string::npos || end == std::string::npos) {
+            return;
+        }
+        handled[&peer] = end + 4;
+        const std::string number = text.substr(at + 6, text.find('x', at) - at - 6);
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(number.size()) + "\r\n\r\n" + number;
+        const std::uint32_t choice = random.below(10);
+        if (choice == 0) {
+            peer.close();
+        } else if (choice == 1) {
+            peer.send(std::string_view(answer).substr(0, random.below(static_cast<std::uint32_t>(answer.size()))));
+            peer.socket().disconnectFromHost();
+        } else {
+            peer.send(answer);
+            if (choice == 2) {
+                peer.socket().disconnectFromHost();
+            }
+        }
+    };
+    while (replies.size() < total) {
+        while (started < total && m_client->openCalls() < 20) {
+            startOne();
+        }
+        QCoreApplication::processEvents(QEventLoop::AllEvents | QEventLoop::WaitForMoreEvents);
+        for (const auto &peer : server.peers()) {
+            serve(*peer);
+        }
+    }
+    const std::string all = server.allReceived();
+    for (std::uint32_t i = 0; i < total; ++i) {
+        EXPECT_EQ(replies[i], 1);
+        EXPECT_LE(countOf(all, "POST /" + std::to_string(i) + "x "), 1U);
+    }
+    EXPECT_GT(succeeded, total / 2);
+    EXPECT_EQ(m_client->openCalls(), 0U);
+}
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -181,6 +181,8 @@
         {manyFields, "431", "header_too_large"},
         {post + "Transfer-Encoding: chunked\r\n\r\n5;" + std::string(9000, 'x'), "431", "header_too_large"},
         {post + "Content-Length: 1001\r\n\r\n", "413", "body_too_large"},
+        {post + "Content-Length: 1001\r\n\r\n" + std::string(1001, 'x'), "413", "body_too_large"},
+        {post + "Content-Length: 6\r\nContent-Length: 6, 7\r\n\r\nhello!", "400", "bad_request"},
         {post + "Expect: 100-continue\r\nContent-Length: 1001\r\n\r\n", "413", "body_too_large"},
         {post + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" + std::string(1001, 'x') + "\r\n", "413", "body_too_large"},
     };
--- a/tests/linktesting.hpp
+++ b/tests/linktesting.hpp
@@ -65,7 +65,7 @@
     /// @brief Everything received so far.
     [[nodiscard]] auto received() -> const std::string &
     {
-        const QByteArray bytes = m_socket->readAll();
+        const QByteArray bytes = m_socket->isOpen() ? m_socket->readAll() : QByteArray();
         m_received.append(bytes.data(), static_cast<std::size_t>(bytes.size()));
         return m_received;
     }
@@ -107,6 +107,56 @@
     std::string m_received;
 };
 
+/// @brief Accepts connections and leaves them to the test.
+class RawServer
+{
+public:
+    RawServer()
+    {
+        requireApplication();
+        m_server.listen(QHostAddress::LocalHost, 0);
+        QObject::connect(&m_server, &QTcpServer::newConnection, &m_server, [this] {
+            while (QTcpSocket *const socket = m_server.nextPendingConnection()) {
+                m_peers.push_back(std::make_unique<RawPeer>(socket));
+            }
+        });
+    }
+
+    [[nodiscard]] auto port() const -> std::uint16_t
+    {
+        return m_server.serverPort();
+    }
+
+    /// @brief Every connection accepted so far.
+    [[nodiscard]] auto peers() -> std::vector<std::unique_ptr<RawPeer>> &
+    {
+        return m_peers;
+    }
+
+    /// @brief Waits for a connection to be accepted.
+    [[nodiscard]] auto peer(std::size_t index) -> RawPeer &
+    {
+        waitUntil([&] {
+            return m_peers.size() > index;
+        });
+        return *m_peers[index];
+    }
+
+    /// @brief Everything received on all connections.
+    [[nodiscard]] auto allReceived() -> std::string
+    {
+        std::string all;
+        for (const auto &peer : m_peers) {
+            all += peer->received();
+        }
+        return all;
+    }
+
+private:
+    QTcpServer m_server;
+    std::vector<std::unique_ptr<RawPeer>> m_peers;
+};
+
 /// @brief A text that is larger than the buffers of a connection.
 [[nodiscard]] inline auto largeText(std::size_t size) -> std::string
 {
