Add FrameCodec, FrameServer and FrameClient

Cause: entry daemons and schedulers exchange messages over links that must survive damaged frames, silent connections and peers that do not read. Ruled out: size-prefixed FlatBuffers (their scalars are aligned from the prefix, so that the envelope alone fails the verifier); trusting the verifier alone (it accepts unknown enum values, missing tables and one text that is referred to many times, which would turn a frame of 0.3 MB into gigabytes). The backoff of a client starts anew with a received message and not with a connection, so that a silent peer is not called without a pause. Conclusion: the schedulers and entries duties can use the links.

--- /dev/null
+++ b/src/link/framelink.cpp
@@ -0,0 +1,155 @@
+#include "burdockspur/impl/framelink.hpp"
+
+#include "burdockspur/link/framecodec.hpp"
+#include "burdockspur/link/peermessage.hpp"
+#include "burdockspur/operations/log.hpp"
+
+#include <QTcpSocket>
+
+#include <algorithm>
+#include <utility>
+
+namespace Burdockspur
+{
+namespace
+{
+constexpr std::size_t lengthBytes = 4;
+
+/// Bytes that a link reads ahead of the frame that it parses.
+constexpr std::size_t readAheadBytes = std::size_t{64} * 1024;
+
+[[nodiscard]] auto lengthOf(std::string_view bytes) noexcept -> std::uint32_t
+{
+    constexpr unsigned bitsPerByte = 8;
+    std::uint32_t length = 0;
+    for (std::size_t i = 0; i < lengthBytes; ++i) {
+        length |= static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[i])) << (bitsPerByte * i);
+    }
+    return length;
+}
+}
+
+FrameLink::FrameLink(const FrameLimits &limits, std::string_view peer, std::unique_ptr<QTcpSocket> socket, Events events)
+    : m_limits(limits), m_peer(peer), m_socket(std::move(socket)), m_events(std::move(events)), m_lastSent(Clock::now()), m_lastReceived(m_lastSent)
+{
+    m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    m_socket->setReadBufferSize(readAheadBytes);
+    QObject::connect(m_socket.get(), &QTcpSocket::readyRead, m_socket.get(), [this] {
+        received();
+    });
+    QObject::connect(m_socket.get(), &QTcpSocket::disconnected, m_socket.get(), [this] {
+        close("closed by peer");
+    });
+    QObject::connect(m_socket.get(), &QTcpSocket::errorOccurred, m_socket.get(), [this] {
+        close(m_socket->errorString().toStdString());
+    });
+}
+
+FrameLink::~FrameLink()
+{
+    QObject::disconnect(m_socket.get(), nullptr, nullptr, nullptr);
+}
+
+auto FrameLink::send(const PeerMessage &message) -> bool
+{
+    if (!m_isOpen) {
+        return false;
+    }
+    const std::string frame = encodeFrame(message);
+    if (frame.size() > m_limits.m_maxFrameBytes + lengthBytes) {
+        logEvent(LogLevel::Error, "frame_too_large", {{"peer", m_peer}, {"kind", message.m_body.index()}, {"bytes", frame.size()}});
+        return false;
+    }
+    if (static_cast<std::size_t>(m_socket->bytesToWrite()) + frame.size() > m_limits.m_maxSendBuffer) {
+        logEvent(LogLevel::Debug, "frame_send_buffer_full", {{"peer", m_peer}, {"waiting_bytes", m_socket->bytesToWrite()}});
+        return false;
+    }
+    m_lastSent = Clock::now();
+    m_socket->write(frame.data(), static_cast<qint64>(frame.size()));
+    // Without it, Qt would send in the next pass of the event loop.
+    m_socket->flush();
+    return m_isOpen;
+}
+
+auto FrameLink::isOpen() const noexcept -> bool
+{
+    return m_isOpen;
+}
+
+auto FrameLink::hasReceived() const noexcept -> bool
+{
+    return m_hasReceived;
+}
+
+auto FrameLink::sweep(TimePoint now, std::uint64_t configVersion) -> void
+{
+    if (!m_isOpen) {
+        return;
+    }
+    if (now - m_lastReceived >= m_limits.m_silence) {
+        close("silent");
+    } else if (now - m_lastSent >= m_limits.m_heartbeat) {
+        // A full send buffer skips the heartbeat; the time still counts, so that the timer does not run at once again.
+        m_lastSent = now;
+        send(PeerMessage{.m_configVersion = configVersion, .m_correlation = 0, .m_body = Heartbeat{}});
+    }
+}
+
+auto FrameLink::deadline() const noexcept -> TimePoint
+{
+    return m_isOpen ? std::min(m_lastSent + m_limits.m_heartbeat, m_lastReceived + m_limits.m_silence) : TimePoint::max();
+}
+
+auto FrameLink::received() -> void
+{
+    while (m_isOpen && m_input.fill(*m_socket, m_limits.m_maxFrameBytes + lengthBytes + readAheadBytes) > 0) {
+        m_lastReceived = Clock::now();
+        while (m_isOpen && parseNext()) {}
+    }
+}
+
+/// @returns false when more bytes are needed or the link was closed
+auto FrameLink::parseNext() -> bool
+{
+    const std::string_view bytes = m_input.view();
+    if (bytes.size() < lengthBytes) {
+        return false;
+    }
+    const std::uint32_t length = lengthOf(bytes);
+    if (length == 0 || length > m_limits.m_maxFrameBytes) {
+        rejectFrame("the length is out of range", length);
+        return false;
+    }
+    if (bytes.size() < lengthBytes + length) {
+        return false;
+    }
+    auto message = decodeEnvelope(std::as_bytes(std::span(bytes)).subspan(lengthBytes, length));
+    m_input.consume(lengthBytes + length);
+    if (!message) {
+        rejectFrame(message.error().m_message, length);
+        return false;
+    }
+    m_hasReceived = true;
+    m_events.m_received(std::move(*message));
+    return true;
+}
+
+auto FrameLink::rejectFrame(std::string_view reason, std::uint32_t length) -> void
+{
+    logEvent(LogLevel::Error, "frame_rejected", {{"peer", m_peer}, {"code", errorName(ErrorCode::BadFrame)}, {"reason", reason}, {"bytes", length}});
+    close("bad frame");
+}
+
+auto FrameLink::close(std::string_view reason) -> void
+{
+    if (!m_isOpen) {
+        return;
+    }
+    m_isOpen = false;
+    QObject::disconnect(m_socket.get(), nullptr, nullptr, nullptr);
+    m_socket->abort();
+    m_input.clear();
+    logEvent(LogLevel::Info, "frame_link_closed", {{"peer", m_peer}, {"reason", reason}});
+    m_events.m_closed();
+}
+}
--- /dev/null
+++ b/src/link/frameserver.cpp
@@ -0,0 +1,156 @@
+#include "burdockspur/link/frameserver.hpp"
+
+#include "burdockspur/impl/deadlinesweep.hpp"
+#include "burdockspur/impl/framelink.hpp"
+#include "burdockspur/impl/listener.hpp"
+#include "burdockspur/link/peermessage.hpp"
+#include "burdockspur/operations/log.hpp"
+
+#include <QHostAddress>
+#include <QTcpSocket>
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace Burdockspur
+{
+namespace
+{
+/// Pause after a failed accept, e.g. when descriptors are exhausted.
+constexpr Milliseconds acceptRetry{1'000};
+}
+
+class FrameServer::Private
+{
+public:
+    Private(const FrameLimits &limits, Handler handler, StateHandler stateHandler)
+        : m_limits(limits)
+        , m_handler(std::move(handler))
+        , m_stateHandler(std::move(stateHandler))
+        , m_sweep([this](TimePoint now) {
+            return sweep(now);
+        })
+        , m_listener([this](qintptr descriptor) {
+            accept(descriptor);
+        })
+    {
+        QObject::connect(&m_listener, &QTcpServer::acceptError, &m_context, [this] {
+            logEvent(LogLevel::Error, "frame_accept_failed", {{"message", m_listener.errorString().toStdString()}});
+            m_acceptRetryAt = Clock::now() + acceptRetry;
+            m_sweep.arm(m_acceptRetryAt);
+        });
+    }
+
+    auto accept(qintptr descriptor) -> void
+    {
+        auto socket = std::make_unique<QTcpSocket>();
+        if (!socket->setSocketDescriptor(descriptor)) {
+            ::close(static_cast<int>(descriptor));
+            return;
+        }
+        if (m_openLinks >= m_limits.m_maxLinks) {
+            logEvent(LogLevel::Warning, "frame_links_exhausted", {{"limit", m_limits.m_maxLinks}});
+            return;
+        }
+        const LinkId id = m_nextLink++;
+        const std::string peer = socket->peerAddress().toString().toStdString() + ":" + std::to_string(socket->peerPort());
+        auto link = std::make_unique<FrameLink>(m_limits,
+                                                peer,
+                                                std::move(socket),
+                                                FrameLink::Events{.m_received =
+                                                                      [this, id](PeerMessage &&message) {
+                                                                          m_handler(id, std::move(message));
+                                                                      },
+                                                                  .m_closed =
+                                                                      [this, id] {
+                                                                          closed(id);
+                                                                      }});
+        ++m_openLinks;
+        m_sweep.arm(link->deadline());
+        m_links.emplace(id, std::move(link));
+        logEvent(LogLevel::Info, "frame_link_opened", {{"peer", peer}, {"link", id}});
+        m_stateHandler(id, true);
+    }
+
+    auto closed(LinkId id) -> void
+    {
+        --m_openLinks;
+        // The link reports from within its own functions, so it is destroyed later.
+        QMetaObject::invokeMethod(
+            &m_context,
+            [this, id] {
+                m_links.erase(id);
+                m_stateHandler(id, false);
+            },
+            Qt::QueuedConnection);
+    }
+
+    auto send(LinkId id, const PeerMessage &message) -> bool
+    {
+        const auto found = m_links.find(id);
+        return found != m_links.end() && found->second->send(message);
+    }
+
+    [[nodiscard]] auto sweep(TimePoint now) -> TimePoint
+    {
+        if (m_acceptRetryAt <= now) {
+            m_acceptRetryAt = TimePoint::max();
+            m_listener.resumeAccepting();
+        }
+        TimePoint next = m_acceptRetryAt;
+        for (const auto &[id, link] : m_links) {
+            link->sweep(now, m_configVersion);
+            next = std::min(next, link->deadline());
+        }
+        return next;
+    }
+
+    FrameLimits m_limits;
+    Handler m_handler;
+    StateHandler m_stateHandler;
+    std::unordered_map<LinkId, std::unique_ptr<FrameLink>> m_links;
+    LinkId m_nextLink = 1;
+    std::size_t m_openLinks = 0;
+    std::uint64_t m_configVersion = 0;
+    TimePoint m_acceptRetryAt = TimePoint::max();
+    QObject m_context;
+    DeadlineSweep m_sweep;
+    Listener m_listener;
+};
+
+FrameServer::FrameServer(const FrameLimits &limits, Handler handler, StateHandler stateHandler)
+    : m_d(std::make_unique<Private>(limits, std::move(handler), std::move(stateHandler)))
+{
+}
+
+FrameServer::~FrameServer() = default;
+
+auto FrameServer::listen(std::string_view address, std::uint16_t port) -> Result<std::uint16_t>
+{
+    const QHostAddress host(QString::fromUtf8(address.data(), static_cast<qsizetype>(address.size())));
+    if (host.isNull() || !m_d->m_listener.listen(host, port)) {
+        std::string message = "cannot listen on " + std::string(address) + ":" + std::to_string(port) + ": ";
+        message += m_d->m_listener.errorString().toStdString();
+        return failure(ErrorCode::Unavailable, std::move(message));
+    }
+    return m_d->m_listener.serverPort();
+}
+
+auto FrameServer::send(LinkId link, const PeerMessage &message) -> bool
+{
+    return m_d->send(link, message);
+}
+
+auto FrameServer::setConfigVersion(std::uint64_t version) noexcept -> void
+{
+    m_d->m_configVersion = version;
+}
+
+auto FrameServer::openLinks() const noexcept -> std::size_t
+{
+    return m_d->m_openLinks;
+}
+}
--- a/src/link/httpserver.cpp
+++ b/src/link/httpserver.cpp
@@ -3,12 +3,12 @@
 #include "burdockspur/impl/deadlinesweep.hpp"
 #include "burdockspur/impl/httptext.hpp"
 #include "burdockspur/impl/inputbuffer.hpp"
+#include "burdockspur/impl/listener.hpp"
 #include "burdockspur/impl/requestparser.hpp"
 #include "burdockspur/impl/retiredsockets.hpp"
 #include "burdockspur/operations/log.hpp"
 
 #include <QHostAddress>
-#include <QTcpServer>
 #include <QTcpSocket>
 
 #include <sys/socket.h>
@@ -51,23 +51,6 @@
     return jsonResponse(status, std::move(body));
 }
 
-class Listener : public QTcpServer
-{
-public:
-    explicit Listener(std::function<void(qintptr)> accepted) : m_accepted(std::move(accepted))
-    {
-    }
-
-protected:
-    auto incomingConnection(qintptr descriptor) -> void override
-    {
-        m_accepted(descriptor);
-    }
-
-private:
-    std::function<void(qintptr)> m_accepted;
-};
-
 /// Place of one request in the order of answers.
 struct Slot {
     std::optional<HttpResponse> m_response;
--- /dev/null
+++ b/tests/framelinktest.cpp
@@ -0,0 +1,327 @@
+#include "burdockspur/link/frameclient.hpp"
+#include "burdockspur/link/framecodec.hpp"
+#include "burdockspur/link/frameserver.hpp"
+#include "burdockspur/link/peermessage.hpp"
+#include "linktesting.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace Burdockspur;
+using namespace Burdockspur::Testing;
+
+namespace
+{
+struct Received {
+    LinkId m_link;
+    PeerMessage m_message;
+};
+
+struct StateChange {
+    LinkId m_link;
+    bool m_isOpen;
+};
+
+class FrameLinkTest : public testing::Test
+{
+protected:
+    FrameLinkTest()
+    {
+        requireApplication();
+        // Heartbeats are counted in some tests and must not disturb the others.
+        m_limits.m_heartbeat = Milliseconds(20);
+        m_limits.m_reconnectMin = Milliseconds(10);
+        m_limits.m_reconnectMax = Milliseconds(40);
+        m_limits.m_silence = std::chrono::hours(1);
+    }
+
+    auto startServer(std::uint16_t port = 0) -> void
+    {
+        m_server = std::make_unique<FrameServer>(
+            m_limits,
+            [this](LinkId link, PeerMessage &&message) {
+                m_heartbeats += std::holds_alternative<Heartbeat>(message.m_body) ? 1 : 0;
+                m_serverMessages.push_back({link, std::move(message)});
+            },
+            [this](LinkId link, bool isOpen) {
+                m_serverStates.push_back({link, isOpen});
+            });
+        const auto listening = m_server->listen("127.0.0.1", port);
+        ASSERT_TRUE(listening) << listening.error().m_message;
+        m_port = *listening;
+    }
+
+    auto startClient(std::uint16_t port) -> void
+    {
+        m_client = std::make_unique<FrameClient>(
+            m_limits,
+            "127.0.0.1",
+            port,
+            [this](PeerMessage &&message) {
+                m_clientMessages.push_back(std::move(message));
+            },
+            [this](bool isOpen) {
+                m_clientStates.push_back(isOpen);
+            });
+    }
+
+    auto waitForClientStates(std::size_t count) -> void
+    {
+        waitUntil([&] {
+            return m_clientStates.size() >= count;
+        });
+    }
+
+    auto waitForServerStates(std::size_t count) -> void
+    {
+        waitUntil([&] {
+            return m_serverStates.size() >= count;
+        });
+    }
+
+    /// @returns the first message to the server that is no heartbeat
+    auto firstAtServer() -> const Received &
+    {
+        const auto isContent = [](const Received &received) {
+            return !std::holds_alternative<Heartbeat>(received.m_message.m_body);
+        };
+        waitUntil([&] {
+            return std::ranges::any_of(m_serverMessages, isContent);
+        });
+        return *std::ranges::find_if(m_serverMessages, isContent);
+    }
+
+    FrameLimits m_limits;
+    std::unique_ptr<FrameServer> m_server;
+    std::unique_ptr<FrameClient> m_client;
+    std::uint16_t m_port = 0;
+    std::vector<Received> m_serverMessages;
+    std::vector<StateChange> m_serverStates;
+    std::vector<PeerMessage> m_clientMessages;
+    std::vector<bool> m_clientStates;
+    int m_heartbeats = 0;
+};
+
+[[nodiscard]] auto query(std::string_view job, std::uint64_t correlation) -> PeerMessage
+{
+    return {.m_configVersion = 1, .m_correlation = correlation, .m_body = QueryJob{.m_job = std::string(job)}};
+}
+}
+
+// Guards against messages that are lost, mixed between links or delivered out of order.
+TEST_F(FrameLinkTest, MessagesTravelInOrderInBothDirections)
+{
+    startServer();
+    startClient(m_port);
+    EXPECT_FALSE(m_client->isOpen());
+    EXPECT_FALSE(m_client->send(query("early", 0)));
+    waitForClientStates(1);
+    EXPECT_TRUE(m_client->isOpen());
+    constexpr std::uint64_t total = 500;
+    for (std::uint64_t i = 1; i <= total; ++i) {
+        ASSERT_TRUE(m_client->send(query("j", i)));
+    }
+    std::uint64_t next = 1;
+    std::size_t seen = 0;
+    waitUntil([&] {
+        for (; seen < m_serverMessages.size(); ++seen) {
+            const Received &received = m_serverMessages[seen];
+            if (std::holds_alternative<QueryJob>(received.m_message.m_body)) {
+                EXPECT_EQ(received.m_message.m_correlation, next);
+                EXPECT_TRUE(m_server->send(received.m_link, query("answer", next)));
+                ++next;
+            }
+        }
+        return next > total;
+    });
+    waitUntil([&] {
+        return std::ranges::any_of(m_clientMessages, [](const PeerMessage &message) {
+            return message.m_correlation == total;
+        });
+    });
+    EXPECT_EQ(m_server->openLinks(), 1U);
+    EXPECT_FALSE(m_server->send(99, query("nobody", 0)));
+}
+
+// Guards against configuration versions that do not travel while nothing else is sent, and against idle links
+// that are closed.
+TEST_F(FrameLinkTest, HeartbeatsCarryTheConfigurationVersion)
+{
+    startServer();
+    startClient(m_port);
+    m_client->setConfigVersion(5);
+    m_server->setConfigVersion(6);
+    waitUntil([&] {
+        return m_heartbeats >= 5 && m_clientMessages.size() >= 5;
+    });
+    EXPECT_EQ(m_serverMessages.back().m_message.m_configVersion, 5U);
+    EXPECT_EQ(m_clientMessages.back().m_configVersion, 6U);
+    EXPECT_TRUE(std::holds_alternative<Heartbeat>(m_clientMessages.back().m_body));
+    EXPECT_EQ(m_clientStates, std::vector<bool>{true});
+    EXPECT_EQ(m_serverStates.size(), 1U);
+}
+
+// Guards against a bad frame that crashes the server, is accepted, or closes the links of others.
+TEST_F(FrameLinkTest, BadFrameClosesItsLinkOnly)
+{
+    startServer();
+    startClient(m_port);
+    waitForClientStates(1);
+    waitForServerStates(1);
+    const std::string good = encodeFrame(query("j", 1));
+    std::string badEnvelope = good;
+    badEnvelope.replace(4, 4, "\xff\xff\xff\x7f");
+    const std::vector<std::string> badFrames{
+        std::string("\0\0\0\0", 4),
+        std::string("\x01\x00\x10\x00", 4),
+        "\xff\xff\xff\xff",
+        badEnvelope,
+        std::string("\x01\0\0\0x", 5),
+    };
+    for (const auto &bad : badFrames) {
+        const std::size_t states = m_serverStates.size();
+        RawPeer peer(m_port);
+        std::string bytes = good;
+        bytes.append(bad).append(good);
+        peer.send(bytes);
+        peer.waitForClose();
+        waitForServerStates(states + 2);
+        EXPECT_TRUE(m_serverStates[states].m_isOpen);
+        EXPECT_FALSE(m_serverStates[states + 1].m_isOpen);
+        EXPECT_FALSE(m_server->send(m_serverStates[states].m_link, query("j", 1)));
+    }
+    // One good frame before each bad one, none after it.
+    const auto queries = std::ranges::count_if(m_serverMessages, [](const Received &received) {
+        return std::holds_alternative<QueryJob>(received.m_message.m_body);
+    });
+    EXPECT_EQ(static_cast<std::size_t>(queries), badFrames.size());
+    EXPECT_EQ(m_server->openLinks(), 1U);
+    EXPECT_EQ(m_clientStates, std::vector<bool>{true});
+    EXPECT_TRUE(m_client->send(query("still-open", 2)));
+}
+
+// Guards against frames that are only read when they arrive in one piece.
+TEST_F(FrameLinkTest, FrameInSingleBytesIsComplete)
+{
+    startServer();
+    RawPeer peer(m_port);
+    for (const char byte : encodeFrame(query("slow", 3)) + encodeFrame(query("next", 4))) {
+        peer.send(std::string_view(&byte, 1));
+        QCoreApplication::processEvents();
+    }
+    EXPECT_EQ(std::get<QueryJob>(firstAtServer().m_message.m_body).m_job, "slow");
+    waitUntil([&] {
+        return m_serverMessages.back().m_message.m_correlation == 4;
+    });
+}
+
+// Guards against connections that stop delivering for ever: the client must close and reopen them.
+TEST_F(FrameLinkTest, SilentLinkIsReopenedByTheClient)
+{
+    m_limits.m_silence = Milliseconds(100);
+    RawServer silent;
+    startClient(silent.port());
+    waitForClientStates(4);
+    EXPECT_EQ(m_clientStates[0], true);
+    EXPECT_EQ(m_clientStates[1], false);
+    EXPECT_EQ(m_clientStates[2], true);
+    EXPECT_EQ(m_clientStates[3], false);
+    EXPECT_GE(silent.peers().size(), 2U);
+    // Heartbeats were sent although nothing was received.
+    EXPECT_FALSE(silent.peer(0).received().empty());
+}
+
+// Guards against silent links that fill the server's limit.
+TEST_F(FrameLinkTest, SilentLinkIsClosedByTheServer)
+{
+    m_limits.m_silence = Milliseconds(100);
+    startServer();
+    RawPeer peer(m_port);
+    peer.waitForClose();
+    waitForServerStates(2);
+    EXPECT_FALSE(m_serverStates[1].m_isOpen);
+    EXPECT_EQ(m_server->openLinks(), 0U);
+}
+
+// Guards against a client that gives up when its server restarts or is not there yet.
+TEST_F(FrameLinkTest, ClientReconnectsToARestartedServer)
+{
+    startServer();
+    const std::uint16_t port = m_port;
+    startClient(port);
+    waitForClientStates(1);
+    m_server.reset();
+    waitForClientStates(2);
+    EXPECT_FALSE(m_client->isOpen());
+    EXPECT_FALSE(m_client->send(query("closed", 0)));
+    startServer(port);
+    waitForClientStates(3);
+    EXPECT_TRUE(m_client->send(query("again", 1)));
+    EXPECT_EQ(std::get<QueryJob>(firstAtServer().m_message.m_body).m_job, "again");
+}
+
+// Guards against a peer that does not read: messages to it must not fill the memory.
+TEST_F(FrameLinkTest, SendBufferIsBounded)
+{
+    m_limits.m_maxSendBuffer = 200'000;
+    startServer();
+    const RawPeer peer(m_port, 1);
+    waitForServerStates(1);
+    const LinkId link = m_serverStates[0].m_link;
+    const PeerMessage large = query(std::string(100'000, 'x'), 1);
+    std::size_t accepted = 0;
+    // The kernel takes some megabytes before the buffer fills.
+    while (m_server->send(link, large)) {
+        ++accepted;
+        ASSERT_LT(accepted, 10'000U);
+    }
+    EXPECT_GT(accepted, 0U);
+    EXPECT_EQ(m_server->openLinks(), 1U);
+}
+
+// Guards against a message that the other end must reject: it would close the link again and again.
+TEST_F(FrameLinkTest, OversizedMessageIsNotSent)
+{
+    m_limits.m_maxFrameBytes = 1000;
+    startServer();
+    startClient(m_port);
+    waitForClientStates(1);
+    EXPECT_FALSE(m_client->send(query(std::string(1000, 'x'), 1)));
+    EXPECT_TRUE(m_client->isOpen());
+    EXPECT_TRUE(m_client->send(query(std::string(500, 'x'), 2)));
+    EXPECT_EQ(firstAtServer().m_message.m_correlation, 2U);
+}
+
+// Guards against more links than the server is meant to hold.
+TEST_F(FrameLinkTest, LinksBeyondTheLimitAreClosed)
+{
+    m_limits.m_maxLinks = 1;
+    startServer();
+    startClient(m_port);
+    waitForServerStates(1);
+    RawPeer beyond(m_port);
+    beyond.waitForClose();
+    EXPECT_EQ(m_server->openLinks(), 1U);
+    EXPECT_EQ(m_serverStates.size(), 1U);
+}
+
+// Guards against a handler that is called after its link has closed, and against a crash when a peer leaves
+// while the server sends.
+TEST_F(FrameLinkTest, PeerMayLeaveWhileTheServerSends)
+{
+    startServer();
+    for (int round = 0; round < 50; ++round) {
+        const std::size_t states = m_serverStates.size();
+        RawPeer peer(m_port);
+        waitForServerStates(states + 1);
+        peer.close();
+        // The server cannot have seen the close yet.
+        for (int i = 0; i < 100; ++i) {
+            m_server->send(m_serverStates[states].m_link, query(std::string(10'000, 'x'), 1));
+        }
+        waitForServerStates(states + 2);
+        EXPECT_FALSE(m_serverStates[states + 1].m_isOpen);
+    }
+    EXPECT_EQ(m_server->openLinks(), 0U);
+}
