--- /dev/null
+++ b/bench/demorun.cpp
@@ -0,0 +1,264 @@
+#include "demorun.hpp"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <algorithm>
+
+namespace Burdockspur::Bench
+{
+namespace
+{
+constexpr int statusOk = 200;
+constexpr int statusAccepted = 202;
+constexpr auto pollPeriod = Milliseconds(200);
+
+[[nodiscard]] auto parseObject(std::string_view json) -> QJsonObject
+{
+    return QJsonDocument::fromJson(QByteArray(json.data(), static_cast<qsizetype>(json.size()))).object();
+}
+
+[[nodiscard]] auto textOf(const QJsonObject &object, QLatin1StringView key) -> std::string
+{
+    return object.value(key).toString().toStdString();
+}
+
+[[nodiscard]] auto describe(const HttpReply &reply) -> std::string
+{
+    if (!reply) {
+        return reply.error().m_error.m_message;
+    }
+    return "status " + std::to_string(reply->m_status) + ": " + reply->m_body;
+}
+}
+
+DemoRun::DemoRun(const DemoPlan &plan)
+    : m_plan(plan)
+    , m_random(plan.m_seed)
+{
+}
+
+auto DemoRun::entry(std::size_t index) const -> const HttpEndpoint &
+{
+    return m_plan.m_entries[index % m_plan.m_entries.size()];
+}
+
+auto DemoRun::requestCall(std::size_t entryIndex, std::string_view service, std::string_view key, std::string_view body) const -> PendingCall
+{
+    PendingCall call{.m_server = entry(entryIndex), .m_request = {}};
+    call.m_request.m_method = "POST";
+    call.m_request.m_target = "/v1/services/" + std::string(service) + "/requests";
+    call.m_request.m_fields = {{"Burdockspur-Caller", "demo"},
+                               {"Burdockspur-Deadline-Ms", "10000"},
+                               {"Burdockspur-Idempotent", key.empty() ? "true" : "false"},
+                               {"Burdockspur-Service-Time-Us", "2000"}};
+    if (!key.empty()) {
+        call.m_request.m_fields.push_back({"Idempotency-Key", std::string(key)});
+    }
+    call.m_request.m_body = body;
+    return call;
+}
+
+auto DemoRun::submitCall(std::size_t entryIndex, std::string_view kind, std::string_view key, std::string_view payload) const -> PendingCall
+{
+    const bool isBatch = kind == "batch";
+    const QJsonObject job{{QStringLiteral("kind"), QString::fromUtf8(kind.data(), static_cast<qsizetype>(kind.size()))},
+                          {QStringLiteral("class"), isBatch ? QStringLiteral("reconciliation") : QStringLiteral("tracking")},
+                          {QStringLiteral("team"), QStringLiteral("dispatch")},
+                          {QStringLiteral("cpu_millis"), isBatch ? 1000 : 200},
+                          {QStringLiteral("memory_mb"), 512},
+                          {QStringLiteral("accelerators"), 0},
+                          {QStringLiteral("duration_ms"), isBatch ? 1500 : 0},
+                          {QStringLiteral("urgent"), false},
+                          {QStringLiteral("payload"), QString::fromUtf8(payload.data(), static_cast<qsizetype>(payload.size()))}};
+    PendingCall call{.m_server = entry(entryIndex), .m_request = {}};
+    call.m_request.m_method = "POST";
+    call.m_request.m_target = "/v1/jobs";
+    call.m_request.m_fields = {{"Burdockspur-Caller", "demo"}, {"Idempotency-Key", std::string(key)}, {"Content-Type", "application/json"}};
+    call.m_request.m_body = QJsonDocument(job).toJson(QJsonDocument::Compact).toStdString();
+    return call;
+}
+
+auto DemoRun::sendRequests(std::string_view service, std::size_t count, std::size_t copies) -> WorkRow
+{
+    std::vector<AskedRequest> asked;
+    std::vector<PendingCall> calls;
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::string body = hexOf(m_random.next64()) + " " + std::to_string(i);
+        // Only requests that go through two entry hosts need a key.
+        const std::string key = copies > 1 ? std::string(service) + "-" + hexOf(m_random.next64()) : std::string();
+        asked.push_back({.m_key = key, .m_expected = std::string(service) + ":" + hexOf(hashOf(body)) + ":" + body});
+        for (std::size_t copy = 0; copy < copies; ++copy) {
+            calls.push_back(requestCall(i + copy, service, key, body));
+        }
+    }
+    const std::vector<HttpReply> replies = m_session.callAll(calls);
+    WorkRow row{.m_kind = "requests: " + std::string(service), .m_asked = count};
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto copiesOfRequest = std::span(replies).subspan(i * copies, copies);
+        const auto isAnswered = [](const HttpReply &reply) {
+            return reply && reply->m_status == statusOk;
+        };
+        const bool answered = std::ranges::all_of(copiesOfRequest, isAnswered);
+        row.m_answered += answered ? 1 : 0;
+        row.m_lost += answered ? 0 : 1;
+        row.m_different += static_cast<std::uint64_t>(std::ranges::count_if(copiesOfRequest, [&](const HttpReply &reply) {
+            return isAnswered(reply) && reply->m_body != asked[i].m_expected;
+        }));
+    }
+    if (copies > 1) {
+        m_keyed.insert(m_keyed.end(), asked.begin(), asked.end());
+    }
+    return row;
+}
+
+auto DemoRun::submitJobs(std::string_view kind, std::size_t count) -> Result<std::vector<AskedJob>>
+{
+    constexpr std::size_t copies = 2;
+    std::vector<PendingCall> calls;
+    std::vector<AskedJob> jobs;
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::string payload = hexOf(m_random.next64());
+        const std::string key = std::string(kind) + "-" + payload;
+        jobs.push_back({.m_id = jobIdOf("demo", key), .m_expectedResult = hexOf(hashOf(payload)), .m_state = {}, .m_result = {}});
+        for (std::size_t copy = 0; copy < copies; ++copy) {
+            calls.push_back(submitCall(i + copy, kind, key, payload));
+        }
+    }
+    const std::vector<HttpReply> replies = m_session.callAll(calls);
+    for (std::size_t i = 0; i < replies.size(); ++i) {
+        const HttpReply &reply = replies[i];
+        if (!reply || reply->m_status != statusAccepted) {
+            return failure(ErrorCode::Unavailable, "submission of a " + std::string(kind) + " job failed: " + describe(reply));
+        }
+        if (textOf(parseObject(reply->m_body), QLatin1StringView("job_id")) != jobs[i / copies].m_id) {
+            return failure(ErrorCode::AnswerCorrupt, "the answer to a submission names another job: " + reply->m_body);
+        }
+    }
+    return jobs;
+}
+
+auto DemoRun::refresh(std::span<AskedJob> jobs) -> void
+{
+    std::vector<PendingCall> calls;
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+        calls.push_back({.m_server = entry(i), .m_request = {.m_method = "GET", .m_target = "/v1/jobs/" + jobs[i].m_id, .m_fields = {}, .m_body = {}}});
+    }
+    const std::vector<HttpReply> replies = m_session.callAll(calls);
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+        if (replies[i] && replies[i]->m_status == statusOk) {
+            const QJsonObject job = parseObject(replies[i]->m_body);
+            jobs[i].m_state = textOf(job, QLatin1StringView("state"));
+            jobs[i].m_result = textOf(job, QLatin1StringView("result"));
+        }
+    }
+}
+
+auto DemoRun::waitForState(std::span<AskedJob> jobs, std::string_view state) -> bool
+{
+    const TimePoint deadline = Clock::now() + m_plan.m_patience;
+    while (true) {
+        refresh(jobs);
+        const bool reached = std::ranges::all_of(jobs, [state](const AskedJob &job) {
+            return job.m_state == state;
+        });
+        if (reached || Clock::now() >= deadline) {
+            return reached;
+        }
+        CallerSession::wait(pollPeriod);
+    }
+}
+
+auto DemoRun::cancel(std::span<const AskedJob> jobs) -> void
+{
+    std::vector<PendingCall> calls;
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+        calls.push_back({.m_server = entry(i), .m_request = {.m_method = "DELETE", .m_target = "/v1/jobs/" + jobs[i].m_id, .m_fields = {}, .m_body = {}}});
+    }
+    // Whether the cancellations took effect is seen in the states of the jobs.
+    [[maybe_unused]] const std::vector<HttpReply> replies = m_session.callAll(calls);
+}
+
+auto DemoRun::makeWorkerLeave() -> Result<void>
+{
+    if (m_plan.m_leavingWorker.empty() || m_plan.m_platform.empty()) {
+        return {};
+    }
+    const HttpReply reply = m_session.call(m_plan.m_platform.front(), "PUT", "/standin/hosts/" + m_plan.m_leavingWorker, R"({"state":"leaving"})");
+    if (!reply || reply->m_status != statusOk) {
+        return failure(ErrorCode::Unavailable, "the host list did not take the change: " + describe(reply));
+    }
+    return {};
+}
+
+auto DemoRun::readTruth() -> Result<void>
+{
+    for (const NamedWorker &worker : m_plan.m_workers) {
+        const HttpReply reply = m_session.get(worker.m_endpoint, "/standin/journal");
+        if (!reply || reply->m_status != statusOk) {
+            return failure(ErrorCode::Unavailable, "no journal of " + worker.m_name + ": " + describe(reply));
+        }
+        if (!m_truth.addJournal(worker.m_name, reply->m_body)) {
+            return failure(ErrorCode::AnswerCorrupt, "the journal of " + worker.m_name + " is incomplete");
+        }
+    }
+    return {};
+}
+
+auto DemoRun::jobRow(std::string_view kind, std::span<const AskedJob> jobs, std::string_view state) const -> WorkRow
+{
+    WorkRow row{.m_kind = std::string(kind), .m_asked = jobs.size()};
+    for (const AskedJob &job : jobs) {
+        const bool reached = job.m_state == state;
+        const bool completes = state == "completed";
+        row.m_answered += reached ? 1 : 0;
+        row.m_lost += reached ? 0 : 1;
+        row.m_ran += m_truth.startsOf(job.m_id) > 0 ? 1 : 0;
+        row.m_resumed += m_truth.startsOf(job.m_id) > 1 ? 1 : 0;
+        row.m_doubled += m_truth.overlapsOf(job.m_id) > 0 || m_truth.completionsOf(job.m_id) > 1 ? 1 : 0;
+        row.m_different += reached && completes && job.m_result != job.m_expectedResult ? 1 : 0;
+    }
+    return row;
+}
+
+auto DemoRun::duplicateExecutions(std::span<const AskedRequest> asked) const -> std::uint64_t
+{
+    return static_cast<std::uint64_t>(std::ranges::count_if(asked, [this](const AskedRequest &request) {
+        return m_truth.executionsOfKey(request.m_key) > 1;
+    }));
+}
+
+auto DemoRun::execute() -> Result<std::vector<WorkRow>>
+{
+    auto watchers = submitJobs("watcher", m_plan.m_watchers);
+    if (!watchers) {
+        return std::unexpected(watchers.error());
+    }
+    auto batch = submitJobs("batch", m_plan.m_batchJobs);
+    if (!batch) {
+        return std::unexpected(batch.error());
+    }
+    const bool watchersRan = waitForState(*watchers, "running");
+    WorkRow checks = sendRequests("check", m_plan.m_checks, 1);
+    if (const auto left = makeWorkerLeave(); !left) {
+        return std::unexpected(left.error());
+    }
+    WorkRow holds = sendRequests("hold", m_plan.m_holds, 2);
+    // An unfinished job shows as lost in its row.
+    [[maybe_unused]] const bool completed = waitForState(*batch, "completed");
+    cancel(*watchers);
+    const bool watchersEnded = waitForState(*watchers, "cancelled");
+    if (const auto truth = readTruth(); !truth) {
+        return std::unexpected(truth.error());
+    }
+    WorkRow watcherRow = jobRow("watchers", *watchers, "cancelled");
+    watcherRow.m_lost = watchersRan && watchersEnded ? watcherRow.m_lost : watcherRow.m_asked;
+    checks.m_doubled = m_truth.requestsRepeated();
+    holds.m_doubled = duplicateExecutions(m_keyed);
+    checks.m_ran = m_truth.requestsExecuted() > m_keyed.size() ? m_truth.requestsExecuted() - m_keyed.size() : 0;
+    holds.m_ran = static_cast<std::uint64_t>(std::ranges::count_if(m_keyed, [this](const AskedRequest &request) {
+        return m_truth.executionsOfKey(request.m_key) > 0;
+    }));
+    return std::vector<WorkRow>{checks, holds, jobRow("batch jobs", *batch, "completed"), watcherRow};
+}
+}
--- /dev/null
+++ b/bench/executiontruth.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+class QJsonObject;
+
+namespace Burdockspur::Bench
+{
+/// @brief What the workers really executed, from the journals of their stand-ins.
+///
+/// @code
+/// ExecutionTruth truth;
+/// truth.addJournal("worker-1", journalText);
+/// if (truth.overlaps(job) > 0) { report(job); }
+/// @endcode
+class ExecutionTruth
+{
+public:
+    /// @brief Adds a worker's journal.
+    /// @param worker name, for messages
+    /// @param json body of `GET /standin/journal`
+    /// @returns false when the text is not a journal or has lost entries
+    [[nodiscard]] auto addJournal(std::string_view worker, std::string_view json) -> bool;
+
+    /// @brief Number of executions of requests with an idempotency key.
+    [[nodiscard]] auto executionsOfKey(std::string_view key) const -> std::uint64_t;
+
+    /// @brief Number of request ids that were executed.
+    [[nodiscard]] auto requestsExecuted() const noexcept -> std::size_t
+    {
+        return m_requests.size();
+    }
+
+    /// @brief Number of request ids that were executed more than once.
+    [[nodiscard]] auto requestsRepeated() const -> std::uint64_t;
+
+    /// @brief Number of starts of a job's attempts.
+    [[nodiscard]] auto startsOf(std::string_view job) const -> std::uint64_t;
+
+    /// @brief Number of completions of a job, over all its attempts.
+    [[nodiscard]] auto completionsOf(std::string_view job) const -> std::uint64_t;
+
+    /// @brief Number of starts while an earlier attempt of the same job was still running.
+    [[nodiscard]] auto overlapsOf(std::string_view job) const -> std::uint64_t;
+
+private:
+    struct TaskRun {
+        std::string m_place; ///< worker and attempt
+        std::int64_t m_startMs = 0;
+        std::int64_t m_endMs = std::numeric_limits<std::int64_t>::max(); ///< unchanged while it runs
+        bool m_completed = false;
+    };
+
+    auto addRequest(const QJsonObject &entry) -> void;
+    auto addStart(std::string_view worker, const QJsonObject &entry) -> void;
+    auto addEnd(std::string_view worker, const QJsonObject &entry) -> void;
+    [[nodiscard]] auto runsOf(std::string_view job) const -> std::vector<TaskRun>;
+
+    std::map<std::string, std::uint64_t, std::less<>> m_requests;
+    std::map<std::string, std::uint64_t, std::less<>> m_keys;
+    std::map<std::string, std::vector<TaskRun>, std::less<>> m_tasks;
+};
+}
--- /dev/null
+++ b/tests/executiontruthtest.cpp
@@ -0,0 +1,52 @@
+#include "executiontruth.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace Burdockspur::Bench;
+
+namespace
+{
+constexpr std::string_view firstRun = R"({"entries":[
+    {"sequence":1,"t_ms":100,"event":"task_started","task":"j1","attempt":1},
+    {"sequence":2,"t_ms":200,"event":"task_ended","state":"stopped","task":"j1","attempt":1}]})";
+}
+
+// Guards against a checker that misses a job in two places at once.
+TEST(ExecutionTruthTest, OverlappingAttemptsOfTwoWorkersAreFound)
+{
+    ExecutionTruth truth;
+    ASSERT_TRUE(truth.addJournal("w1", firstRun));
+    ASSERT_TRUE(truth.addJournal("w2", R"({"entries":[{"sequence":1,"t_ms":150,"event":"task_started","task":"j1","attempt":2}]})"));
+    EXPECT_EQ(truth.overlapsOf("j1"), 1U);
+    EXPECT_EQ(truth.startsOf("j1"), 2U);
+}
+
+// Guards against a checker that reports a resumed job as doubled.
+TEST(ExecutionTruthTest, SuccessiveAttemptsDoNotOverlap)
+{
+    ExecutionTruth truth;
+    ASSERT_TRUE(truth.addJournal("w1", firstRun));
+    ASSERT_TRUE(truth.addJournal("w2", R"({"entries":[
+        {"sequence":1,"t_ms":200,"event":"task_started","task":"j1","attempt":2},
+        {"sequence":2,"t_ms":300,"event":"task_ended","state":"completed","task":"j1","attempt":2}]})"));
+    EXPECT_EQ(truth.overlapsOf("j1"), 0U);
+    EXPECT_EQ(truth.completionsOf("j1"), 1U);
+}
+
+// Guards against a checker that trusts a journal with missing entries.
+TEST(ExecutionTruthTest, IncompleteJournalsAreRefused)
+{
+    ExecutionTruth truth;
+    EXPECT_FALSE(truth.addJournal("w1", "not json"));
+    EXPECT_FALSE(truth.addJournal("w1", R"({"entries":[{"sequence":7,"t_ms":1,"event":"task_started","task":"j1","attempt":1}]})"));
+}
+
+// Guards against a checker that misses a request executed on two workers.
+TEST(ExecutionTruthTest, ExecutionsOfAKeyAreCountedOverAllWorkers)
+{
+    ExecutionTruth truth;
+    ASSERT_TRUE(truth.addJournal("w1", R"({"entries":[{"sequence":1,"t_ms":1,"event":"request_started","request":"r1","key":"k"}]})"));
+    ASSERT_TRUE(truth.addJournal("w2", R"({"entries":[{"sequence":1,"t_ms":9,"event":"request_started","request":"r2","key":"k"}]})"));
+    EXPECT_EQ(truth.executionsOfKey("k"), 2U);
+    EXPECT_EQ(truth.requestsRepeated(), 0U);
+}
