Add request router decisions

Ruled out: a request id for each send of a request with an idempotency key. Two entry hosts could then not learn from a worker what the other one sent. The id is derived from caller and key instead, so a tombstone of the worker is a proof for every entry host.

Change: RequestRouter with TargetTable, two TargetPicker strategies, RetryBudget, IdempotencyTable, WaitingQueues and ExchangeTable; events are dispatched through tables of member pointers.

--- /dev/null
+++ b/include/burdockspur/host/requestrouter.hpp
@@ -0,0 +1,169 @@
+#pragma once
+
+#include "burdockspur/host/exchangetable.hpp"
+#include "burdockspur/host/idempotencytable.hpp"
+#include "burdockspur/host/leastloadedpicker.hpp"
+#include "burdockspur/host/rendezvouspicker.hpp"
+#include "burdockspur/host/retrybudget.hpp"
+#include "burdockspur/host/routercommand.hpp"
+#include "burdockspur/host/routerevent.hpp"
+#include "burdockspur/host/routerlimits.hpp"
+#include "burdockspur/host/targettable.hpp"
+#include "burdockspur/host/waitingqueues.hpp"
+
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Burdockspur
+{
+class RandomSource;
+
+/// @brief Decides what happens to each request of an entry host: admission, worker, retries, outcome.
+///
+/// Takes events and appends commands; it knows no socket, thread, codec or clock. `refused` is answered only
+/// when no worker can have run the request; a non-idempotent request is sent again only after a proof that it
+/// did not run.
+///
+/// A request with an idempotency key has the same request id on every entry host. It goes along the workers in
+/// rendezvous order, and moves on from a worker only after that worker has left a tombstone for the id.
+///
+/// @code
+/// RequestRouter router(limits, "zone-a");
+/// router.handle(HostsChanged{listing}, now, random, commands);
+/// router.handle(RequestArrived{ticket, std::move(request)}, now, random, commands);
+/// sleepUntil(router.nextDeadline());
+/// @endcode
+class RequestRouter
+{
+public:
+    /// @param limits bounds and periods
+    /// @param ownZone zone of this entry host
+    RequestRouter(const RouterLimits &limits, std::string_view ownZone);
+    ~RequestRouter() = default;
+    RequestRouter(const RequestRouter &) = delete;
+    RequestRouter(RequestRouter &&) = delete;
+    auto operator=(const RequestRouter &) -> RequestRouter & = delete;
+    auto operator=(RequestRouter &&) -> RequestRouter & = delete;
+
+    /// @brief Handles one event.
+    /// @param event what happened
+    /// @param now current time; never earlier than in the previous call
+    /// @param random source of all random choices
+    /// @param commands appended to
+    auto handle(RouterEvent &&event, TimePoint now, RandomSource &random, std::vector<RouterCommand> &commands) -> void;
+
+    /// @brief When TimePassed is due, or TimePoint::max().
+    [[nodiscard]] auto nextDeadline() const noexcept -> TimePoint;
+
+    /// @brief True after DrainRequested when no request is in progress.
+    [[nodiscard]] auto isDrained() const noexcept -> bool;
+
+    /// @brief Number of callers that wait for an answer.
+    [[nodiscard]] auto inFlight() const noexcept -> std::size_t;
+
+    /// @brief Number of requests that wait for a free slot.
+    [[nodiscard]] auto queued() const noexcept -> std::size_t;
+
+    /// @brief The workers.
+    [[nodiscard]] auto targets() const noexcept -> const TargetTable &;
+
+private:
+    struct Turn {
+        TimePoint m_now;
+        RandomSource &m_random;
+        std::vector<RouterCommand> &m_commands;
+    };
+
+    template<typename Event>
+    auto dispatch(RouterEvent &&event, Turn &turn) -> void
+    {
+        if (auto *const content = std::get_if<Event>(&event); content != nullptr) {
+            on(std::move(*content), turn);
+        }
+    }
+
+    auto on(RequestArrived &&event, Turn &turn) -> void;
+    auto on(CallerLeft &&event, Turn &turn) -> void;
+    auto on(TargetReplied &&event, Turn &turn) -> void;
+    auto on(SettleReplied &&event, Turn &turn) -> void;
+    auto on(HostsChanged &&event, Turn &turn) -> void;
+    auto on(ConfigurationChanged &&event, Turn &turn) -> void;
+    auto on(DrainRequested &&event, Turn &turn) -> void;
+    auto on(TimePassed &&event, Turn &turn) -> void;
+
+    // Admission, one function for each KeyState.
+    [[nodiscard]] auto admissionError(const ServiceRequest &request, TimePoint now) const -> std::optional<ErrorCode>;
+    auto admitByKey(RequestArrived &&event, Turn &turn) -> void;
+    auto admitNew(RequestArrived &&event, Turn &turn) -> void;
+    auto admitSecond(RequestArrived &&event, Turn &turn) -> void;
+    auto admitAnswered(RequestArrived &&event, Turn &turn) -> void;
+    auto admitUnresolved(RequestArrived &&event, Turn &turn) -> void;
+    auto admitConflict(RequestArrived &&event, Turn &turn) -> void;
+    [[nodiscard]] auto openExchange(RequestArrived &&event, Turn &turn) -> Exchange *;
+
+    // Choice of the worker.
+    auto place(Exchange &exchange, Turn &turn) -> void;
+    auto placeAnywhere(Exchange &exchange, Turn &turn) -> void;
+    auto placeByKey(Exchange &exchange, Turn &turn) -> void;
+    auto enqueue(Exchange &exchange, WaitingQueues &queues, std::string_view name, Turn &turn) -> void;
+    auto forward(Exchange &exchange, Target &target, Turn &turn) -> void;
+    auto dispatchQueued(Turn &turn) -> void;
+    [[nodiscard]] auto takeQueued(const Target &target, TimePoint now) -> Exchange *;
+
+    // Replies of workers, one function for each TargetReply::Status and SettleReply::Status.
+    auto targetAnswered(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void;
+    auto targetFailed(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void;
+    auto targetFull(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void;
+    auto targetLeaving(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void;
+    auto targetTombstoned(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void;
+    auto targetNotReached(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void;
+    auto targetLost(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void;
+    auto settledNeverStarted(Exchange &exchange, SettleReply &&reply, Turn &turn) -> void;
+    auto settledRunning(Exchange &exchange, SettleReply &&reply, Turn &turn) -> void;
+    auto settledAnswered(Exchange &exchange, SettleReply &&reply, Turn &turn) -> void;
+    auto settledFailed(Exchange &exchange, SettleReply &&reply, Turn &turn) -> void;
+    auto settleNotReached(Exchange &exchange, SettleReply &&reply, Turn &turn) -> void;
+
+    // Retries and settling.
+    auto retryElsewhere(Exchange &exchange, Turn &turn) -> void;
+    auto retryLater(Exchange &exchange, Turn &turn) -> void;
+    [[nodiscard]] auto resendFromUnknown(Exchange &exchange, Turn &turn) -> bool;
+    auto pause(Exchange &exchange, ExchangeState state, TimePoint latest, Turn &turn) -> void;
+    auto settle(Exchange &exchange, Turn &turn) -> void;
+
+    // Timers, one function for each ExchangeState.
+    auto queuedTooLong(Exchange &exchange, Turn &turn) -> void;
+    auto retryPauseEnded(Exchange &exchange, Turn &turn) -> void;
+    auto noReplyInTime(Exchange &exchange, Turn &turn) -> void;
+    auto settlePauseEnded(Exchange &exchange, Turn &turn) -> void;
+
+    // Ends.
+    auto finish(Exchange &exchange, Outcome outcome, ErrorCode code, std::string &&body, Turn &turn) -> void;
+    auto finishWithoutAnswer(Exchange &exchange, ErrorCode code, Turn &turn) -> void;
+    auto recordKey(const Exchange &exchange, const RequestAnswer &answer, TimePoint now) -> void;
+    auto abandon(Exchange &exchange) -> void;
+    auto leaveQueue(const Exchange &exchange) -> void;
+    static auto answer(Ticket ticket, RequestAnswer &&answer, Turn &turn) -> void;
+    static auto refuse(const RequestArrived &event, ErrorCode code, Turn &turn) -> void;
+
+    [[nodiscard]] auto current(const DispatchId &dispatch, ExchangeState state) noexcept -> Exchange *;
+    [[nodiscard]] auto endOf(const Exchange &exchange) const noexcept -> TimePoint;
+    static auto attach(Exchange &exchange, Target &target) -> void;
+    auto detach(Exchange &exchange) -> void;
+
+    RouterLimits m_limits;
+    TargetTable m_targets;
+    LeastLoadedPicker m_leastLoaded;
+    RendezvousPicker m_rendezvous;
+    RetryBudget m_budget;
+    IdempotencyTable m_keys;
+    WaitingQueues m_queuedByService;
+    WaitingQueues m_queuedByWorker; ///< requests with a key wait for their worker
+    ExchangeTable m_exchanges;
+    std::set<std::string, std::less<>> m_services; ///< empty: every name is accepted
+    std::vector<Target *> m_freed; ///< workers with slots freed by the current event
+    bool m_draining = false;
+};
+}
--- /dev/null
+++ b/include/burdockspur/host/routercommand.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "burdockspur/contract/requestanswer.hpp"
+#include "burdockspur/contract/targetorder.hpp"
+#include "burdockspur/host/routerevent.hpp"
+
+#include <variant>
+
+namespace Burdockspur
+{
+/// @brief Gives a caller its answer.
+struct AnswerCaller {
+    Ticket m_ticket = 0;
+    RequestAnswer m_answer;
+};
+
+/// @brief Everything that RequestRouter orders.
+using RouterCommand = std::variant<ForwardOrder, SettleOrder, AnswerCaller>;
+}
--- /dev/null
+++ b/include/burdockspur/host/routerevent.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "burdockspur/contract/configuration.hpp"
+#include "burdockspur/contract/servicerequest.hpp"
+#include "burdockspur/contract/targetreply.hpp"
+#include "burdockspur/machine/hostrecord.hpp"
+
+#include <cstdint>
+#include <variant>
+
+namespace Burdockspur
+{
+/// @brief Names one waiting caller; chosen by the front end and never reused.
+using Ticket = std::uint64_t;
+
+/// @brief A caller sent a request.
+struct RequestArrived {
+    Ticket m_ticket = 0;
+    ServiceRequest m_request;
+};
+
+/// @brief A caller will not read its answer.
+struct CallerLeft {
+    Ticket m_ticket = 0;
+};
+
+/// @brief A worker replied to a forwarded request, or will not.
+struct TargetReplied {
+    TargetReply m_reply;
+};
+
+/// @brief A worker replied to a settle, or will not.
+struct SettleReplied {
+    SettleReply m_reply;
+};
+
+/// @brief The host list was read.
+struct HostsChanged {
+    HostListing m_listing;
+};
+
+/// @brief A higher version of the configuration was read.
+struct ConfigurationChanged {
+    Configuration m_configuration;
+};
+
+/// @brief New requests are refused from now on.
+struct DrainRequested {
+};
+
+/// @brief The deadline given by the router has come.
+struct TimePassed {
+};
+
+/// @brief Everything that RequestRouter reacts to.
+using RouterEvent = std::variant<RequestArrived, CallerLeft, TargetReplied, SettleReplied, HostsChanged, ConfigurationChanged, DrainRequested, TimePassed>;
+}
--- /dev/null
+++ b/include/burdockspur/host/target.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "burdockspur/core/clock.hpp"
+#include "burdockspur/machine/hostrecord.hpp"
+
+#include <cstdint>
+
+namespace Burdockspur
+{
+/// @brief A worker as this entry host sees it.
+struct Target {
+    HostRecord m_record;
+    bool m_listed = true; ///< in the latest host list
+    std::uint32_t m_inFlight = 0; ///< slots used by this entry host, never more than the worker has
+    std::uint32_t m_references = 0; ///< exchanges that refer to this target
+    std::uint32_t m_failures = 0; ///< consecutive failures
+    TimePoint m_leavingUntil = TimePoint::min(); ///< end of the mark left by the reply `leaving`
+    TimePoint m_avoidUntil = TimePoint::min();
+
+    /// @brief True when new requests may be sent.
+    [[nodiscard]] auto accepts(TimePoint now) const noexcept -> bool
+    {
+        return m_listed && m_record.m_state == HostState::Live && m_leavingUntil <= now;
+    }
+
+    [[nodiscard]] auto hasFreeSlot() const noexcept -> bool
+    {
+        return m_inFlight < m_record.m_slots;
+    }
+
+    /// @brief True while other workers are preferred.
+    [[nodiscard]] auto isAvoided(TimePoint now) const noexcept -> bool
+    {
+        return m_avoidUntil > now;
+    }
+
+    /// @brief Share of the slots in use, for comparison between workers of different sizes.
+    [[nodiscard]] auto load() const noexcept -> double
+    {
+        return m_record.m_slots == 0 ? 1.0 : static_cast<double>(m_inFlight) / m_record.m_slots;
+    }
+};
+}
--- /dev/null
+++ b/src/host/requestrouter.cpp
@@ -0,0 +1,260 @@
+#include "burdockspur/host/requestrouter.hpp"
+
+#include "burdockspur/core/invariant.hpp"
+#include "burdockspur/core/randomsource.hpp"
+
+#include <array>
+
+namespace Burdockspur
+{
+RequestRouter::RequestRouter(const RouterLimits &limits, std::string_view ownZone)
+    : m_limits(limits)
+    , m_targets(m_limits, ownZone)
+    , m_budget(m_limits)
+    , m_keys(m_limits)
+    , m_queuedByService(limits.m_maxQueuedPerClass)
+    , m_queuedByWorker(limits.m_maxQueuedPerClass)
+{
+}
+
+auto RequestRouter::handle(RouterEvent &&event, TimePoint now, RandomSource &random, std::vector<RouterCommand> &commands) -> void
+{
+    using Handler = auto (RequestRouter::*)(RouterEvent &&, Turn &)->void;
+    // In the order of the alternatives of RouterEvent.
+    static constexpr std::array<Handler, std::variant_size_v<RouterEvent>> handlers{
+        &RequestRouter::dispatch<RequestArrived>,
+        &RequestRouter::dispatch<CallerLeft>,
+        &RequestRouter::dispatch<TargetReplied>,
+        &RequestRouter::dispatch<SettleReplied>,
+        &RequestRouter::dispatch<HostsChanged>,
+        &RequestRouter::dispatch<ConfigurationChanged>,
+        &RequestRouter::dispatch<DrainRequested>,
+        &RequestRouter::dispatch<TimePassed>,
+    };
+    Turn turn{now, random, commands};
+    (this->*handlers[event.index()])(std::move(event), turn);
+    dispatchQueued(turn);
+}
+
+auto RequestRouter::nextDeadline() const noexcept -> TimePoint
+{
+    return m_exchanges.nextTimer();
+}
+
+auto RequestRouter::isDrained() const noexcept -> bool
+{
+    return m_draining && m_exchanges.size() == 0;
+}
+
+auto RequestRouter::inFlight() const noexcept -> std::size_t
+{
+    return m_exchanges.waiters();
+}
+
+auto RequestRouter::queued() const noexcept -> std::size_t
+{
+    return m_queuedByService.size() + m_queuedByWorker.size();
+}
+
+auto RequestRouter::targets() const noexcept -> const TargetTable &
+{
+    return m_targets;
+}
+
+auto RequestRouter::on(CallerLeft &&event, Turn & /*turn*/) -> void
+{
+    Exchange *const exchange = m_exchanges.leave(event.m_ticket);
+    const bool wanted = exchange == nullptr || !exchange->m_waiters.empty();
+    if (!wanted && exchange->m_target == nullptr && !exchange->m_mayHaveRun) {
+        abandon(*exchange);
+    }
+}
+
+auto RequestRouter::on(TargetReplied &&event, Turn &turn) -> void
+{
+    using Handler = auto (RequestRouter::*)(Exchange &, TargetReply &&, Turn &)->void;
+    // In the order of TargetReply::Status.
+    static constexpr std::array<Handler, 7> handlers{
+        &RequestRouter::targetAnswered,
+        &RequestRouter::targetFailed,
+        &RequestRouter::targetFull,
+        &RequestRouter::targetLeaving,
+        &RequestRouter::targetTombstoned,
+        &RequestRouter::targetNotReached,
+        &RequestRouter::targetLost,
+    };
+    auto &reply = event.m_reply;
+    if (Exchange *const exchange = current(reply.m_dispatch, ExchangeState::Forwarded); exchange != nullptr) {
+        (this->*handlers[static_cast<std::size_t>(reply.m_status)])(*exchange, std::move(reply), turn);
+    }
+}
+
+auto RequestRouter::on(SettleReplied &&event, Turn &turn) -> void
+{
+    using Handler = auto (RequestRouter::*)(Exchange &, SettleReply &&, Turn &)->void;
+    // In the order of SettleReply::Status.
+    static constexpr std::array<Handler, 5> handlers{
+        &RequestRouter::settledNeverStarted,
+        &RequestRouter::settledRunning,
+        &RequestRouter::settledAnswered,
+        &RequestRouter::settledFailed,
+        &RequestRouter::settleNotReached,
+    };
+    auto &reply = event.m_reply;
+    if (Exchange *const exchange = current(reply.m_dispatch, ExchangeState::Settling); exchange != nullptr) {
+        (this->*handlers[static_cast<std::size_t>(reply.m_status)])(*exchange, std::move(reply), turn);
+    }
+}
+
+auto RequestRouter::on(HostsChanged &&event, Turn & /*turn*/) -> void
+{
+    m_targets.update(event.m_listing.m_hosts);
+    m_freed.assign(m_targets.local().begin(), m_targets.local().end());
+    m_freed.insert(m_freed.end(), m_targets.remote().begin(), m_targets.remote().end());
+}
+
+auto RequestRouter::on(ConfigurationChanged &&event, Turn & /*turn*/) -> void
+{
+    m_services.clear();
+    for (auto &service : event.m_configuration.m_services) {
+        m_services.insert(std::move(service.m_name));
+    }
+}
+
+auto RequestRouter::on(DrainRequested && /*event*/, Turn & /*turn*/) -> void
+{
+    m_draining = true;
+}
+
+auto RequestRouter::on(TimePassed && /*event*/, Turn &turn) -> void
+{
+    using Handler = auto (RequestRouter::*)(Exchange &, Turn &)->void;
+    // In the order of ExchangeState.
+    static constexpr std::array<Handler, 5> handlers{
+        &RequestRouter::queuedTooLong,
+        &RequestRouter::retryPauseEnded,
+        &RequestRouter::noReplyInTime,
+        &RequestRouter::noReplyInTime,
+        &RequestRouter::settlePauseEnded,
+    };
+    while (Exchange *const exchange = m_exchanges.nextExpired(turn.m_now)) {
+        for (const Ticket ticket : m_exchanges.leaveExpired(*exchange, turn.m_now)) {
+            // Not `refused`: the exchange goes on for another caller with the same key and may run.
+            answer(ticket, {Outcome::Unknown, ErrorCode::OutcomeUnknown, exchange->m_request.m_id, exchange->m_lastWorker, {}}, turn);
+        }
+        if (exchange->m_stateTimer <= turn.m_now) {
+            (this->*handlers[static_cast<std::size_t>(exchange->m_state)])(*exchange, turn);
+        }
+    }
+}
+
+auto RequestRouter::queuedTooLong(Exchange &exchange, Turn &turn) -> void
+{
+    finishWithoutAnswer(exchange, ErrorCode::DeadlineExceeded, turn);
+}
+
+auto RequestRouter::retryPauseEnded(Exchange &exchange, Turn &turn) -> void
+{
+    place(exchange, turn);
+}
+
+auto RequestRouter::noReplyInTime(Exchange &exchange, Turn &turn) -> void
+{
+    finishWithoutAnswer(exchange, ErrorCode::DeadlineExceeded, turn);
+}
+
+auto RequestRouter::settlePauseEnded(Exchange &exchange, Turn &turn) -> void
+{
+    settle(exchange, turn);
+}
+
+auto RequestRouter::finish(Exchange &exchange, Outcome outcome, ErrorCode code, std::string &&body, Turn &turn) -> void
+{
+    RequestAnswer result{outcome, code, exchange.m_request.m_id, exchange.m_lastWorker, std::move(body)};
+    recordKey(exchange, result, turn.m_now);
+    while (!exchange.m_waiters.empty()) {
+        const Ticket ticket = exchange.m_waiters.back().m_ticket;
+        m_exchanges.leave(ticket);
+        answer(ticket, exchange.m_waiters.empty() ? std::move(result) : RequestAnswer(result), turn);
+    }
+    detach(exchange);
+    leaveQueue(exchange);
+    m_exchanges.erase(exchange);
+}
+
+auto RequestRouter::finishWithoutAnswer(Exchange &exchange, ErrorCode code, Turn &turn) -> void
+{
+    if (exchange.m_mayHaveRun) {
+        finish(exchange, Outcome::Unknown, ErrorCode::OutcomeUnknown, {}, turn);
+    } else {
+        finish(exchange, Outcome::Refused, code, {}, turn);
+    }
+}
+
+auto RequestRouter::recordKey(const Exchange &exchange, const RequestAnswer &answer, TimePoint now) -> void
+{
+    if (exchange.m_request.m_idempotencyKey.empty()) {
+        return;
+    }
+    if (answer.m_outcome == Outcome::Unknown) {
+        m_keys.leaveUnresolved(exchange.m_request.m_id, exchange.m_lastWorker, now);
+    } else if (answer.m_outcome == Outcome::Refused) {
+        m_keys.forget(exchange.m_request.m_id);
+    } else {
+        m_keys.store(exchange.m_request.m_id, answer, now);
+    }
+}
+
+auto RequestRouter::abandon(Exchange &exchange) -> void
+{
+    if (!exchange.m_request.m_idempotencyKey.empty()) {
+        m_keys.forget(exchange.m_request.m_id);
+    }
+    leaveQueue(exchange);
+    m_exchanges.erase(exchange);
+}
+
+auto RequestRouter::leaveQueue(const Exchange &exchange) -> void
+{
+    if (exchange.m_state == ExchangeState::Queued) {
+        m_queuedByService.remove(exchange.m_queue, exchange.m_request.m_deadline, exchange.m_number);
+        m_queuedByWorker.remove(exchange.m_queue, exchange.m_request.m_deadline, exchange.m_number);
+    }
+}
+
+auto RequestRouter::answer(Ticket ticket, RequestAnswer &&answer, Turn &turn) -> void
+{
+    turn.m_commands.emplace_back(AnswerCaller{ticket, std::move(answer)});
+}
+
+auto RequestRouter::current(const DispatchId &dispatch, ExchangeState state) noexcept -> Exchange *
+{
+    Exchange *const exchange = m_exchanges.find(dispatch.m_exchange);
+    // Anything else is a late reply to an earlier message.
+    return exchange != nullptr && exchange->m_state == state && exchange->m_sequence == dispatch.m_sequence ? exchange : nullptr;
+}
+
+auto RequestRouter::endOf(const Exchange &exchange) const noexcept -> TimePoint
+{
+    return exchange.m_request.m_deadline + m_limits.m_settleGrace;
+}
+
+auto RequestRouter::attach(Exchange &exchange, Target &target) -> void
+{
+    exchange.m_target = &target;
+    ++target.m_references;
+}
+
+auto RequestRouter::detach(Exchange &exchange) -> void
+{
+    Target *const target = std::exchange(exchange.m_target, nullptr);
+    if (target == nullptr) {
+        return;
+    }
+    --target->m_references;
+    if (std::exchange(exchange.m_holdsSlot, false)) {
+        TargetTable::freeSlot(*target);
+        m_freed.push_back(target);
+    }
+}
+}
--- /dev/null
+++ b/src/host/targettable.cpp
@@ -0,0 +1,116 @@
+#include "burdockspur/host/targettable.hpp"
+
+#include "burdockspur/core/invariant.hpp"
+#include "burdockspur/core/randomsource.hpp"
+#include "burdockspur/host/routerlimits.hpp"
+
+#include <algorithm>
+
+namespace Burdockspur
+{
+TargetTable::TargetTable(const RouterLimits &limits, std::string_view ownZone) : m_limits(limits), m_ownZone(ownZone)
+{
+}
+
+auto TargetTable::update(std::span<const HostRecord> hosts) -> void
+{
+    for (auto &[name, target] : m_targets) {
+        target->m_listed = false;
+    }
+    for (const auto &host : hosts) {
+        if (host.m_role != HostRole::Worker) {
+            continue;
+        }
+        auto &target = m_targets[host.m_name];
+        if (!target) {
+            target = std::make_unique<Target>();
+        }
+        target->m_record = host;
+        target->m_listed = true;
+    }
+    std::erase_if(m_targets, [](const auto &entry) {
+        return !entry.second->m_listed && entry.second->m_references == 0;
+    });
+    rebuildGroups();
+}
+
+auto TargetTable::rebuildGroups() -> void
+{
+    m_local.clear();
+    m_remote.clear();
+    for (const auto &[name, target] : m_targets) {
+        if (target->m_listed) {
+            (target->m_record.m_place.m_zone == m_ownZone ? m_local : m_remote).push_back(target.get());
+        }
+    }
+    // The order of the hash map differs between runs and library versions; a seed must reproduce a choice.
+    const auto byName = [](const Target *target) -> const std::string & {
+        return target->m_record.m_name;
+    };
+    std::ranges::sort(m_local, {}, byName);
+    std::ranges::sort(m_remote, {}, byName);
+}
+
+auto TargetTable::find(std::string_view name) noexcept -> Target *
+{
+    const auto found = m_targets.find(name);
+    return found == m_targets.end() ? nullptr : found->second.get();
+}
+
+auto TargetTable::local() const noexcept -> std::span<Target *const>
+{
+    return m_local;
+}
+
+auto TargetTable::remote() const noexcept -> std::span<Target *const>
+{
+    return m_remote;
+}
+
+auto TargetTable::anyAccepts(TimePoint now) const noexcept -> bool
+{
+    const auto accepts = [now](const Target *target) {
+        return target->accepts(now);
+    };
+    return std::ranges::any_of(m_local, accepts) || std::ranges::any_of(m_remote, accepts);
+}
+
+auto TargetTable::takeSlot(Target &target) noexcept -> void
+{
+    requireInvariant(target.hasFreeSlot(), "target_slots", target.m_record.m_name);
+    ++target.m_inFlight;
+}
+
+auto TargetTable::freeSlot(Target &target) noexcept -> void
+{
+    requireInvariant(target.m_inFlight > 0, "target_slots_freed_once", target.m_record.m_name);
+    --target.m_inFlight;
+}
+
+auto TargetTable::noteLeaving(Target &target, TimePoint now) const noexcept -> void
+{
+    target.m_leavingUntil = now + m_limits.m_leavingMark;
+}
+
+auto TargetTable::noteFailure(Target &target, TimePoint now, RandomSource &random) const noexcept -> void
+{
+    constexpr std::uint32_t maxDoublings = 16;
+    const Duration longest = m_limits.m_avoidMax;
+    const Duration full = std::min(longest, Duration(m_limits.m_avoidMin) * (1U << std::min(target.m_failures, maxDoublings)));
+    ++target.m_failures;
+    // Jitter keeps entry hosts that saw the same failure from returning at the same time.
+    const auto half = full / 2;
+    target.m_avoidUntil = now + half + Duration(static_cast<Duration::rep>(static_cast<double>(half.count()) * random.unit()));
+}
+
+auto TargetTable::noteFull(Target &target, TimePoint now) const noexcept -> void
+{
+    target.m_avoidUntil = std::max(target.m_avoidUntil, now + m_limits.m_pauseMin);
+}
+
+auto TargetTable::noteResponse(Target &target) noexcept -> void
+{
+    target.m_failures = 0;
+    target.m_avoidUntil = TimePoint::min();
+}
+}
