--- /dev/null
+++ b/include/burdockspur/operations/signalwatcher.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+class QSocketNotifier;
+
+namespace Burdockspur
+{
+/// @brief Delivers SIGTERM and SIGINT as a call in the event loop of its thread.
+///
+/// Construct it in main() before any thread starts, because threads inherit the blocked signals. Only
+/// the first signal is delivered: a second one must not shorten a graceful shutdown. SIGPIPE is ignored.
+///
+/// @code
+/// SignalWatcher watcher([&](int signal) { daemon.beginDrain(); });
+/// @endcode
+class SignalWatcher
+{
+public:
+    /// @param handler takes the number of the first signal
+    explicit SignalWatcher(std::function<void(int)> handler);
+    ~SignalWatcher();
+    SignalWatcher(const SignalWatcher &) = delete;
+    SignalWatcher(SignalWatcher &&) = delete;
+    auto operator=(const SignalWatcher &) -> SignalWatcher & = delete;
+    auto operator=(SignalWatcher &&) -> SignalWatcher & = delete;
+
+private:
+    auto readSignals() -> void;
+
+    std::function<void(int)> m_handler;
+    int m_descriptor = -1;
+    bool m_delivered = false;
+    std::unique_ptr<QSocketNotifier> m_notifier;
+};
+}
--- /dev/null
+++ b/src/operations/signalwatcher.cpp
@@ -0,0 +1,46 @@
+#include "burdockspur/operations/signalwatcher.hpp"
+
+#include "burdockspur/core/invariant.hpp"
+
+#include <QSocketNotifier>
+
+#include <csignal>
+#include <sys/signalfd.h>
+#include <unistd.h>
+#include <utility>
+
+namespace Burdockspur
+{
+SignalWatcher::SignalWatcher(std::function<void(int)> handler) : m_handler(std::move(handler))
+{
+    static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    m_descriptor = ::signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
+    requireInvariant(m_descriptor >= 0, "signalfd_created", "signalfd failed");
+    m_notifier = std::make_unique<QSocketNotifier>(m_descriptor, QSocketNotifier::Read);
+    QObject::connect(m_notifier.get(), &QSocketNotifier::activated, m_notifier.get(), [this] {
+        readSignals();
+    });
+}
+
+SignalWatcher::~SignalWatcher()
+{
+    m_notifier.reset();
+    ::close(m_descriptor);
+}
+
+auto SignalWatcher::readSignals() -> void
+{
+    signalfd_siginfo info{};
+    while (::read(m_descriptor, &info, sizeof(info)) == static_cast<ssize_t>(sizeof(info))) {
+        if (!m_delivered) {
+            m_delivered = true;
+            m_handler(static_cast<int>(info.ssi_signo));
+        }
+    }
+}
+}
