--- /dev/null
+++ b/include/burdockspur/platform/httpobjectstore.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "burdockspur/platform/objectstore.hpp"
+#include "burdockspur/platform/serviceport.hpp"
+
+namespace Burdockspur
+{
+/// @brief ObjectStore over the platform's HTTP protocol.
+///
+/// get() of an absent object fails with UnknownRoute, the code for status 404; remove() of one succeeds.
+class HttpObjectStore final : public ObjectStore
+{
+public:
+    /// @param client lives in the same thread and outlives the store
+    /// @param endpoint of the object store
+    /// @param timeout of each call
+    HttpObjectStore(HttpClient &client, HttpEndpoint endpoint, Duration timeout);
+
+    auto put(std::string_view name, std::string bytes, DoneCallback callback) -> void override;
+    auto get(std::string_view name, BytesCallback callback) -> void override;
+    auto remove(std::string_view name, DoneCallback callback) -> void override;
+
+private:
+    ServicePort m_port;
+};
+}
--- /dev/null
+++ b/include/burdockspur/platform/serviceport.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "burdockspur/link/httpclient.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace Burdockspur
+{
+/// @brief Sends JSON or bytes to one HTTP service of the platform.
+class ServicePort
+{
+public:
+    /// @param client lives in the same thread and outlives the port
+    /// @param endpoint of the service
+    /// @param timeout of each call
+    ServicePort(HttpClient &client, HttpEndpoint endpoint, Duration timeout);
+
+    auto call(std::string_view method, std::string target, std::string body, HttpClient::Callback callback) const -> void;
+
+private:
+    HttpClient *m_client;
+    HttpEndpoint m_endpoint;
+    Duration m_timeout;
+};
+
+/// @brief Member `code` of a JSON error, or an empty text.
+[[nodiscard]] auto codeOfResponse(const HttpResponse &response) -> std::string;
+
+/// @brief Why a reply is not a success: a failed call, RateLimited, Unavailable, or AnswerCorrupt for any other status.
+/// @param reply a failure, or a response with another status than expected
+/// @param call for the message, e.g. `GET /v1/hosts`
+[[nodiscard]] auto errorOfReply(const HttpReply &reply, std::string_view call) -> Error;
+
+/// @brief AnswerCorrupt for a body that is not as specified.
+[[nodiscard]] auto corruptAnswer(std::string_view call, std::string_view reason) -> Error;
+}
