Add ConfigurationDocument, ConfigurationWatcher, HostWatcher and AdminServer

Cause: daemons need the newest configuration and host list, operators need changes that are accepted exactly when they take effect, and each daemon needs its admin port.

Change: ConfigurationDocument reads and writes the JSON with one table of members for each kind of entry and names the path of each error. ConfigurationWatcher polls, delivers new versions and runs ConfigurationChange for each change. HostWatcher delivers changed listings. AdminServer serves /metrics, /v1/status and /v1/drain from a table of member pointers.

--- a/include/burdockspur/impl/jsonreader.hpp
+++ b/include/burdockspur/impl/jsonreader.hpp
@@ -43,6 +43,9 @@
     /// @brief Readers of an array of objects; empty after an error.
     [[nodiscard]] auto objects(std::string_view name) -> std::vector<JsonReader>;
 
+    /// @brief Entries of an array of texts; empty after an error.
+    [[nodiscard]] auto texts(std::string_view name, const SettingRange &length) -> std::vector<std::string>;
+
     /// @brief Reports every member that is not in the list.
     auto refuseUnknown(std::span<const std::string_view> known) -> void;
 
--- /dev/null
+++ b/include/burdockspur/operations/adminserver.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "burdockspur/core/error.hpp"
+#include "burdockspur/link/httpserver.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Burdockspur
+{
+class Metrics;
+
+/// @brief The admin port of a daemon: `GET /metrics`, `GET /v1/status`, `POST /v1/drain`.
+///
+/// Lives in the thread of an EventLoopDuty; the callbacks run there, so they use only what is safe to
+/// use from that thread, e.g. a ring or a status text under a mutex.
+///
+/// @code
+/// AdminServer admin(metrics, [&] { return status.text(); }, [&] { drainRing.tryPush(Drain{}); });
+/// admin.addRoute("GET", "/v1/queue", [&](const HttpRequest &) { return jsonResponse(200, queue.text()); });
+/// const auto port = admin.listen(settings.m_adminAddress, settings.m_adminPort);
+/// @endcode
+class AdminServer
+{
+public:
+    using StatusCallback = std::function<std::string()>; ///< JSON text
+    using DrainCallback = std::function<void()>;
+    using RouteHandler = std::function<HttpResponse(const HttpRequest &)>;
+
+    /// @param metrics outlive the server
+    /// @param status gives the body of `GET /v1/status`
+    /// @param drain begins a graceful shutdown; called once, at the first `POST /v1/drain`
+    AdminServer(const Metrics &metrics, StatusCallback status, DrainCallback drain);
+
+    /// @brief Adds a route with an exact path.
+    auto addRoute(std::string_view method, std::string_view path, RouteHandler handler) -> void;
+
+    /// @brief Starts to listen; port 0 picks a free one.
+    /// @returns the port, or ErrorCode::Unavailable
+    [[nodiscard]] auto listen(std::string_view address, std::uint16_t port) -> Result<std::uint16_t>;
+
+private:
+    struct Route {
+        std::string m_method;
+        std::string m_path;
+        RouteHandler m_handler;
+    };
+
+    [[nodiscard]] auto respond(const HttpRequest &request) -> HttpResponse;
+    [[nodiscard]] auto showMetrics(const HttpRequest &request) -> HttpResponse;
+    [[nodiscard]] auto showStatus(const HttpRequest &request) -> HttpResponse;
+    [[nodiscard]] auto beginDrain(const HttpRequest &request) -> HttpResponse;
+
+    const Metrics *m_metrics;
+    StatusCallback m_status;
+    DrainCallback m_drain;
+    bool m_isDraining = false;
+    std::vector<Route> m_routes;
+    HttpServer m_server;
+};
+}
--- a/src/impl/jsonreader.cpp
+++ b/src/impl/jsonreader.cpp
@@ -169,6 +169,23 @@
     return readers;
 }
 
+auto JsonReader::texts(std::string_view name, const SettingRange &length) -> std::vector<std::string>
+{
+    const auto found = value(name);
+    std::vector<std::string> texts;
+    for (const auto &entry : found.toArray()) {
+        texts.push_back(entry.toString().toStdString());
+        if (!entry.isString() || !isInRange(length, static_cast<double>(texts.back().size()))) {
+            report(name, "an array of texts" + rangeText(length) + " bytes");
+            return {};
+        }
+    }
+    if (!found.isArray()) {
+        report(name, "an array of texts");
+    }
+    return texts;
+}
+
 auto JsonReader::refuseUnknown(std::span<const std::string_view> known) -> void
 {
     for (const auto &key : m_object.keys()) {
--- /dev/null
+++ b/src/operations/configurationwatcher.cpp
@@ -0,0 +1,224 @@
+#include "burdockspur/operations/configurationwatcher.hpp"
+
+#include "burdockspur/core/identifiers.hpp"
+#include "burdockspur/core/randomsource.hpp"
+#include "burdockspur/impl/configurationchange.hpp"
+#include "burdockspur/impl/polltimer.hpp"
+#include "burdockspur/operations/log.hpp"
+#include "burdockspur/platform/tablestore.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace Burdockspur
+{
+namespace
+{
+[[nodiscard]] auto replaceDocument(Configuration wanted, const std::optional<Configuration> &current) -> Result<Configuration>
+{
+    // Jobs and workers belong to shards by hash, so another count would move all of them at once.
+    if (current && current->m_shards != wanted.m_shards) {
+        return failure(ErrorCode::BadRequest,
+                       "shards: found " + std::to_string(wanted.m_shards) + ", expected the current count " + std::to_string(current->m_shards));
+    }
+    return wanted;
+}
+
+[[nodiscard]] auto replacePreset(std::string_view preset, const std::optional<Configuration> &current) -> Result<Configuration>
+{
+    if (!current || std::ranges::find(current->m_presets, preset, &Preset::m_name) == current->m_presets.end()) {
+        std::string names;
+        for (const auto &known : current ? current->m_presets : std::vector<Preset>()) {
+            names.append(names.empty() ? "" : ", ").append(known.m_name);
+        }
+        return failure(ErrorCode::UnknownPreset,
+                       "there is no preset '" + std::string(preset) + "', expected one of: " + (names.empty() ? "none is defined" : names));
+    }
+    auto changed = *current;
+    changed.m_presetInForce = preset;
+    return changed;
+}
+}
+
+class ConfigurationWatcher::Private
+{
+public:
+    Private(TableStore &store, const ConfigurationWatcherOptions &options, Listener listener)
+        : m_store(&store)
+        , m_options(options)
+        , m_listener(std::move(listener))
+        , m_random(options.m_seed)
+        , m_timer(options.m_pollInterval, options.m_seed, [this] {
+            poll();
+        })
+    {
+    }
+
+    auto pollNow() -> void
+    {
+        if (m_isReading) {
+            m_readAgain = true;
+            return;
+        }
+        m_timer.startNow();
+    }
+
+    auto poll() -> void
+    {
+        m_isReading = true;
+        m_readAgain = false;
+        m_store->read(configurationKey, [this, alive = std::weak_ptr<int>(m_alive)](Result<std::vector<TableRow>> &&rows) {
+            if (!alive.expired()) {
+                takeRows(std::move(rows));
+            }
+        });
+    }
+
+    auto takeRows(Result<std::vector<TableRow>> &&rows) -> void
+    {
+        m_isReading = false;
+        noteStore(rows ? nullptr : &rows.error());
+        if (rows && !rows->empty()) {
+            takeRow(rows->front());
+        }
+        if (m_readAgain) {
+            m_timer.startNow();
+        } else {
+            m_timer.startNext();
+        }
+    }
+
+    auto takeRow(const TableRow &row) -> void
+    {
+        if (row.m_version <= std::max(version(), m_rejectedVersion)) {
+            return;
+        }
+        auto document = ConfigurationDocument::parse(row.m_value, row.m_version);
+        if (!document) {
+            m_rejectedVersion = row.m_version;
+            logEvent(LogLevel::Error, "configuration_rejected", {{"version", row.m_version}, {"reason", document.error().m_message}});
+            return;
+        }
+        adopt(std::move(document->m_configuration));
+    }
+
+    auto adopt(Configuration &&configuration) -> void
+    {
+        if (configuration.m_version <= version()) {
+            return;
+        }
+        m_current = std::move(configuration);
+        logEvent(LogLevel::Info, "configuration_in_force", {{"version", m_current->m_version}, {"preset", m_current->m_presetInForce}});
+        m_listener(*m_current);
+    }
+
+    [[nodiscard]] auto version() const noexcept -> ConfigVersion
+    {
+        return m_current ? m_current->m_version : 0;
+    }
+
+    auto beginChange(ConfigVersion expectedVersion, ConfigurationChange::Edit edit, ChangeCallback callback) -> void
+    {
+        const auto slot = std::make_shared<std::weak_ptr<ConfigurationChange>>();
+        const auto change = std::make_shared<ConfigurationChange>(*m_store,
+                                                                  expectedVersion,
+                                                                  std::move(edit),
+                                                                  hexOf(m_random.next64()),
+                                                                  ConfigurationChange::Retry{m_options.m_settleAttempts, m_options.m_settlePause},
+                                                                  [this, slot, callback = std::move(callback)](Result<Configuration> &&result) {
+                                                                      std::erase(m_changes, slot->lock());
+                                                                      finishChange(std::move(result), callback);
+                                                                  });
+        *slot = change;
+        m_changes.push_back(change);
+        change->begin();
+    }
+
+    auto finishChange(Result<Configuration> &&result, const ChangeCallback &callback) -> void
+    {
+        if (!result) {
+            logEvent(LogLevel::Warning, "configuration_change_refused", {{"code", errorName(result.error().m_code)}, {"reason", result.error().m_message}});
+            if (result.error().m_code == ErrorCode::Conflict) {
+                pollNow();
+            }
+            callback(std::unexpected(std::move(result.error())));
+            return;
+        }
+        const auto changedVersion = result->m_version;
+        adopt(std::move(*result));
+        callback(changedVersion);
+    }
+
+    TableStore *m_store;
+    ConfigurationWatcherOptions m_options;
+    Listener m_listener;
+    RandomSource m_random;
+    PollTimer m_timer;
+    std::optional<Configuration> m_current;
+    ConfigVersion m_notedVersion = 0;
+    ConfigVersion m_rejectedVersion = 0;
+    bool m_isReading = false;
+    bool m_readAgain = false;
+    bool m_isAvailable = true;
+    std::vector<std::shared_ptr<ConfigurationChange>> m_changes;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+
+private:
+    // One line at each transition, not one for each poll of an outage.
+    auto noteStore(const Error *error) -> void
+    {
+        if (m_isAvailable == (error == nullptr)) {
+            return;
+        }
+        m_isAvailable = error == nullptr;
+        if (error != nullptr) {
+            logEvent(LogLevel::Warning, "configuration_unreadable", {{"version", version()}, {"reason", error->m_message}});
+        } else {
+            logEvent(LogLevel::Info, "configuration_readable", {{"version", version()}});
+        }
+    }
+};
+
+ConfigurationWatcher::ConfigurationWatcher(TableStore &store, const ConfigurationWatcherOptions &options, Listener listener)
+    : m_private(std::make_unique<Private>(store, options, std::move(listener)))
+{
+}
+
+ConfigurationWatcher::~ConfigurationWatcher() = default;
+
+auto ConfigurationWatcher::start() -> void
+{
+    m_private->pollNow();
+}
+
+auto ConfigurationWatcher::noteVersion(ConfigVersion version) -> void
+{
+    // A peer repeats its version in every message; one read for each version bounds the reads.
+    if (version > m_private->version() && version > m_private->m_notedVersion) {
+        m_private->m_notedVersion = version;
+        m_private->pollNow();
+    }
+}
+
+auto ConfigurationWatcher::current() const noexcept -> const std::optional<Configuration> &
+{
+    return m_private->m_current;
+}
+
+auto ConfigurationWatcher::change(ConfigVersion expectedVersion, std::string_view document, ChangeCallback callback) -> void
+{
+    auto wanted = ConfigurationDocument::parse(document, 0);
+    auto edit = [wanted = std::move(wanted)](const std::optional<Configuration> &current) -> Result<Configuration> {
+        return wanted ? replaceDocument(wanted->m_configuration, current) : std::unexpected(wanted.error());
+    };
+    m_private->beginChange(expectedVersion, std::move(edit), std::move(callback));
+}
+
+auto ConfigurationWatcher::switchPreset(ConfigVersion expectedVersion, std::string_view preset, ChangeCallback callback) -> void
+{
+    auto edit = [preset = std::string(preset)](const std::optional<Configuration> &current) {
+        return replacePreset(preset, current);
+    };
+    m_private->beginChange(expectedVersion, std::move(edit), std::move(callback));
+}
+}
--- /dev/null
+++ b/src/operations/hostwatcher.cpp
@@ -0,0 +1,79 @@
+#include "burdockspur/operations/hostwatcher.hpp"
+
+#include "burdockspur/impl/polltimer.hpp"
+#include "burdockspur/operations/log.hpp"
+#include "burdockspur/platform/hostlist.hpp"
+
+namespace Burdockspur
+{
+class HostWatcher::Private
+{
+public:
+    Private(HostList &list, Milliseconds interval, std::uint64_t seed, Listener listener)
+        : m_list(&list), m_listener(std::move(listener)), m_timer(interval, seed, [this] {
+            poll();
+        })
+    {
+    }
+
+    auto poll() -> void
+    {
+        m_list->fetch([this, alive = std::weak_ptr<int>(m_alive)](Result<HostListing> &&listing) {
+            if (!alive.expired()) {
+                m_timer.startNext();
+                takeListing(std::move(listing));
+            }
+        });
+    }
+
+    auto takeListing(Result<HostListing> &&listing) -> void
+    {
+        noteList(listing ? nullptr : &listing.error());
+        if (!listing || (m_current && m_current->m_hosts == listing->m_hosts)) {
+            return;
+        }
+        m_current = std::move(*listing);
+        logEvent(LogLevel::Info, "hosts_changed", {{"generation", m_current->m_generation}, {"hosts", m_current->m_hosts.size()}});
+        m_listener(*m_current);
+    }
+
+    HostList *m_list;
+    Listener m_listener;
+    PollTimer m_timer;
+    std::optional<HostListing> m_current;
+    bool m_isAvailable = true;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+
+private:
+    // One line at each transition, not one for each poll of an outage.
+    auto noteList(const Error *error) -> void
+    {
+        if (m_isAvailable == (error == nullptr)) {
+            return;
+        }
+        m_isAvailable = error == nullptr;
+        if (error != nullptr) {
+            logEvent(LogLevel::Warning, "hosts_unreadable", {{"reason", error->m_message}});
+        } else {
+            logEvent(LogLevel::Info, "hosts_readable", {});
+        }
+    }
+};
+
+HostWatcher::HostWatcher(HostList &list, Milliseconds interval, std::uint64_t seed, Listener listener)
+    : m_private(std::make_unique<Private>(list, interval, seed, std::move(listener)))
+{
+}
+
+HostWatcher::~HostWatcher() = default;
+
+auto HostWatcher::start() -> void
+{
+    m_private->m_timer.startNow();
+}
+
+auto HostWatcher::current() const noexcept -> const std::optional<HostListing> &
+{
+    return m_private->m_current;
+}
+}
--- /dev/null
+++ b/src/operations/polltimer.cpp
@@ -0,0 +1,23 @@
+#include "burdockspur/impl/polltimer.hpp"
+
+namespace Burdockspur
+{
+PollTimer::PollTimer(Milliseconds interval, std::uint64_t seed, std::function<void()> poll) : m_interval(interval), m_random(seed)
+{
+    m_timer.setSingleShot(true);
+    QObject::connect(&m_timer, &QTimer::timeout, &m_timer, std::move(poll));
+}
+
+auto PollTimer::startNext() -> void
+{
+    constexpr double lowest = 0.9;
+    constexpr double spread = 0.2;
+    const double factor = lowest + spread * m_random.unit();
+    m_timer.start(static_cast<int>(static_cast<double>(m_interval.count()) * factor));
+}
+
+auto PollTimer::startNow() -> void
+{
+    m_timer.start(0);
+}
+}
