Add HttpServer::abort

Cause: the stand-ins must execute a call and then lose its answer, and a server can end an exchange that it cannot answer only by destroying every connection.

Ruled out: a relay of bytes in front of the server, because it doubles the sockets and adds latency to every measurement; closing the whole server, because it loses the answers of all other connections.

Change: abort() closes the connection of an exchange without an answer.

--- a/include/burdockspur/link/httpserver.hpp
+++ b/include/burdockspur/link/httpserver.hpp
@@ -53,6 +53,9 @@
     /// @returns false when the caller has left meanwhile; the answer is discarded
     auto respond(ExchangeId exchange, HttpResponse &&response) -> bool;
 
+    /// @brief Closes the connection of a request without an answer; its other requests get none either.
+    auto abort(ExchangeId exchange) -> void;
+
     /// @brief Accepts no new connections, and closes each kept one after its answers (Connection: close).
     auto beginDrain() -> void;
 
--- a/src/link/httpserver.cpp
+++ b/src/link/httpserver.cpp
@@ -549,6 +549,11 @@
     return m_d->respond(exchange, std::move(response));
 }
 
+auto HttpServer::abort(ExchangeId exchange) -> void
+{
+    m_d->withConnection(exchange.m_connection, &Private::close);
+}
+
 auto HttpServer::beginDrain() -> void
 {
     m_d->beginDrain();
--- /dev/null
+++ b/standins/standincodec.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "standins/countentry.hpp"
+#include "standins/fault.hpp"
+
+#include "burdockspur/core/error.hpp"
+
+#include <QJsonObject>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace Burdockspur::Standins
+{
+class ExecutionJournal;
+
+/// @brief A fault and its name as sent by a test.
+struct NamedFault {
+    std::string m_name;
+    Fault m_fault;
+};
+
+/// @brief Decodes `{"name","value","count","match"}`.
+/// @returns the fault, or ErrorCode::BadRequest
+[[nodiscard]] auto decodeFault(std::string_view body) -> Result<NamedFault>;
+
+/// @brief Encodes the state of one fault.
+[[nodiscard]] auto encodeFault(const Fault &fault) -> QJsonObject;
+
+/// @brief Encodes the entries of a journal.
+/// @param journal of one worker
+/// @param after only entries with a greater sequence
+/// @param limit most entries
+[[nodiscard]] auto encodeJournal(const ExecutionJournal &journal, std::uint64_t after, std::size_t limit) -> QJsonObject;
+
+/// @brief Switches the fault that a body names.
+/// @returns ErrorCode::BadRequest for a malformed body or an unknown name
+template<typename Faults, std::size_t size>
+[[nodiscard]] auto applyFault(std::span<const FaultEntry<Faults>, size> table, Faults &faults, std::string_view body) -> Result<void>
+{
+    auto named = decodeFault(body);
+    if (!named) {
+        return std::unexpected(std::move(named.error()));
+    }
+    const auto entry = std::ranges::find(table, named->m_name, &FaultEntry<Faults>::m_name);
+    if (entry == table.end()) {
+        return failure(ErrorCode::BadRequest, "unknown fault " + named->m_name);
+    }
+    faults.*entry->m_fault = std::move(named->m_fault);
+    return {};
+}
+
+/// @brief Encodes every fault of a table by its name.
+template<typename Faults, std::size_t size>
+[[nodiscard]] auto encodeFaults(std::span<const FaultEntry<Faults>, size> table, const Faults &faults) -> QJsonObject
+{
+    QJsonObject object;
+    for (const auto &entry : table) {
+        object.insert(QLatin1String(entry.m_name.data(), static_cast<qsizetype>(entry.m_name.size())), encodeFault(faults.*entry.m_fault));
+    }
+    return object;
+}
+
+/// @brief Encodes every count of a table by its name.
+template<typename Counts, std::size_t size>
+[[nodiscard]] auto encodeCounts(std::span<const CountEntry<Counts>, size> table, const Counts &counts) -> QJsonObject
+{
+    QJsonObject object;
+    for (const auto &entry : table) {
+        object.insert(QLatin1String(entry.m_name.data(), static_cast<qsizetype>(entry.m_name.size())), static_cast<qint64>(counts.*entry.m_count));
+    }
+    return object;
+}
+}
--- /dev/null
+++ b/standins/workerserver.hpp
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "standins/precisetimer.hpp"
+#include "standins/workeraudit.hpp"
+#include "standins/workerfaults.hpp"
+#include "standins/workermodel.hpp"
+#include "standins/workerspec.hpp"
+
+#include "burdockspur/core/error.hpp"
+#include "burdockspur/core/randomsource.hpp"
+#include "burdockspur/link/httpserver.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+class QObject;
+
+namespace Burdockspur::Standins
+{
+/// @brief Serves one worker over HTTP and applies the faults of its network and process.
+///
+/// Lives in the thread of an event loop. `/standin/` paths are answered whatever the faults say, as long as
+/// the port is open.
+class WorkerServer
+{
+public:
+    /// @param spec name, capacity and bounds
+    /// @param seed of the faults that strike at random
+    WorkerServer(WorkerSpec spec, std::uint64_t seed);
+    ~WorkerServer();
+    WorkerServer(const WorkerServer &) = delete;
+    WorkerServer(WorkerServer &&) = delete;
+    auto operator=(const WorkerServer &) -> WorkerServer & = delete;
+    auto operator=(WorkerServer &&) -> WorkerServer & = delete;
+
+    /// @brief Opens the port.
+    /// @param address IP number
+    /// @param port 0 picks a free one, which is kept over crashes
+    /// @returns the port, or ErrorCode::Unavailable
+    [[nodiscard]] auto listen(std::string_view address, std::uint16_t port) -> Result<std::uint16_t>;
+
+    /// @brief Answers a `/standin/` call.
+    [[nodiscard]] auto answerStandin(const HttpRequest &request) -> HttpResponse;
+
+    [[nodiscard]] auto name() const noexcept -> std::string_view
+    {
+        return m_spec.m_name;
+    }
+
+    [[nodiscard]] auto port() const noexcept -> std::uint16_t
+    {
+        return m_port;
+    }
+
+private:
+    /// @brief One call of the worker's protocol.
+    struct Call {
+        ExchangeId m_exchange;
+        const HttpRequest &m_request;
+        std::span<const std::string> m_segments;
+        TimePoint m_now;
+    };
+
+    struct Route;
+    struct StandinRoute;
+    struct Transition;
+
+    struct HeldCall {
+        ExchangeId m_exchange;
+        HttpRequest m_request;
+    };
+
+    struct HeldAnswer {
+        ExchangeId m_exchange;
+        HttpResponse m_response;
+    };
+
+    struct WaitingCaller {
+        ExchangeId m_exchange;
+        std::string m_requestId;
+        std::string m_path;
+    };
+
+    [[nodiscard]] auto answerLease(const Call &call) -> std::optional<HttpResponse>;
+    [[nodiscard]] auto answerStart(const Call &call) -> std::optional<HttpResponse>;
+    [[nodiscard]] auto answerStop(const Call &call) -> std::optional<HttpResponse>;
+    [[nodiscard]] auto answerCheckpoint(const Call &call) -> std::optional<HttpResponse>;
+    [[nodiscard]] auto answerThrottle(const Call &call) -> std::optional<HttpResponse>;
+    [[nodiscard]] auto answerRequest(const Call &call) -> std::optional<HttpResponse>;
+    [[nodiscard]] auto answerSettle(const Call &call) -> std::optional<HttpResponse>;
+
+    [[nodiscard]] auto readFaults(const HttpRequest &request) -> HttpResponse;
+    [[nodiscard]] auto switchFault(const HttpRequest &request) -> HttpResponse;
+    [[nodiscard]] auto readCounts(const HttpRequest &request) -> HttpResponse;
+    [[nodiscard]] auto readJournal(const HttpRequest &request) -> HttpResponse;
+
+    auto applyPause() -> void;
+    auto applySilence() -> void;
+    auto applyCrash() -> void;
+    auto applyRefusal() -> void;
+
+    [[nodiscard]] auto now() const -> TimePoint;
+    auto advance() -> TimePoint;
+    auto take(ExchangeId exchange, HttpRequest &&request) -> void;
+    auto serve(ExchangeId exchange, const HttpRequest &request) -> void;
+    auto answerEnded() -> void;
+    auto armTimer() -> void;
+    auto send(ExchangeId exchange, std::string_view path, HttpResponse &&response, bool isDelayed) -> void;
+    auto deliver(ExchangeId exchange, HttpResponse &&response) -> void;
+    auto open() -> Result<std::uint16_t>;
+    auto reopen() -> void;
+    auto close() -> void;
+
+    static const std::span<const Route> routes;
+    static const std::span<const StandinRoute> standinRoutes;
+    static const std::span<const Transition> transitions;
+
+    WorkerSpec m_spec;
+    WorkerFaults m_faults;
+    WorkerAudit m_audit;
+    RandomSource m_random;
+    WorkerModel m_model;
+    PreciseTimer m_timer;
+    std::string m_address;
+    std::uint16_t m_port = 0;
+    std::unique_ptr<QObject> m_lifetime; ///< of calls that a closed port does not cancel
+    std::unique_ptr<QObject> m_delayedAnswers; ///< replaced to cancel the answers of a closed port
+    std::unique_ptr<HttpServer> m_server; ///< null while the port is closed
+    std::unordered_map<ExecutionId, std::vector<WaitingCaller>> m_waiting;
+    std::vector<HeldCall> m_heldCalls; ///< of a paused worker; bounded by its connections
+    std::vector<HeldAnswer> m_heldAnswers;
+    std::uint64_t m_lastConnection = 0; ///< latest one that carried a request
+    std::uint64_t m_silencedConnections = 0; ///< up to this one
+    std::optional<TimePoint> m_pausedSince;
+    Duration m_timePaused{0}; ///< by which the worker's clock is late
+    bool m_isClosing = false;
+    bool m_isRestarting = false;
+};
+}
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -106,6 +106,26 @@
     EXPECT_EQ(m_server->openExchanges(), 0U);
 }
 
+// Guards against an aborted exchange whose connection stays open, and against answers to its other requests.
+TEST_F(HttpServerTest, AbortClosesTheConnectionWithoutAnAnswer)
+{
+    start([this](ExchangeId id, HttpRequest &&request) {
+        m_exchanges.push_back({id, std::move(request)});
+        if (m_exchanges.size() == 2) {
+            m_server->abort(id);
+        }
+    });
+    RawPeer peer(m_port);
+    peer.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3 HTTP/1.1\r\n\r\n");
+    peer.waitForClose();
+    EXPECT_EQ(peer.received(), "");
+    EXPECT_EQ(m_exchanges.size(), 2U);
+    EXPECT_FALSE(m_server->respond(m_exchanges[0].m_id, jsonResponse(200, "late")));
+    EXPECT_EQ(m_server->openExchanges(), 0U);
+    EXPECT_EQ(m_server->openConnections(), 0U);
+    expectServes();
+}
+
 // Guards against answers of pipelined requests in the order of respond(): a caller would get another's answer.
 TEST_F(HttpServerTest, PipelinedAnswersKeepTheOrderOfRequests)
 {
--- /dev/null
+++ b/tests/standinworkertest.cpp
@@ -0,0 +1,345 @@
+#include "standins/workeraudit.hpp"
+#include "standins/workerfaults.hpp"
+#include "standins/workermodel.hpp"
+#include "standins/workerspec.hpp"
+
+#include "burdockspur/core/randomsource.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace Burdockspur;
+using namespace Burdockspur::Standins;
+using namespace std::chrono_literals;
+
+namespace
+{
+/// @brief A worker with 2 cores and 2 slots whose time the test moves.
+class StandinWorkerTest : public testing::Test
+{
+protected:
+    StandinWorkerTest() : m_spec(smallSpec()), m_audit(m_spec), m_random(1), m_model(m_spec, m_faults, m_audit, m_random)
+    {
+    }
+
+    [[nodiscard]] static auto smallSpec() -> WorkerSpec
+    {
+        WorkerSpec spec;
+        spec.m_capacity = {2'000, 1'000, 1};
+        spec.m_slots = 2;
+        return spec;
+    }
+
+    auto pass(Duration time) -> void
+    {
+        m_now += time;
+        m_audit.setTime(m_now, 0);
+        m_model.advance(m_now);
+    }
+
+    [[nodiscard]] auto renew(Epoch epoch, std::vector<AttemptId> acknowledged = {}) -> std::expected<LeaseReport, Epoch>
+    {
+        return m_model.tasks().renewLease(m_now, {0, epoch, "e1", 10s, std::move(acknowledged)});
+    }
+
+    [[nodiscard]] auto start(std::string_view task, AttemptNumber attempt, Epoch epoch = 1) -> OrderAnswer
+    {
+        m_order.m_attempt = {std::string(task), attempt};
+        m_order.m_epoch = epoch;
+        return m_model.tasks().start(m_now, m_order);
+    }
+
+    [[nodiscard]] auto stop(std::string_view task, AttemptNumber attempt, Epoch epoch = 1) -> std::expected<AttemptReport, OrderAnswer>
+    {
+        return m_model.tasks().stop(m_now, {0, epoch, {std::string(task), attempt}});
+    }
+
+    [[nodiscard]] auto request(std::string_view id, std::string_view key = {}, Duration time = 5ms) -> RequestStatus
+    {
+        return m_model.startRequest(m_now, {id, key, "routes", "body", time});
+    }
+
+    [[nodiscard]] auto settle(std::string_view id) -> RequestState
+    {
+        return m_model.requests().settle(m_now, id).m_state;
+    }
+
+    static auto batchOrder() -> StartOrder
+    {
+        StartOrder order;
+        order.m_spec.m_class = "render";
+        order.m_spec.m_demand = {1'000, 100, 0};
+        order.m_spec.m_durationMs = 1'000;
+        order.m_spec.m_payload = "sky";
+        return order;
+    }
+
+    WorkerSpec m_spec;
+    WorkerFaults m_faults;
+    WorkerAudit m_audit;
+    RandomSource m_random;
+    WorkerModel m_model;
+    StartOrder m_order = batchOrder();
+    TimePoint m_now = TimePoint{} + 1h;
+};
+}
+
+// Guards against completions that are reported once only, or after their acknowledgement.
+TEST_F(StandinWorkerTest, CompletionIsReportedUntilAcknowledged)
+{
+    ASSERT_TRUE(renew(1));
+    EXPECT_EQ(start("j1", 1), OrderAnswer::Done);
+    EXPECT_EQ(start("j1", 1), OrderAnswer::AlreadyKnown);
+    pass(500ms);
+    EXPECT_EQ(renew(1)->m_attempts.at(0).m_progressPercent, 50);
+    pass(500ms);
+    for (int i = 0; i < 2; ++i) {
+        const auto report = renew(1);
+        ASSERT_EQ(report->m_attempts.size(), 1U);
+        EXPECT_EQ(report->m_attempts[0].m_state, AttemptState::Completed);
+        EXPECT_EQ(report->m_attempts[0].m_result, hexOf(hashOf("sky")));
+    }
+    EXPECT_TRUE(renew(1, {{"j1", 1}})->m_attempts.empty());
+    EXPECT_EQ(start("j1", 1), OrderAnswer::Tombstoned);
+    EXPECT_EQ(m_audit.counts().m_completions, 1);
+}
+
+// Guards against two attempts of a task at once and against the return of an older attempt.
+TEST_F(StandinWorkerTest, OneAttemptOfATaskAtATime)
+{
+    ASSERT_TRUE(renew(1));
+    EXPECT_EQ(start("j1", 2), OrderAnswer::Done);
+    EXPECT_EQ(start("j1", 1), OrderAnswer::Superseded);
+    EXPECT_EQ(start("j1", 3), OrderAnswer::Superseded);
+    EXPECT_EQ(stop("j1", 2)->m_state, AttemptState::Stopped);
+    EXPECT_EQ(start("j1", 1), OrderAnswer::Superseded);
+    EXPECT_EQ(start("j1", 3), OrderAnswer::Done);
+}
+
+// Guards against a start that overtakes its own cancellation.
+TEST_F(StandinWorkerTest, StopOfAnUnknownAttemptLeavesATombstone)
+{
+    ASSERT_TRUE(renew(1));
+    EXPECT_EQ(stop("j1", 1)->m_state, AttemptState::NeverStarted);
+    EXPECT_EQ(start("j1", 1), OrderAnswer::Tombstoned);
+    EXPECT_EQ(start("j1", 2), OrderAnswer::Done);
+    EXPECT_EQ(m_audit.counts().m_startsAfterTombstone, 0);
+}
+
+// Guards against orders of a scheduler that has lost the shard.
+TEST_F(StandinWorkerTest, LowerEpochIsRefused)
+{
+    ASSERT_TRUE(renew(1));
+    EXPECT_EQ(start("j1", 1), OrderAnswer::Done);
+    EXPECT_EQ(renew(2)->m_attempts.size(), 1U);
+    EXPECT_EQ(renew(1).error(), 2U);
+    EXPECT_EQ(start("j2", 1), OrderAnswer::StaleEpoch);
+    EXPECT_EQ(stop("j1", 1).error(), OrderAnswer::StaleEpoch);
+    EXPECT_EQ(start("j2", 1, 3), OrderAnswer::NoLease);
+    EXPECT_EQ(start("j2", 1, 2), OrderAnswer::Done);
+}
+
+// Guards against tasks that outlive their lease, and against a lapse that loses the checkpoint.
+TEST_F(StandinWorkerTest, LapsedLeaseStopsItsTasks)
+{
+    m_order.m_spec.m_kind = JobKind::Watcher;
+    EXPECT_EQ(start("w1", 1), OrderAnswer::NoLease);
+    ASSERT_TRUE(renew(1));
+    EXPECT_EQ(start("w1", 1), OrderAnswer::Done);
+    EXPECT_EQ(m_model.nextEvent(), m_now + 10s);
+    const auto checkpoint = m_model.tasks().checkpoint(m_now, {0, 1, {"w1", 1}});
+    pass(10s);
+    EXPECT_EQ(start("w2", 1), OrderAnswer::NoLease);
+    const auto report = renew(1);
+    ASSERT_EQ(report->m_attempts.size(), 1U);
+    EXPECT_EQ(report->m_attempts[0].m_state, AttemptState::Stopped);
+    EXPECT_EQ(report->m_attempts[0].m_checkpoint, *checkpoint);
+    EXPECT_EQ(m_audit.counts().m_lapses, 1);
+    EXPECT_EQ(m_model.nextEvent(), std::nullopt);
+}
+
+// Guards against a pause that lets a task run on under a lease that lapsed meanwhile.
+TEST_F(StandinWorkerTest, PauseLongerThanTheLeaseStopsTasks)
+{
+    m_order.m_spec.m_durationMs = 9'000;
+    ASSERT_TRUE(renew(1));
+    EXPECT_EQ(start("j1", 1), OrderAnswer::Done);
+    m_model.postpone(20s);
+    pass(20s);
+    EXPECT_EQ(renew(1)->m_attempts.at(0).m_state, AttemptState::Stopped);
+}
+
+// Guards against a resumed task that starts from the beginning, and a throttled one that does not slow down.
+TEST_F(StandinWorkerTest, CheckpointResumesAndThrottleSlowsDown)
+{
+    ASSERT_TRUE(renew(1));
+    EXPECT_EQ(start("j-1", 1), OrderAnswer::Done);
+    pass(400ms);
+    const auto checkpoint = m_model.tasks().checkpoint(m_now, {0, 1, {"j-1", 1}});
+    EXPECT_EQ(*checkpoint, "j-1-1-40");
+    EXPECT_EQ(stop("j-1", 1)->m_checkpoint, *checkpoint);
+    m_order.m_checkpoint = *checkpoint;
+    EXPECT_EQ(start("j-1", 2), OrderAnswer::Done);
+    EXPECT_EQ(m_model.nextEvent(), m_now + 600ms);
+    EXPECT_EQ(m_model.tasks().throttle(m_now, {0, 1, {"j-1", 2}}, 50), OrderAnswer::Done);
+    EXPECT_EQ(m_model.nextEvent(), m_now + 1200ms);
+    EXPECT_EQ(m_model.tasks().throttle(m_now, {0, 1, {"j-1", 2}}, 0), OrderAnswer::BadOrder);
+}
+
+// Guards against starts beyond the capacity and while leaving.
+TEST_F(StandinWorkerTest, CapacityAndLeavingRefuseStarts)
+{
+    ASSERT_TRUE(renew(1));
+    EXPECT_EQ(start("j1", 1), OrderAnswer::Done);
+    EXPECT_EQ(start("j2", 1), OrderAnswer::Done);
+    EXPECT_EQ(start("j3", 1), OrderAnswer::NoCapacity);
+    EXPECT_EQ(m_audit.counts().m_peakCpuMillis, 2'000);
+    EXPECT_EQ(stop("j2", 1)->m_state, AttemptState::Stopped);
+    m_faults.m_leaving.m_value = 1;
+    EXPECT_EQ(start("j3", 1), OrderAnswer::Leaving);
+    EXPECT_EQ(start("j1", 1), OrderAnswer::AlreadyKnown);
+    EXPECT_TRUE(renew(1)->m_leaving);
+    pass(1s);
+    EXPECT_EQ(renew(1)->m_attempts.at(0).m_state, AttemptState::Completed);
+}
+
+// Guards against faults of tasks without effect.
+TEST_F(StandinWorkerTest, TaskFaults)
+{
+    ASSERT_TRUE(renew(1));
+    m_order.m_spec.m_payload = "fail after a second";
+    m_faults.m_durationFactor.m_value = 3;
+    EXPECT_EQ(start("j1", 1), OrderAnswer::Done);
+    m_faults.m_failAllTasks.m_value = 1;
+    m_order.m_spec.m_payload = "sky";
+    EXPECT_EQ(start("j2", 1), OrderAnswer::Done);
+    EXPECT_EQ(m_model.nextEvent(), m_now);
+    pass(0ms);
+    EXPECT_EQ(stop("j2", 1)->m_state, AttemptState::Failed);
+    EXPECT_EQ(m_model.nextEvent(), m_now + 3s);
+    pass(3s);
+    EXPECT_EQ(stop("j1", 1)->m_state, AttemptState::Failed);
+}
+
+// Guards against usage that is visible at once although it lags.
+TEST_F(StandinWorkerTest, UsageLags)
+{
+    m_faults.m_usageLagMs.m_value = 300;
+    m_faults.m_usageFactor.m_value = 2;
+    ASSERT_TRUE(renew(1));
+    EXPECT_EQ(start("j1", 1), OrderAnswer::Done);
+    pass(299ms);
+    EXPECT_EQ(renew(1)->m_usage, Resources{});
+    pass(1ms);
+    EXPECT_EQ(renew(1)->m_usage, (Resources{2'000, 200, 0}));
+    pass(900ms);
+    EXPECT_EQ(renew(1)->m_usage, (Resources{2'000, 200, 0}));
+    pass(200ms);
+    EXPECT_EQ(renew(1)->m_usage, Resources{});
+}
+
+// Guards against memory that grows with every task ever run.
+TEST_F(StandinWorkerTest, AcknowledgedAttemptsAreForgotten)
+{
+    ASSERT_TRUE(renew(1));
+    EXPECT_EQ(start("j1", 1), OrderAnswer::Done);
+    EXPECT_EQ(stop("j2", 1)->m_state, AttemptState::NeverStarted);
+    pass(1s);
+    ASSERT_TRUE(renew(1, {{"j1", 1}}));
+    pass(m_spec.m_attemptRetention);
+    EXPECT_EQ(m_model.tasks().endedCount(), 0U);
+}
+
+// Guards against a request or key that runs twice, and against answers of another request.
+TEST_F(StandinWorkerTest, RequestIdsAndKeysRunOnce)
+{
+    const auto first = request("r1", "k1");
+    EXPECT_EQ(first.m_state, RequestState::Running);
+    EXPECT_EQ(request("r1").m_execution, first.m_execution);
+    EXPECT_EQ(request("r2", "k1").m_execution, first.m_execution);
+    EXPECT_EQ(settle("r2"), RequestState::Running);
+    pass(5ms);
+    const auto ended = m_model.requests().takeEnded();
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(m_model.requests().body(ended[0].m_execution), "routes:" + hexOf(hashOf("body")) + ":body");
+    EXPECT_EQ(request("r3", "k1").m_state, RequestState::Answered);
+    EXPECT_EQ(settle("r3"), RequestState::Answered);
+    EXPECT_EQ(m_audit.counts().m_requests, 1);
+}
+
+// Guards against a request that runs after its caller was told that it did not.
+TEST_F(StandinWorkerTest, SettledRequestNeverStarts)
+{
+    EXPECT_EQ(settle("r1"), RequestState::NeverStarted);
+    EXPECT_EQ(request("r1").m_state, RequestState::NeverStarted);
+    EXPECT_EQ(settle("r1"), RequestState::NeverStarted);
+    EXPECT_EQ(m_audit.counts().m_requests, 0);
+}
+
+// Guards against more requests than slots, and against faults of requests without effect.
+TEST_F(StandinWorkerTest, SlotsLeavingAndFailures)
+{
+    m_faults.m_failRequests = {1, 1, {}};
+    EXPECT_EQ(request("r1").m_state, RequestState::Running);
+    EXPECT_EQ(request("r2").m_state, RequestState::Running);
+    EXPECT_EQ(request("r3").m_state, RequestState::SlotsExhausted);
+    pass(5ms);
+    EXPECT_EQ(settle("r1"), RequestState::Failed);
+    EXPECT_EQ(settle("r2"), RequestState::Answered);
+    m_faults.m_leaving.m_value = 1;
+    EXPECT_EQ(request("r3").m_state, RequestState::Leaving);
+    EXPECT_EQ(request("r2").m_state, RequestState::Answered);
+    EXPECT_EQ(m_audit.counts().m_peakSlots, 2);
+}
+
+// Guards against noise that strikes without its class, and a slow worker that is not.
+TEST_F(StandinWorkerTest, NoiseAndSlownessLengthenRequests)
+{
+    m_faults.m_noise = {3, {}, "render"};
+    EXPECT_EQ(request("r1").m_state, RequestState::Running);
+    EXPECT_EQ(m_model.nextEvent(), m_now + 5ms);
+    pass(5ms);
+    ASSERT_TRUE(renew(1));
+    EXPECT_EQ(start("j1", 1), OrderAnswer::Done);
+    m_faults.m_slow.m_value = 2;
+    EXPECT_EQ(request("r2").m_state, RequestState::Running);
+    EXPECT_EQ(m_model.nextEvent(), m_now + 17ms);
+}
+
+// Guards against memory that grows with every request.
+TEST_F(StandinWorkerTest, AnswersAndTombstonesAreForgotten)
+{
+    EXPECT_EQ(request("r1", "k1").m_state, RequestState::Running);
+    EXPECT_EQ(request("r2", "k1").m_state, RequestState::Running);
+    EXPECT_EQ(settle("r3"), RequestState::NeverStarted);
+    pass(5ms);
+    pass(m_spec.m_answerRetention - 1ms);
+    EXPECT_EQ(m_model.requests().rememberedCount(), 2U);
+    pass(1ms);
+    EXPECT_EQ(m_model.requests().rememberedCount(), 0U);
+    EXPECT_EQ(request("r4", "k1").m_state, RequestState::Running);
+    EXPECT_EQ(m_audit.counts().m_keysRepeated, 1);
+}
+
+// Guards against an audit that trusts the memory of a worker that has lost it.
+TEST_F(StandinWorkerTest, AuditSeesRepetitionsAfterACrash)
+{
+    ASSERT_TRUE(renew(1));
+    EXPECT_EQ(start("j1", 1), OrderAnswer::Done);
+    EXPECT_EQ(stop("j2", 1)->m_state, AttemptState::NeverStarted);
+    EXPECT_EQ(request("r1", "k1").m_state, RequestState::Running);
+    m_model.crash(m_now);
+    EXPECT_EQ(m_model.tasks().assigned(), Resources{});
+    ASSERT_TRUE(renew(1));
+    EXPECT_EQ(start("j1", 1), OrderAnswer::Done);
+    EXPECT_EQ(start("j2", 1), OrderAnswer::Done);
+    EXPECT_EQ(request("r1", "k1").m_state, RequestState::Running);
+    const auto &counts = m_audit.counts();
+    EXPECT_EQ(counts.m_crashes, 1);
+    EXPECT_EQ(counts.m_attemptsRepeated, 1);
+    EXPECT_EQ(counts.m_startsAfterTombstone, 1);
+    EXPECT_EQ(counts.m_requestsRepeated, 1);
+    EXPECT_EQ(counts.m_keysRepeated, 1);
+    const auto &entries = m_audit.journal().entries();
+    EXPECT_EQ(entries.front().m_event, "task_started");
+    EXPECT_EQ(entries.back().m_event, "request_started");
+}
