--- a/standins/workercodec.cpp
+++ b/standins/workercodec.cpp
@@ -138,7 +138,8 @@
 {
     if (!answer) {
         constexpr int conflict = 409;
-        return objectResponse(conflict, {{QStringLiteral("code"), QStringLiteral("stale_epoch")}, {QStringLiteral("epoch"), static_cast<qint64>(answer.error())}});
+        return objectResponse(conflict,
+                              {{QStringLiteral("code"), QStringLiteral("stale_epoch")}, {QStringLiteral("epoch"), static_cast<qint64>(answer.error())}});
     }
     QJsonArray tasks;
     for (const auto &attempt : answer->m_attempts) {
--- a/standins/workerserver.cpp
+++ b/standins/workerserver.cpp
@@ -25,8 +25,6 @@
 /// Pause before the port is opened again when something else holds it.
 constexpr std::chrono::milliseconds reopenRetry{100};
 
-constexpr std::size_t maxJournalPage = 10'000;
-
 [[nodiscard]] auto wallMilliseconds() -> std::int64_t
 {
     return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -216,7 +214,7 @@
 auto WorkerServer::readJournal(const HttpRequest &request) -> HttpResponse
 {
     advance();
-    const auto limit = std::min<std::uint64_t>(numberOr(request.query("limit"), maxJournalPage), maxJournalPage);
+    const auto limit = numberOr(request.query("limit"), m_spec.m_journalCapacity);
     return objectResponse(200, encodeJournal(m_audit.journal(), numberOr(request.query("after"), 0), limit));
 }
 
@@ -378,12 +376,10 @@
         return;
     }
     const std::chrono::duration<double, std::milli> delay(m_faults.m_slow.m_value);
-    QTimer::singleShot(std::chrono::duration_cast<Milliseconds>(delay),
-                       Qt::PreciseTimer,
-                       m_delayedAnswers.get(),
-                       [this, exchange, answer = std::move(response)]() mutable {
-                           deliver(exchange, std::move(answer));
-                       });
+    QTimer::singleShot(
+        std::chrono::duration_cast<Milliseconds>(delay), Qt::PreciseTimer, m_delayedAnswers.get(), [this, exchange, answer = std::move(response)]() mutable {
+            deliver(exchange, std::move(answer));
+        });
 }
 
 auto WorkerServer::deliver(ExchangeId exchange, HttpResponse &&response) -> void
