--- /dev/null
+++ b/include/burdockspur/host/callermessage.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "burdockspur/contract/configuration.hpp"
+#include "burdockspur/contract/job.hpp"
+#include "burdockspur/core/error.hpp"
+#include "burdockspur/host/routercommand.hpp"
+
+#include <variant>
+#include <vector>
+
+namespace Burdockspur
+{
+/// @brief Result of a job command that concerns one job.
+struct AnswerJob {
+    Ticket m_ticket = 0;
+    Result<Job> m_result;
+    bool m_mayHaveTakenEffect = false; ///< on failure: the command was sent
+};
+
+/// @brief Result of a list of jobs.
+struct AnswerJobList {
+    Ticket m_ticket = 0;
+    Result<std::vector<Job>> m_result;
+};
+
+/// @brief Result of a change of the configuration.
+struct AnswerConfigChange {
+    Ticket m_ticket = 0;
+    Result<ConfigVersion> m_result;
+};
+
+/// @brief Everything that the callers' duty takes from its ring.
+using CallerMessage = std::variant<AnswerCaller, AnswerJob, AnswerJobList, AnswerConfigChange, ConfigurationChanged, DrainRequested>;
+}
--- /dev/null
+++ b/include/burdockspur/host/entrymetrics.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "burdockspur/contract/outcome.hpp"
+#include "burdockspur/core/clock.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace prometheus
+{
+class Counter;
+class Gauge;
+class Histogram;
+}
+
+namespace Burdockspur
+{
+class Metrics;
+
+/// @brief Rings whose refusals are counted.
+enum class RingName : std::uint8_t {
+    Router,
+    Targets,
+    Callers,
+    Links,
+    Platform,
+};
+
+/// @brief The metrics of an entry daemon.
+class EntryMetrics
+{
+public:
+    /// @param metrics outlives this object
+    explicit EntryMetrics(Metrics &metrics);
+
+    /// @brief A service request was answered.
+    auto noteAnswer(Outcome outcome, Duration latency) noexcept -> void;
+
+    /// @brief The caller of an answer had closed its connection.
+    auto noteDiscardedAnswer() noexcept -> void;
+
+    auto noteForward(bool isRetry) noexcept -> void;
+    auto noteSettle() noexcept -> void;
+    auto noteRingFull(RingName ring) noexcept -> void;
+    auto noteJobCommand() noexcept -> void;
+    auto setRequests(std::size_t inFlight, std::size_t queued) noexcept -> void;
+    auto setOpenLinks(std::size_t links) noexcept -> void;
+    auto setConfigVersion(std::uint64_t version) noexcept -> void;
+
+private:
+    static constexpr std::size_t outcomeCount = 4;
+    static constexpr std::size_t ringCount = 5;
+
+    std::array<prometheus::Counter *, outcomeCount> m_answers{};
+    std::array<prometheus::Counter *, ringCount> m_ringRefusals{};
+    prometheus::Histogram *m_latency;
+    prometheus::Counter *m_discarded;
+    prometheus::Counter *m_forwards;
+    prometheus::Counter *m_retries;
+    prometheus::Counter *m_settles;
+    prometheus::Counter *m_jobCommands;
+    prometheus::Gauge *m_inFlight;
+    prometheus::Gauge *m_queued;
+    prometheus::Gauge *m_openLinks;
+    prometheus::Gauge *m_configVersion;
+};
+}
--- /dev/null
+++ b/include/burdockspur/host/jobcommand.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "burdockspur/core/clock.hpp"
+#include "burdockspur/host/routerevent.hpp"
+#include "burdockspur/link/peermessage.hpp"
+
+#include <variant>
+
+namespace Burdockspur
+{
+/// @brief A caller's command about jobs.
+struct JobCommand {
+    using Body = std::variant<SubmitJob, CancelJob, QueryJob, ListJobs>;
+
+    Ticket m_ticket = 0;
+    TimePoint m_deadline;
+    Body m_body;
+};
+
+/// @brief Everything that the scheduler link duty takes from its ring.
+using LinkMessage = std::variant<JobCommand, HostsChanged, ConfigurationChanged>;
+}
--- /dev/null
+++ b/include/burdockspur/platform/httptargetport.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "burdockspur/link/httpclient.hpp"
+#include "burdockspur/platform/targetport.hpp"
+
+#include <string_view>
+
+namespace Burdockspur
+{
+/// @brief TargetPort over the workers' HTTP protocol.
+///
+/// An answer counts only when it names the request and its checksum matches its body.
+class HttpTargetPort final : public TargetPort
+{
+public:
+    /// @param forwards client for requests; lives in the same thread and outlives the port
+    /// @param settles another client, so that a settle never waits for a connection that delivers nothing
+    HttpTargetPort(HttpClient &forwards, HttpClient &settles);
+
+    auto forward(ForwardOrder &&order, ForwardCallback callback) -> void override;
+    auto settle(SettleOrder &&order, SettleCallback callback) -> void override;
+
+private:
+    HttpClient *m_forwards;
+    HttpClient *m_settles;
+};
+
+/// @brief Decodes the reply to a forwarded request.
+/// @param reply of the client
+/// @param requestId that the response must name
+[[nodiscard]] auto decodeTargetReply(HttpReply &&reply, std::string_view requestId) -> TargetReply;
+
+/// @brief Decodes the reply to a settle.
+[[nodiscard]] auto decodeSettleReply(const HttpReply &reply, std::string_view requestId) -> SettleReply;
+}
--- /dev/null
+++ b/src/host/entrymetrics.cpp
@@ -0,0 +1,88 @@
+#include "burdockspur/host/entrymetrics.hpp"
+
+#include "burdockspur/operations/metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+
+namespace Burdockspur
+{
+namespace
+{
+// In the order of RingName.
+constexpr std::array<std::string_view, 5> ringNames{"router", "targets", "callers", "links", "platform"};
+}
+
+EntryMetrics::EntryMetrics(Metrics &metrics)
+    : m_latency(&metrics.durations("burdockspur_request_seconds", "Time from the arrival of a service request to its answer"))
+    , m_discarded(&metrics.counter("burdockspur_answers_discarded_total", "Answers whose caller had closed its connection"))
+    , m_forwards(&metrics.counter("burdockspur_forwards_total", "Requests sent to workers, with retries"))
+    , m_retries(&metrics.counter("burdockspur_retries_total", "Requests sent to a worker again"))
+    , m_settles(&metrics.counter("burdockspur_settles_total", "Questions to workers about the outcome of a request"))
+    , m_jobCommands(&metrics.counter("burdockspur_job_commands_total", "Commands of callers about jobs"))
+    , m_inFlight(&metrics.gauge("burdockspur_requests_in_flight", "Callers that wait for the answer to a service request"))
+    , m_queued(&metrics.gauge("burdockspur_requests_queued", "Service requests that wait for a free slot"))
+    , m_openLinks(&metrics.gauge("burdockspur_scheduler_links_open", "Open links to schedulers"))
+    , m_configVersion(&metrics.gauge("burdockspur_config_version", "Version of the configuration in force"))
+{
+    for (std::size_t i = 0; i < outcomeCount; ++i) {
+        const Metrics::Labels labels{{"outcome", std::string(outcomeName(static_cast<Outcome>(i)))}};
+        m_answers[i] = &metrics.counter("burdockspur_requests_total", "Service requests by outcome", labels);
+    }
+    for (std::size_t i = 0; i < ringCount; ++i) {
+        const Metrics::Labels labels{{"ring", std::string(ringNames[i])}};
+        m_ringRefusals[i] = &metrics.counter("burdockspur_ring_full_total", "Messages that a ring had no place for", labels);
+    }
+}
+
+auto EntryMetrics::noteAnswer(Outcome outcome, Duration latency) noexcept -> void
+{
+    m_answers[static_cast<std::size_t>(outcome)]->Increment();
+    m_latency->Observe(std::chrono::duration<double>(latency).count());
+}
+
+auto EntryMetrics::noteDiscardedAnswer() noexcept -> void
+{
+    m_discarded->Increment();
+}
+
+auto EntryMetrics::noteForward(bool isRetry) noexcept -> void
+{
+    m_forwards->Increment();
+    if (isRetry) {
+        m_retries->Increment();
+    }
+}
+
+auto EntryMetrics::noteSettle() noexcept -> void
+{
+    m_settles->Increment();
+}
+
+auto EntryMetrics::noteRingFull(RingName ring) noexcept -> void
+{
+    m_ringRefusals[static_cast<std::size_t>(ring)]->Increment();
+}
+
+auto EntryMetrics::noteJobCommand() noexcept -> void
+{
+    m_jobCommands->Increment();
+}
+
+auto EntryMetrics::setRequests(std::size_t inFlight, std::size_t queued) noexcept -> void
+{
+    m_inFlight->Set(static_cast<double>(inFlight));
+    m_queued->Set(static_cast<double>(queued));
+}
+
+auto EntryMetrics::setOpenLinks(std::size_t links) noexcept -> void
+{
+    m_openLinks->Set(static_cast<double>(links));
+}
+
+auto EntryMetrics::setConfigVersion(std::uint64_t version) noexcept -> void
+{
+    m_configVersion->Set(static_cast<double>(version));
+}
+}
