--- /dev/null
+++ b/standins/standinprogram.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "standins/readyring.hpp"
+
+#include "burdockspur/core/duty.hpp"
+#include "burdockspur/operations/programoptions.hpp"
+
+#include <optional>
+#include <span>
+
+namespace Burdockspur::Standins
+{
+/// @brief Parses the flags of a stand-in and answers `--help` and `--version`.
+/// @param description of the program
+/// @param arguments as given to main()
+/// @returns the exit code of a program that ends at once, or nothing
+[[nodiscard]] auto parseStandinFlags(const ProgramDescription &description, std::span<char *const> arguments) -> std::optional<int>;
+
+/// @brief Runs a duty until SIGTERM or SIGINT; needs a QCoreApplication.
+/// @param duty that opens ports
+/// @param ready of the duty; its lines are printed on standard output
+/// @returns the exit code: 0 after a signal, 1 when a port could not be opened
+[[nodiscard]] auto runStandin(Duty &duty, ReadyRing &ready) -> int;
+}
--- a/standins/workeraudit.cpp
+++ b/standins/workeraudit.cpp
@@ -20,7 +20,7 @@
     {"failed", &WorkerCounts::m_failures},
     {"stopped", &WorkerCounts::m_stops},
     {"lapsed", &WorkerCounts::m_lapses},
-    {"crashed", &WorkerCounts::m_crashes},
+    {"crashed", &WorkerCounts::m_tasksCrashed},
 }};
 
 [[nodiscard]] auto attemptName(const AuditedAttempt &attempt) -> std::string
--- a/standins/workercounts.hpp
+++ b/standins/workercounts.hpp
@@ -14,7 +14,8 @@
     std::int64_t m_failures = 0;
     std::int64_t m_stops = 0; ///< by order
     std::int64_t m_lapses = 0; ///< by an expired lease
-    std::int64_t m_crashes = 0;
+    std::int64_t m_tasksCrashed = 0;
+    std::int64_t m_crashes = 0; ///< of the whole worker
     std::int64_t m_requests = 0; ///< executions
     std::int64_t m_requestsRepeated = 0; ///< executions of a request id beyond its first
     std::int64_t m_keysRepeated = 0; ///< executions of an idempotency key beyond its first
@@ -36,12 +37,13 @@
 };
 
 /// @brief Every count of a worker by its name.
-inline constexpr std::array<CountEntry<WorkerCounts>, 24> workerCountTable{{
+inline constexpr std::array<CountEntry<WorkerCounts>, 25> workerCountTable{{
     {"starts", &WorkerCounts::m_starts},
     {"completions", &WorkerCounts::m_completions},
     {"failures", &WorkerCounts::m_failures},
     {"stops", &WorkerCounts::m_stops},
     {"lapses", &WorkerCounts::m_lapses},
+    {"tasks_crashed", &WorkerCounts::m_tasksCrashed},
     {"crashes", &WorkerCounts::m_crashes},
     {"requests", &WorkerCounts::m_requests},
     {"requests_repeated", &WorkerCounts::m_requestsRepeated},
--- a/standins/workerserver.cpp
+++ b/standins/workerserver.cpp
@@ -265,7 +265,9 @@
     const std::chrono::duration<double, std::milli> downTime(std::exchange(m_faults.m_crash, {}).m_value);
     m_isClosing = true;
     m_isRestarting = true;
+    ++m_audit.counts().m_crashes;
     m_model.crash(now());
+    m_audit.workerEvent(now(), "crashed");
     m_timer.arm(std::nullopt);
     // The answer to the call that switched the fault leaves first.
     QTimer::singleShot(0, m_lifetime.get(), [this, downTime] {
--- a/tests/standinworkertest.cpp
+++ b/tests/standinworkertest.cpp
@@ -334,7 +334,7 @@
     EXPECT_EQ(start("j2", 1), OrderAnswer::Done);
     EXPECT_EQ(request("r1", "k1").m_state, RequestState::Running);
     const auto &counts = m_audit.counts();
-    EXPECT_EQ(counts.m_crashes, 1);
+    EXPECT_EQ(counts.m_tasksCrashed, 1);
     EXPECT_EQ(counts.m_attemptsRepeated, 1);
     EXPECT_EQ(counts.m_startsAfterTombstone, 1);
     EXPECT_EQ(counts.m_requestsRepeated, 1);
