Add the decisions of a shard owner

Cause: jobs need one owner for each shard that survives kills, pauses and outages of the store.

ConditionalWrite repeats a write only with the same conditions and reads the row back after a lost answer.

Ruled out: counting a worker's lease from the last renewal sent. The property test showed a job in two places when a paused worker read a buffered renewal on resuming. The bound now counts from the answer, and each renewal without an answer adds one lease; a checkpoint tells whether a silent worker answers without extending its lease.

--- a/include/burdockspur/impl/messages_generated.h
+++ b/include/burdockspur/impl/messages_generated.h
@@ -58,6 +58,9 @@
 struct Envelope;
 struct EnvelopeBuilder;
 
+struct JobProgress;
+struct JobProgressBuilder;
+
 struct JobBatch;
 struct JobBatchBuilder;
 
@@ -1423,12 +1426,80 @@
   static auto constexpr Create = CreateEnvelope;
 };
 
+struct JobProgress FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobProgressBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SUBMISSION = 4,
+    VT_FAILURES = 6,
+    VT_CANCEL_REQUESTED = 8
+  };
+  uint64_t submission() const {
+    return GetField<uint64_t>(VT_SUBMISSION, 0);
+  }
+  uint32_t failures() const {
+    return GetField<uint32_t>(VT_FAILURES, 0);
+  }
+  bool cancel_requested() const {
+    return GetField<uint8_t>(VT_CANCEL_REQUESTED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SUBMISSION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_FAILURES, 4) &&
+           VerifyField<uint8_t>(verifier, VT_CANCEL_REQUESTED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct JobProgressBuilder {
+  typedef JobProgress Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_submission(uint64_t submission) {
+    fbb_.AddElement<uint64_t>(JobProgress::VT_SUBMISSION, submission, 0);
+  }
+  void add_failures(uint32_t failures) {
+    fbb_.AddElement<uint32_t>(JobProgress::VT_FAILURES, failures, 0);
+  }
+  void add_cancel_requested(bool cancel_requested) {
+    fbb_.AddElement<uint8_t>(JobProgress::VT_CANCEL_REQUESTED, static_cast<uint8_t>(cancel_requested), 0);
+  }
+  explicit JobProgressBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobProgress> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobProgress>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobProgress> CreateJobProgress(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t submission = 0,
+    uint32_t failures = 0,
+    bool cancel_requested = false) {
+  JobProgressBuilder builder_(_fbb);
+  builder_.add_submission(submission);
+  builder_.add_failures(failures);
+  builder_.add_cancel_requested(cancel_requested);
+  return builder_.Finish();
+}
+
+struct JobProgress::Traits {
+  using type = JobProgress;
+  static auto constexpr Create = CreateJobProgress;
+};
+
 struct JobBatch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef JobBatchBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_OPERATION = 4,
-    VT_JOBS = 6
+    VT_JOBS = 6,
+    VT_PROGRESS = 8
   };
   const flatbuffers::String *operation() const {
     return GetPointer<const flatbuffers::String *>(VT_OPERATION);
@@ -1436,6 +1507,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<Burdockspur::Wire::Job>> *jobs() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Burdockspur::Wire::Job>> *>(VT_JOBS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<Burdockspur::Wire::JobProgress>> *progress() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Burdockspur::Wire::JobProgress>> *>(VT_PROGRESS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_OPERATION) &&
@@ -1443,6 +1517,9 @@
            VerifyOffset(verifier, VT_JOBS) &&
            verifier.VerifyVector(jobs()) &&
            verifier.VerifyVectorOfTables(jobs()) &&
+           VerifyOffset(verifier, VT_PROGRESS) &&
+           verifier.VerifyVector(progress()) &&
+           verifier.VerifyVectorOfTables(progress()) &&
            verifier.EndTable();
   }
 };
@@ -1457,6 +1534,9 @@
   void add_jobs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Burdockspur::Wire::Job>>> jobs) {
     fbb_.AddOffset(JobBatch::VT_JOBS, jobs);
   }
+  void add_progress(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Burdockspur::Wire::JobProgress>>> progress) {
+    fbb_.AddOffset(JobBatch::VT_PROGRESS, progress);
+  }
   explicit JobBatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1471,8 +1551,10 @@
 inline flatbuffers::Offset<JobBatch> CreateJobBatch(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> operation = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Burdockspur::Wire::Job>>> jobs = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Burdockspur::Wire::Job>>> jobs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Burdockspur::Wire::JobProgress>>> progress = 0) {
   JobBatchBuilder builder_(_fbb);
+  builder_.add_progress(progress);
   builder_.add_jobs(jobs);
   builder_.add_operation(operation);
   return builder_.Finish();
@@ -1486,13 +1568,16 @@
 inline flatbuffers::Offset<JobBatch> CreateJobBatchDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *operation = nullptr,
-    const std::vector<flatbuffers::Offset<Burdockspur::Wire::Job>> *jobs = nullptr) {
+    const std::vector<flatbuffers::Offset<Burdockspur::Wire::Job>> *jobs = nullptr,
+    const std::vector<flatbuffers::Offset<Burdockspur::Wire::JobProgress>> *progress = nullptr) {
   auto operation__ = operation ? _fbb.CreateString(operation) : 0;
   auto jobs__ = jobs ? _fbb.CreateVector<flatbuffers::Offset<Burdockspur::Wire::Job>>(*jobs) : 0;
+  auto progress__ = progress ? _fbb.CreateVector<flatbuffers::Offset<Burdockspur::Wire::JobProgress>>(*progress) : 0;
   return Burdockspur::Wire::CreateJobBatch(
       _fbb,
       operation__,
-      jobs__);
+      jobs__,
+      progress__);
 }
 
 inline bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type) {
--- /dev/null
+++ b/include/burdockspur/shard/workercommands.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "burdockspur/link/httpclient.hpp"
+#include "burdockspur/platform/workerport.hpp"
+
+#include <string>
+
+namespace Burdockspur
+{
+/// @brief Renews the shard's lease on a worker.
+struct RenewLease {
+    std::string m_worker;
+    HttpEndpoint m_endpoint;
+    LeaseRenewal m_renewal;
+};
+
+/// @brief Starts an attempt on a worker.
+struct StartAttempt {
+    std::string m_worker;
+    HttpEndpoint m_endpoint;
+    StartOrder m_order;
+};
+
+/// @brief Stops an attempt, or leaves a tombstone.
+struct StopAttempt {
+    std::string m_worker;
+    HttpEndpoint m_endpoint;
+    AttemptOrder m_order;
+};
+
+/// @brief Makes an attempt write a checkpoint.
+struct CheckpointAttempt {
+    std::string m_worker;
+    HttpEndpoint m_endpoint;
+    AttemptOrder m_order;
+};
+}
--- /dev/null
+++ b/src/shard/conditionalwrite.cpp
@@ -0,0 +1,103 @@
+#include "burdockspur/shard/conditionalwrite.hpp"
+
+#include "burdockspur/core/invariant.hpp"
+
+#include <algorithm>
+
+namespace Burdockspur
+{
+namespace
+{
+constexpr Milliseconds firstRetry{50};
+constexpr std::uint32_t maxDoublings = 6; // at most 3.2 s, so that service resumes soon after an outage
+}
+
+auto ConditionalWrite::begin(std::string operation, std::uint64_t version) -> void
+{
+    requireInvariant(!inProgress(), "one_write_at_a_time", m_operation);
+    m_step = Step::WaitingToWrite;
+    m_operation = std::move(operation);
+    m_version = version;
+    m_retries = 0;
+    m_at = TimePoint::min();
+}
+
+auto ConditionalWrite::abandon() noexcept -> void
+{
+    m_step = Step::Idle;
+}
+
+auto ConditionalWrite::next(TimePoint now, RandomSource &random) -> Need
+{
+    if (!inProgress() || now < m_at) {
+        return Need::Nothing;
+    }
+    if (m_step == Step::Writing || m_step == Step::Reading) {
+        static_cast<void>(retryLater(Step::WaitingToRead, now, random));
+        m_at = now;
+    }
+    const bool writes = m_step == Step::WaitingToWrite;
+    m_step = writes ? Step::Writing : Step::Reading;
+    m_at = now + m_timeout;
+    return writes ? Need::Write : Need::ReadBack;
+}
+
+auto ConditionalWrite::onWritten(const RowWritten &answer, TimePoint now, RandomSource &random) -> Verdict
+{
+    if (!inProgress() || answer.m_operation != m_operation) {
+        return Verdict::Pending;
+    }
+    switch (answer.m_status) {
+    case CommitResult::Status::Committed:
+        return finish(Verdict::Committed);
+    case CommitResult::Status::Conflict:
+        return finish(!answer.m_fenced && answer.m_stamp.m_operation == m_operation ? Verdict::Committed : Verdict::Rejected);
+    case CommitResult::Status::NotApplied:
+        // An earlier copy may still be on its way, but a repeat has the same conditions.
+        return m_step == Step::Writing ? retryLater(Step::WaitingToWrite, now, random) : Verdict::Pending;
+    case CommitResult::Status::Unknown:
+        break;
+    }
+    return m_step == Step::Writing ? retryLater(Step::WaitingToRead, now, random) : Verdict::Pending;
+}
+
+auto ConditionalWrite::onRead(const RowRead &answer, TimePoint now, RandomSource &random) -> Verdict
+{
+    if (m_step != Step::Reading || answer.m_operation != m_operation) {
+        return Verdict::Pending;
+    }
+    if (!answer.m_succeeded) {
+        return retryLater(Step::WaitingToRead, now, random);
+    }
+    if (answer.m_stamp.m_operation == m_operation) {
+        return finish(Verdict::Committed);
+    }
+    if (answer.m_stamp.m_version == m_version) {
+        m_step = Step::WaitingToWrite;
+        m_at = now;
+        return Verdict::Pending;
+    }
+    return finish(Verdict::Rejected);
+}
+
+auto ConditionalWrite::deadline() const noexcept -> TimePoint
+{
+    return inProgress() ? m_at : TimePoint::max();
+}
+
+auto ConditionalWrite::retryLater(Step step, TimePoint now, RandomSource &random) -> Verdict
+{
+    m_step = step;
+    const auto longest = firstRetry * (1U << std::min(m_retries, maxDoublings));
+    ++m_retries;
+    // The jitter keeps schedulers apart that were refused at the same moment.
+    m_at = now + std::chrono::duration_cast<Duration>(longest * (0.5 + 0.5 * random.unit()));
+    return Verdict::Pending;
+}
+
+auto ConditionalWrite::finish(Verdict verdict) noexcept -> Verdict
+{
+    m_step = Step::Idle;
+    return verdict;
+}
+}
--- /dev/null
+++ b/src/shard/worker.cpp
@@ -0,0 +1,141 @@
+#include "burdockspur/shard/worker.hpp"
+
+#include "burdockspur/contract/job.hpp"
+#include "burdockspur/core/invariant.hpp"
+
+#include <algorithm>
+
+namespace Burdockspur
+{
+namespace
+{
+constexpr std::int64_t driftPercent = 105; // clocks of two hosts differ by at most 5%
+constexpr Milliseconds leaseMargin{500};
+// Each lost renewal makes the wait for expiry longer by one lease, so no more than two are risked.
+constexpr std::uint32_t renewalsUntilSilent = 2;
+
+[[nodiscard]] auto leaseTime(const ShardSettings &settings) noexcept -> Duration
+{
+    constexpr std::int64_t hundredPercent = 100;
+    return settings.m_workerLease * driftPercent / hundredPercent;
+}
+}
+
+Worker::Worker(std::string_view name, TimePoint ownedSince, const ShardSettings &settings)
+    : m_name(name)
+    , m_lastSent(ownedSince)
+    , m_nextRenewal(ownedSince)
+    , m_settings(&settings)
+    // The previous owner may have renewed just before and have lost as many renewals as it risks.
+    , m_leaseBound(ownedSince + (1 + renewalsUntilSilent) * leaseTime(settings))
+{
+}
+
+auto Worker::setHost(const HostRecord &host) -> void
+{
+    m_host = host;
+    m_listed = true;
+}
+
+auto Worker::setUnlisted() noexcept -> void
+{
+    m_listed = false;
+}
+
+auto Worker::reserve(std::string_view job, const JobSpec &spec, const Resources &serviceReservation) -> void
+{
+    requireInvariant(spec.m_demand.fitsInto(freeFor(serviceReservation)), "worker_capacity", m_name);
+    adopt(job, spec);
+}
+
+auto Worker::adopt(std::string_view job, const JobSpec &spec) -> void
+{
+    requireInvariant(m_jobs.emplace(job).second, "one_attempt_of_a_job", job);
+    m_reserved += spec.m_demand;
+    ++m_classes[spec.m_class];
+}
+
+auto Worker::release(std::string_view job, const JobSpec &spec) -> void
+{
+    const auto found = m_jobs.find(job);
+    requireInvariant(found != m_jobs.end(), "release_of_a_reservation", job);
+    m_jobs.erase(found);
+    m_reserved -= spec.m_demand;
+    requireInvariant(m_reserved.isValid(), "reserved_not_negative", m_name);
+    const auto count = m_classes.find(spec.m_class);
+    if (--count->second == 0) {
+        m_classes.erase(count);
+    }
+}
+
+auto Worker::freeFor(const Resources &serviceReservation) const noexcept -> Resources
+{
+    Resources free = m_host.m_capacity;
+    free -= serviceReservation;
+    free -= m_reserved;
+    return free;
+}
+
+auto Worker::isUsable(TimePoint now) const noexcept -> bool
+{
+    return m_listed && m_fenced && !isLeaving() && !m_suspect && m_failedRenewals == 0 && now >= m_quarantinedUntil && now >= m_fullUntil;
+}
+
+auto Worker::jobsOfClass(std::string_view jobClass) const -> std::uint32_t
+{
+    const auto found = m_classes.find(jobClass);
+    return found == m_classes.end() ? 0 : found->second;
+}
+
+auto Worker::leaseEnd() const noexcept -> TimePoint
+{
+    // Without an answer to this epoch the worker may still accept renewals of a former owner that does not
+    // know of the takeover, so a worker that is still listed gets more time.
+    const auto extra = m_listed && !m_fenced ? m_settings->m_unfencedWait : Milliseconds(0);
+    return m_leaseBound + leaseMargin + extra;
+}
+
+auto Worker::renewalSent(TimePoint now) noexcept -> void
+{
+    m_awaiting = true;
+    m_lastSent = now;
+    m_sentEnded = m_ended;
+}
+
+auto Worker::renewalAnswered(TimePoint now) noexcept -> void
+{
+    m_awaiting = false;
+    m_fenced = true;
+    m_suspect = false;
+    m_failedRenewals = 0;
+    m_leaseBound = now + leaseTime(*m_settings);
+    std::erase_if(m_ended, [this](const AttemptId &ended) {
+        return std::ranges::find(m_sentEnded, ended) != m_sentEnded.end();
+    });
+    m_sentEnded.clear();
+}
+
+auto Worker::renewalLost(TimePoint now, bool closed) noexcept -> void
+{
+    m_awaiting = false;
+    ++m_failedRenewals;
+    // A worker that was paused reads the renewal when it resumes. Its tasks run until then only if the
+    // lease has not ended, so each lost renewal extends the bound by one lease.
+    m_leaseBound = closed ? std::max(m_leaseBound, now + leaseTime(*m_settings)) : std::max(m_leaseBound, now) + leaseTime(*m_settings);
+    m_suspect = m_suspect || isSilent();
+}
+
+auto Worker::isSilent() const noexcept -> bool
+{
+    return m_failedRenewals >= renewalsUntilSilent;
+}
+
+auto Worker::deadline() const noexcept -> TimePoint
+{
+    if (!hasAddress()) {
+        return m_jobs.empty() ? TimePoint::max() : leaseEnd();
+    }
+    const TimePoint next = m_awaiting ? m_answerDue : m_nextRenewal;
+    return awaitsExpiry() ? std::min(next, leaseEnd()) : next;
+}
+}
--- /dev/null
+++ b/tests/shardschedulerpropertytest.cpp
@@ -0,0 +1,67 @@
+#include "shardworld.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+
+using namespace Burdockspur;
+using Burdockspur::Testing::ShardWorld;
+
+namespace
+{
+// A fixed seed makes every run the same; another one may be given in the environment.
+const int fixedSeed = setenv("RC_PARAMS", "seed=20261204 max_success=60", 0);
+
+auto faultGenerator() -> rc::Gen<ShardWorld::Fault>
+{
+    return rc::gen::build<ShardWorld::Fault>(rc::gen::set(&ShardWorld::Fault::m_kind, rc::gen::inRange(0, static_cast<int>(ShardWorld::FaultKind::KindCount))),
+                                             rc::gen::set(&ShardWorld::Fault::m_atMs, rc::gen::inRange(0, 60'000)),
+                                             rc::gen::set(&ShardWorld::Fault::m_target, rc::gen::inRange(0, 40)),
+                                             rc::gen::set(&ShardWorld::Fault::m_durationMs, rc::gen::inRange(100, 40'000)));
+}
+}
+
+namespace Burdockspur::Testing
+{
+auto showValue(const ShardWorld::Fault &fault, std::ostream &stream) -> void
+{
+    stream << "{" << fault.m_kind << ", " << fault.m_atMs << ", " << fault.m_target << ", " << fault.m_durationMs << "}";
+}
+}
+
+// Guards against a job that runs in two places, is lost, ends twice, loses its checkpoint, or exceeds the
+// capacity of a worker, under any combination of faults.
+TEST(ShardSchedulerPropertyTest, FaultsNeverBreakTheGuarantees)
+{
+    ASSERT_EQ(fixedSeed, 0);
+    EXPECT_TRUE(rc::check("faults", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        const auto loss = *rc::gen::inRange<std::uint32_t>(0, 10);
+        const auto faults = *rc::gen::container<std::vector<ShardWorld::Fault>>(faultGenerator());
+        ShardWorld world(seed, loss);
+        world.run(40, faults);
+    }));
+}
+
+// Guards against a world without faults in which nothing happens, which would make the property empty.
+TEST(ShardSchedulerPropertyTest, QuietWorldRunsEveryJob)
+{
+    ShardWorld world(1, 0);
+    world.run(40, {});
+    EXPECT_EQ(world.m_starts, 48U); // 8 of the jobs fail their first attempt
+    EXPECT_EQ(world.m_takeovers, 1U);
+}
+
+// Guards against eviction without a checkpoint, and against a takeover that restarts running jobs.
+TEST(ShardSchedulerPropertyTest, EvictedJobsResumeFromTheirCheckpoints)
+{
+    using Kind = ShardWorld::FaultKind;
+    ShardWorld world(2, 0);
+    world.run(40,
+              {{static_cast<int>(Kind::LeaveWorker), 10'000, 0, 20'000},
+               {static_cast<int>(Kind::KillScheduler), 20'000, 0, 9'000},
+               {static_cast<int>(Kind::KillScheduler), 30'000, 1, 9'000}});
+    EXPECT_GT(world.m_resumed, 0U);
+    EXPECT_GE(world.m_takeovers, 2U);
+}
