--- a/include/burdockspur/link/httpclient.hpp
+++ b/include/burdockspur/link/httpclient.hpp
@@ -23,7 +23,7 @@
 
 /// @brief Why a call has no response.
 struct HttpFailure {
-    Error m_error; ///< ConnectionClosed, Timeout, Overloaded or AnswerCorrupt
+    Error m_error; ///< ConnectionClosed, Timeout, Overloaded, AnswerCorrupt, or BadRequest for a request that is not valid HTTP
     bool m_sent = false; ///< false: not a single byte of the request left; true: the server may have seen it
 };
 
@@ -34,7 +34,7 @@
 struct HttpClientLimits {
     std::size_t m_maxConnectionsPerEndpoint = 8;
     std::size_t m_maxQueuedPerEndpoint = 1024; ///< calls that wait for a connection
-    std::uint64_t m_maxBodyBytes = 8 * 1024 * 1024;
+    std::uint64_t m_maxBodyBytes = std::uint64_t{8} * 1024 * 1024;
     Milliseconds m_connectTimeout{1'000};
     Milliseconds m_idleTimeout{15'000}; ///< shorter than the server's, so that a kept connection is rarely stale
 };
@@ -44,10 +44,13 @@
 /// Lives in the thread of an EventLoopDuty. It keeps connections, has one request in progress on each,
 /// and never sends a request twice: a request whose connection breaks fails with m_sent set. After a
 /// timeout the connection and the endpoint's idle connections are closed, because they may be silent too.
+/// A response without Content-Length or chunks is AnswerCorrupt: its end cannot be told from a broken
+/// connection.
 class HttpClient
 {
 public:
-    /// @brief Takes the reply; called exactly once for each call, never from within call().
+    /// @brief Takes the reply; called exactly once for each call, never from within call(). Calls that are open
+    /// when the client is destroyed get no reply.
     using Callback = std::function<void(HttpReply &&)>;
 
     explicit HttpClient(const HttpClientLimits &limits);
@@ -69,6 +72,6 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 }
