Give the load program an application object

Cause: event loops in threads do not run without one, so a run never ended. Change: QCoreApplication in main().

--- a/bench/loadmain.cpp
+++ b/bench/loadmain.cpp
@@ -2,6 +2,8 @@
 #include "endpointlist.hpp"
 #include "loadduty.hpp"
 
+#include <QCoreApplication>
+
 #include <gflags/gflags.h>
 
 #include <iostream>
@@ -107,6 +109,8 @@
 {
     gflags::SetUsageMessage("measures latency through entry daemons against calling workers directly");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    // Event loops in other threads need an application object.
+    const QCoreApplication application(argc, argv);
     const auto entries = parseEndpoints(FLAGS_entry);
     const auto workers = parseEndpoints(FLAGS_worker);
     if (!entries || (!workers && !FLAGS_find_limit) || FLAGS_rate <= 0 || FLAGS_callers == 0) {
