Add the remaining fault tests of the link folder

Cause: destruction with open connections, exhausted descriptors, chunked bodies, a bad frame towards the client and a timeout beside other calls were not covered. Change: tests only; no fault was found.

--- a/tests/framelinktest.cpp
+++ b/tests/framelinktest.cpp
@@ -325,3 +325,35 @@
     }
     EXPECT_EQ(m_server->openLinks(), 0U);
 }
+
+// Guards against a client that stays on, or gives up, a link whose server sends garbage.
+TEST_F(FrameLinkTest, BadFrameFromTheServerReopensTheLink)
+{
+    RawServer server;
+    startClient(server.port());
+    server.peer(0).send(encodeFrame(query("good", 1)) + std::string("\0\0\0\0", 4));
+    waitForClientStates(3);
+    EXPECT_EQ(m_clientStates, (std::vector<bool>{true, false, true}));
+    EXPECT_EQ(m_clientMessages.size(), 1U);
+    server.peer(1).send(encodeFrame(query("again", 2)));
+    waitUntil([&] {
+        return m_clientMessages.size() == 2;
+    });
+}
+
+// Guards against sockets that call into a destroyed server or client.
+TEST_F(FrameLinkTest, EndsMayBeDestroyedWhileTheLinkIsOpen)
+{
+    startServer();
+    startClient(m_port);
+    waitForClientStates(1);
+    waitForServerStates(1);
+    EXPECT_TRUE(m_client->send(query(std::string(500'000, 'x'), 1)));
+    m_client.reset();
+    waitForServerStates(2);
+    RawPeer peer(m_port);
+    waitForServerStates(3);
+    m_server.reset();
+    peer.waitForClose();
+    EXPECT_EQ(m_clientStates, std::vector<bool>{true});
+}
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -457,3 +457,48 @@
     EXPECT_GT(succeeded, total / 2);
     EXPECT_EQ(m_client->openCalls(), 0U);
 }
+
+// Guards against chunks that are delivered with their framing or cut short, and against a response that is
+// only read when it arrives in one piece.
+TEST_F(HttpClientTest, ChunkedResponseInSingleBytesIsComplete)
+{
+    RawServer server;
+    call(server.port(), request("GET", "/"));
+    server.peer(0).waitForText("\r\n\r\n");
+    for (const char byte : std::string_view("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n")) {
+        EXPECT_TRUE(m_replies.empty());
+        server.peer(0).send(std::string_view(&byte, 1));
+        QCoreApplication::processEvents();
+    }
+    expectBody(0, "hello world");
+}
+
+// Guards against callbacks into objects that are being destroyed, and against sockets that call into a
+// destroyed client.
+TEST_F(HttpClientTest, ClientMayBeDestroyedWithOpenCalls)
+{
+    m_limits.m_maxConnectionsPerEndpoint = 2;
+    restartClient();
+    RawServer server;
+    for (int i = 0; i < 4; ++i) {
+        call(server.port(), request("GET", "/"));
+    }
+    server.peer(1).waitForText("\r\n\r\n");
+    call(server.port(), request("POST", "/late"), Duration::zero());
+    m_client.reset();
+    server.peer(0).waitForClose();
+    server.peer(1).waitForClose();
+    EXPECT_TRUE(m_replies.empty());
+}
+
+// Guards against a timeout of one call that ends the calls of other connections.
+TEST_F(HttpClientTest, TimeoutLeavesOtherCallsAlone)
+{
+    RawServer server;
+    call(server.port(), request("GET", "/slow"));
+    server.peer(0).waitForText("\r\n\r\n");
+    call(server.port(), request("GET", "/silent"), Milliseconds(50));
+    expectFailure(0, ErrorCode::Timeout, true);
+    server.peer(0).send(okAnswer);
+    expectBody(1, "ok");
+}
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -4,7 +4,8 @@
 
 #include <gtest/gtest.h>
 
-#include <sys/socket.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 using namespace Burdockspur;
 using namespace Burdockspur::Testing;
@@ -513,3 +514,60 @@
     late.waitForClose();
     EXPECT_EQ(late.received(), "");
 }
+
+// Guards against chunks that are delivered with their framing or cut short.
+TEST_F(HttpServerTest, ChunkedBodyIsDecoded)
+{
+    startEcho();
+    const std::string request = "POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+                                "5;name=value\r\nhello\r\n1\r\n \r\n5\r\nworld\r\n0\r\nX-Trailer: 1\r\n\r\n";
+    EXPECT_TRUE(answerTo(request).ends_with("/chello world"));
+}
+
+// Guards against a server that never accepts again after the descriptors of its process were exhausted.
+TEST_F(HttpServerTest, AcceptingResumesAfterDescriptorsWereExhausted)
+{
+    startCollecting();
+    RawPeer peer(m_port);
+    rlimit original{};
+    ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &original), 0);
+    // A new descriptor gets the lowest free number; with that as the limit, the accept fails.
+    const int lowestFree = ::dup(STDERR_FILENO);
+    ASSERT_GE(lowestFree, 0);
+    ::close(lowestFree);
+    const rlimit exhausted{.rlim_cur = static_cast<rlim_t>(lowestFree), .rlim_max = original.rlim_max};
+    ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &exhausted), 0);
+    for (int i = 0; i < 100; ++i) {
+        QCoreApplication::processEvents();
+    }
+    EXPECT_EQ(m_server->openConnections(), 0U);
+    ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &original), 0);
+    peer.send(simpleGet);
+    waitForExchanges(1);
+    EXPECT_TRUE(m_server->respond(m_exchanges[0].m_id, jsonResponse(200, "accepted")));
+    peer.waitForText("accepted");
+}
+
+// Guards against sockets that call into a destroyed server, in each state of a connection.
+TEST_F(HttpServerTest, ServerMayBeDestroyedWithOpenConnections)
+{
+    startCollecting();
+    RawPeer idle(m_port);
+    RawPeer partial(m_port);
+    RawPeer waiting(m_port);
+    RawPeer reading(m_port, 1);
+    RawPeer lingering(m_port);
+    partial.send("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
+    lingering.send("garbage\r\n\r\n");
+    lingering.waitForText("bad_request");
+    reading.send("GET /reading HTTP/1.1\r\n\r\n");
+    waitForExchanges(1);
+    EXPECT_TRUE(m_server->respond(m_exchanges[0].m_id, jsonResponse(200, largeText(30'000'000))));
+    waiting.send(simpleGet);
+    waitForExchanges(2);
+    m_server.reset();
+    idle.waitForClose();
+    partial.waitForClose();
+    waiting.waitForClose();
+    EXPECT_EQ(waiting.received(), "");
+}
