Test the stand-ins over HTTP

Cause: the HTTP side of the stand-ins and the faults of network and process were tried by hand only.

Ruled out: upper bounds on times, because they depend on the machine; slowness is tested by lower bounds, silence by calls that must time out.

Change: standinhttptest drives every route and every fault over HttpClient.

--- /dev/null
+++ b/tests/standinhttptest.cpp
@@ -0,0 +1,437 @@
+#include "standins/jsontext.hpp"
+#include "standins/platformduty.hpp"
+#include "standins/workersduty.hpp"
+
+#include "burdockspur/core/identifiers.hpp"
+#include "burdockspur/link/httpclient.hpp"
+#include "linktesting.hpp"
+
+#include <gtest/gtest.h>
+#include <QJsonArray>
+
+using namespace Burdockspur;
+using namespace Burdockspur::Standins;
+using namespace Burdockspur::Testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+/// Calls of which the test expects no answer; longer than any answer takes that a working fault lets through.
+constexpr auto shortTimeout = 300ms;
+constexpr auto longTimeout = 60s;
+
+class StandinHttpTest : public testing::Test
+{
+protected:
+    StandinHttpTest() : m_ready(8), m_client(HttpClientLimits{})
+    {
+        requireApplication();
+    }
+
+    /// Starts a duty and returns the ports that it prints, in order.
+    auto portsOf(Duty &duty) -> std::vector<std::uint16_t>
+    {
+        duty.start();
+        std::vector<Result<std::string>> lines;
+        while (!m_ready.isClosed()) {
+            m_ready.takeUntil(Clock::now() + 1s, lines);
+        }
+        m_ready.drain(lines);
+        std::vector<std::uint16_t> ports;
+        for (const auto &line : lines) {
+            EXPECT_TRUE(line) << line.error().m_message;
+            const auto text = line.value_or("port=0");
+            ports.push_back(static_cast<std::uint16_t>(std::stoi(text.substr(text.rfind('=') + 1))));
+        }
+        return ports;
+    }
+
+    auto send(std::uint16_t port, HttpRequest request, Duration timeout, std::optional<HttpReply> &reply) -> void
+    {
+        m_client.call({"127.0.0.1", port}, std::move(request), timeout, [&reply](HttpReply &&received) {
+            reply = std::move(received);
+        });
+    }
+
+    auto call(std::uint16_t port, HttpRequest request, Duration timeout = longTimeout) -> HttpReply
+    {
+        std::optional<HttpReply> reply;
+        send(port, std::move(request), timeout, reply);
+        waitUntil([&reply] {
+            return reply.has_value();
+        });
+        return std::move(*reply);
+    }
+
+    /// Calls until there is an answer, for a port that is about to open.
+    auto callUntilAnswered(std::uint16_t port, const HttpRequest &request) -> HttpResponse
+    {
+        while (true) {
+            if (auto reply = call(port, request)) {
+                return std::move(*reply);
+            }
+        }
+    }
+
+    auto expectStatus(std::uint16_t port, HttpRequest request, int status, std::string_view code = {}) -> QJsonObject
+    {
+        const auto reply = call(port, std::move(request));
+        EXPECT_TRUE(reply) << reply.error().m_error.m_message;
+        const auto response = reply.value_or(HttpResponse{});
+        EXPECT_EQ(response.m_status, status) << response.m_body;
+        const auto object = parseObject(response.m_body).value_or(QJsonObject{});
+        EXPECT_EQ(textMember(object, QLatin1String("code")), code);
+        return object;
+    }
+
+    auto switchFault(std::uint16_t port, std::string_view fault) -> void
+    {
+        expectStatus(port, {"PUT", "/standin/faults", {}, std::string(fault)}, 200);
+    }
+
+    [[nodiscard]] auto count(std::uint16_t port, std::string_view name) -> qint64
+    {
+        return expectStatus(port, get("/standin/counts"), 200).value(jsonString(name)).toInteger(-1);
+    }
+
+    [[nodiscard]] static auto get(std::string_view target) -> HttpRequest
+    {
+        return {"GET", std::string(target), {}, {}};
+    }
+
+    ReadyRing m_ready;
+    HttpClient m_client;
+};
+
+class StandinWorkerHttpTest : public StandinHttpTest
+{
+protected:
+    StandinWorkerHttpTest() : m_duty(twoWorkers(), m_ready)
+    {
+        const auto ports = portsOf(m_duty);
+        m_worker = ports.at(0);
+        m_control = ports.at(2);
+    }
+
+    [[nodiscard]] static auto twoWorkers() -> WorkersPlan
+    {
+        WorkersPlan plan;
+        plan.m_workers = 2;
+        plan.m_spec.m_name = "w";
+        return plan;
+    }
+
+    /// Switches a fault of the first worker over the control port, which no fault closes.
+    auto switchWorkerFault(std::string_view fault) -> void
+    {
+        expectStatus(m_control, {"PUT", "/standin/faults?worker=w0", {}, std::string(fault)}, 200);
+    }
+
+    [[nodiscard]] static auto request(std::string_view id, std::string_view serviceTimeUs = "0") -> HttpRequest
+    {
+        return {"POST",
+                "/v1/services/routes/requests",
+                {{"Burdockspur-Request-Id", std::string(id)}, {"Burdockspur-Service-Time-Us", std::string(serviceTimeUs)}},
+                "stop 12"};
+    }
+
+    [[nodiscard]] static auto settle(std::string_view id) -> HttpRequest
+    {
+        return {"POST", "/v1/requests/" + percentEncoded(id) + "/settle", {}, {}};
+    }
+
+    [[nodiscard]] static auto lease(std::string_view acknowledged = "") -> HttpRequest
+    {
+        return {"PUT", "/v1/leases/0", {}, R"({"epoch":4,"owner":"e1","ttl_ms":600000,"acknowledged":[)" + std::string(acknowledged) + "]}"};
+    }
+
+    [[nodiscard]] static auto start(std::string_view task, std::string_view kind) -> HttpRequest
+    {
+        return {
+            "PUT",
+            "/v1/tasks/" + std::string(task) + "/attempts/1",
+            {},
+            R"({"shard":0,"epoch":4,"class":"render","cpu_millis":9000,"memory_mb":1,"accelerators":0,"duration_ms":1,"checkpoint":"","payload":"sky","kind":")"
+                + std::string(kind) + "\"}"};
+    }
+
+    [[nodiscard]] auto stateOf(std::string_view task) -> std::string
+    {
+        for (const auto &value : expectStatus(m_worker, lease(), 200).value(QLatin1String("tasks")).toArray()) {
+            if (textMember(value.toObject(), QLatin1String("task")) == task) {
+                return textMember(value.toObject(), QLatin1String("state"));
+            }
+        }
+        return {};
+    }
+
+    auto expectSettled(std::string_view id, std::string_view state) -> void
+    {
+        EXPECT_EQ(textMember(expectStatus(m_worker, settle(id), 200), QLatin1String("state")), state);
+    }
+
+    WorkersDuty m_duty;
+    std::uint16_t m_worker = 0;
+    std::uint16_t m_control = 0;
+};
+
+class StandinPlatformHttpTest : public StandinHttpTest
+{
+protected:
+    StandinPlatformHttpTest() : m_duty({}, m_ready)
+    {
+        m_port = portsOf(m_duty).at(0);
+    }
+
+    [[nodiscard]] static auto write(std::string_view key, int version) -> HttpRequest
+    {
+        const std::string name(key);
+        return {"POST",
+                "/v1/transactions",
+                {},
+                R"({"conditions":[{"key":")" + name + R"(","version":)" + std::to_string(version) + R"(}],"puts":[{"key":")" + name
+                    + R"(","value":"v"}],"deletes":[]})"};
+    }
+
+    PlatformDuty m_duty;
+    std::uint16_t m_port = 0;
+};
+}
+
+// Guards against answers that callers cannot verify, and against a run that loses the caller's id.
+TEST_F(StandinWorkerHttpTest, RequestsAreAnsweredWithIdAndChecksum)
+{
+    for (const std::string_view time : {"0", "3000"}) {
+        const auto reply = call(m_worker, request(time, time));
+        ASSERT_TRUE(reply) << reply.error().m_error.m_message;
+        EXPECT_EQ(reply->m_body, "routes:" + hexOf(hashOf("stop 12")) + ":stop 12");
+        EXPECT_EQ(reply->field("Burdockspur-Request-Id"), time);
+        EXPECT_EQ(reply->field("Burdockspur-Checksum"), hexOf(hashOf(reply->m_body)));
+        expectSettled(time, "answered");
+    }
+    expectSettled("never/sent", "never_started");
+    expectStatus(m_worker, request("never/sent"), 503, "tombstoned");
+    expectStatus(m_worker, {"POST", "/v1/services/routes/requests", {}, {}}, 400, "bad_request");
+    expectStatus(m_worker, get("/v1/unknown"), 404, "unknown_route");
+}
+
+// Guards against codes and members that differ from the protocol.
+TEST_F(StandinWorkerHttpTest, TasksFollowTheProtocol)
+{
+    const std::string shardAndEpoch = R"({"shard":0,"epoch":4,"share_percent":50})";
+    const std::string attempt = "/v1/tasks/t1/attempts/1";
+    expectStatus(m_worker, start("t1", "watcher"), 409, "no_lease");
+    EXPECT_EQ(expectStatus(m_worker, lease(), 200).value(QLatin1String("epoch")).toInteger(), 4);
+    expectStatus(m_worker, start("t1", "watcher"), 201);
+    expectStatus(m_worker, start("t1", "watcher"), 200);
+    expectStatus(m_worker, start("t2", "watcher"), 507, "no_capacity");
+    expectStatus(m_worker, start("t2", "service"), 400, "bad_request");
+    EXPECT_EQ(textMember(expectStatus(m_worker, {"POST", attempt + "/checkpoint", {}, shardAndEpoch}, 200), QLatin1String("checkpoint")), "t1-1-0");
+    expectStatus(m_worker, {"POST", attempt + "/throttle", {}, shardAndEpoch}, 200);
+    expectStatus(m_worker, {"DELETE", attempt + "?shard=0&epoch=3", {}, {}}, 409, "stale_epoch");
+    EXPECT_EQ(textMember(expectStatus(m_worker, {"DELETE", attempt + "?shard=0&epoch=4", {}, {}}, 200), QLatin1String("state")), "stopped");
+    EXPECT_EQ(stateOf("t1"), "stopped");
+    EXPECT_TRUE(expectStatus(m_worker, lease(R"({"task":"t1","attempt":1})"), 200).value(QLatin1String("tasks")).toArray().isEmpty());
+    EXPECT_EQ(count(m_worker, "stops"), 1);
+    const auto journal = expectStatus(m_worker, get("/standin/journal?after=1"), 200).value(QLatin1String("entries")).toArray();
+    ASSERT_EQ(journal.size(), 1);
+    EXPECT_EQ(textMember(journal[0].toObject(), QLatin1String("event")), "task_ended");
+}
+
+// Guards against a paused worker that answers, and against calls that a pause loses.
+TEST_F(StandinWorkerHttpTest, PauseHoldsCallsUntilItEnds)
+{
+    switchWorkerFault(R"({"name":"pause","value":true})");
+    const auto late = call(m_worker, request("r1"), shortTimeout);
+    ASSERT_FALSE(late);
+    EXPECT_TRUE(late.error().m_sent);
+    std::optional<HttpReply> held;
+    send(m_worker, request("r2"), longTimeout, held);
+    switchWorkerFault(R"({"name":"pause","value":false})");
+    waitUntil([&held] {
+        return held.has_value();
+    });
+    EXPECT_TRUE(*held);
+    expectSettled("r1", "answered");
+}
+
+// Guards against silenced connections that speak again, and new ones that do not.
+TEST_F(StandinWorkerHttpTest, OnlyExistingConnectionsFallSilent)
+{
+    expectStatus(m_worker, lease(), 200);
+    switchWorkerFault(R"({"name":"silence_connections","value":true})");
+    EXPECT_FALSE(call(m_worker, lease(), shortTimeout));
+    expectStatus(m_worker, lease(), 200);
+}
+
+// Guards against a crash that keeps state or another port.
+TEST_F(StandinWorkerHttpTest, CrashForgetsStateAndKeepsThePort)
+{
+    ASSERT_TRUE(call(m_worker, request("r1")));
+    switchWorkerFault(R"({"name":"crash","value":20})");
+    EXPECT_NE(callUntilAnswered(m_worker, settle("r1")).m_body.find("never_started"), std::string::npos);
+    EXPECT_EQ(count(m_worker, "crashes"), 1);
+    EXPECT_EQ(count(m_worker, "requests"), 1);
+}
+
+// Guards against a closed port that answers, or loses state.
+TEST_F(StandinWorkerHttpTest, RefusedConnectionsKeepState)
+{
+    ASSERT_TRUE(call(m_worker, request("r1")));
+    switchWorkerFault(R"({"name":"refuse_connections","value":true})");
+    EXPECT_FALSE(call(m_worker, settle("r1")));
+    EXPECT_FALSE(call(m_worker, settle("r1")));
+    switchWorkerFault(R"({"name":"refuse_connections","value":false})");
+    EXPECT_NE(callUntilAnswered(m_worker, settle("r1")).m_body.find("answered"), std::string::npos);
+}
+
+// Guards against lost answers without effect, with an open connection, or more often than told.
+TEST_F(StandinWorkerHttpTest, LostAnswersTakeEffect)
+{
+    switchWorkerFault(R"({"name":"lose_answers","value":1,"count":1,"match":"/v1/services/"})");
+    expectStatus(m_worker, lease(), 200);
+    const auto lost = call(m_worker, request("r1"));
+    ASSERT_FALSE(lost);
+    EXPECT_TRUE(lost.error().m_sent);
+    EXPECT_EQ(lost.error().m_error.m_code, ErrorCode::ConnectionClosed);
+    expectSettled("r1", "answered");
+    ASSERT_TRUE(call(m_worker, request("r1")));
+    EXPECT_EQ(count(m_worker, "answers_lost"), 1);
+    EXPECT_EQ(count(m_worker, "requests"), 1);
+}
+
+// Guards against faults of the model that the server does not switch.
+TEST_F(StandinWorkerHttpTest, ModelFaultsAreSwitched)
+{
+    switchWorkerFault(R"({"name":"fail_requests","value":1,"count":1})");
+    expectStatus(m_worker, request("r1"), 500, "execution_failed");
+    switchWorkerFault(R"({"name":"usage_lag_ms","value":250})");
+    EXPECT_EQ(expectStatus(m_worker, lease(), 200).value(QLatin1String("usage")).toObject().value(QLatin1String("lag_ms")).toInteger(), 250);
+    switchWorkerFault(R"({"name":"fail_all_tasks","value":true})");
+    expectStatus(m_worker, start("t1", "watcher"), 201);
+    EXPECT_EQ(stateOf("t1"), "failed");
+    switchWorkerFault(R"({"name":"fail_all_tasks","value":false})");
+    switchWorkerFault(R"({"name":"duration_factor","value":1000000})");
+    expectStatus(m_worker, start("t2", "batch"), 201);
+    EXPECT_EQ(stateOf("t2"), "running");
+    switchWorkerFault(R"({"name":"leaving","value":true})");
+    expectStatus(m_worker, start("t3", "batch"), 503, "leaving");
+    expectStatus(m_worker, request("r2"), 503, "leaving");
+    EXPECT_TRUE(expectStatus(m_worker, lease(), 200).value(QLatin1String("leaving")).toBool());
+}
+
+// Guards against slowness and noise without effect; only lower bounds hold on any machine.
+TEST_F(StandinWorkerHttpTest, SlowAndNoisyWorkersTakeLonger)
+{
+    expectStatus(m_worker, lease(), 200);
+    expectStatus(m_worker, start("t1", "batch"), 201);
+    switchWorkerFault(R"({"name":"slow","value":50})");
+    auto begin = Clock::now();
+    expectStatus(m_worker, lease(), 200);
+    EXPECT_GE(Clock::now() - begin, 50ms);
+    begin = Clock::now();
+    ASSERT_TRUE(call(m_worker, request("r1")));
+    EXPECT_GE(Clock::now() - begin, 50ms);
+    switchWorkerFault(R"({"name":"slow","value":0})");
+    switchWorkerFault(R"({"name":"duration_factor","value":1000000})");
+    expectStatus(m_worker, lease(R"({"task":"t1","attempt":1})"), 200);
+    expectStatus(m_worker, start("t2", "batch"), 201);
+    switchWorkerFault(R"({"name":"noise","value":10,"match":"render"})");
+    begin = Clock::now();
+    ASSERT_TRUE(call(m_worker, request("r2", "5000")));
+    EXPECT_GE(Clock::now() - begin, 50ms);
+}
+
+// Guards against control calls that reach the wrong worker or none without a word.
+TEST_F(StandinWorkerHttpTest, ControlPortReachesOneOrAllWorkers)
+{
+    switchFault(m_control, R"({"name":"leaving","value":true})");
+    switchWorkerFault(R"({"name":"leaving","value":false})");
+    const auto faults = expectStatus(m_control, get("/standin/faults"), 200);
+    const auto valueOf = [&faults](QLatin1String worker) {
+        return faults.value(worker).toObject().value(QLatin1String("leaving")).toObject().value(QLatin1String("value")).toDouble(-1);
+    };
+    EXPECT_EQ(valueOf(QLatin1String("w0")), 0);
+    EXPECT_EQ(valueOf(QLatin1String("w1")), 1);
+    expectStatus(m_control, get("/standin/counts?worker=w2"), 404, "unknown_worker");
+    expectStatus(m_control, {"PUT", "/standin/faults", {}, R"({"name":"rain","value":1})"}, 400, "bad_request");
+    expectStatus(m_control, {"PUT", "/standin/faults", {}, R"({"name":"pause"})"}, 400, "bad_request");
+}
+
+// Guards against codes and members that differ from the protocol.
+TEST_F(StandinPlatformHttpTest, ServicesFollowTheProtocol)
+{
+    const auto versions = expectStatus(m_port, write("a/1", 0), 200).value(QLatin1String("versions")).toArray();
+    EXPECT_EQ(versions.at(0).toObject().value(QLatin1String("version")).toInteger(), 1);
+    const auto conflict = expectStatus(m_port, write("a/1", 0), 409, "conflict").value(QLatin1String("conflicts")).toArray();
+    EXPECT_EQ(textMember(conflict.at(0).toObject(), QLatin1String("value")), "v");
+    EXPECT_EQ(textMember(expectStatus(m_port, get("/v1/rows/a%2F1"), 200), QLatin1String("value")), "v");
+    EXPECT_EQ(expectStatus(m_port, get("/v1/rows?prefix=a%2F&after=&limit=1"), 200).value(QLatin1String("rows")).toArray().size(), 1);
+    expectStatus(m_port, get("/v1/rows/b"), 404, "unknown_row");
+    const std::string bytes("\0\xFF bytes", 8);
+    expectStatus(m_port, {"PUT", "/v1/objects/shard-0-1", {}, bytes}, 200);
+    EXPECT_EQ(call(m_port, get("/v1/objects/shard-0-1"))->m_body, bytes);
+    expectStatus(m_port, {"DELETE", "/v1/objects/shard-0-1", {}, {}}, 200);
+    expectStatus(m_port, get("/v1/objects/shard-0-1"), 404, "unknown_object");
+    EXPECT_EQ(count(m_port, "conflicts"), 1);
+}
+
+// Guards against table faults without effect, and an outage that strikes other services.
+TEST_F(StandinPlatformHttpTest, TableFaults)
+{
+    switchFault(m_port, R"({"name":"table_outage","value":true})");
+    expectStatus(m_port, write("a", 0), 503, "unavailable");
+    expectStatus(m_port, {"PUT", "/v1/objects/o", {}, "x"}, 200);
+    switchFault(m_port, R"({"name":"table_outage","value":false})");
+    switchFault(m_port, R"({"name":"table_silent","value":true})");
+    EXPECT_FALSE(call(m_port, write("a", 0), shortTimeout));
+    switchFault(m_port, R"({"name":"table_silent","value":false})");
+    expectStatus(m_port, get("/v1/rows/a"), 404, "unknown_row");
+    switchFault(m_port, R"({"name":"lose_write_answers","value":1,"match":"a"})");
+    expectStatus(m_port, write("b", 0), 200);
+    const auto lost = call(m_port, write("a", 0));
+    ASSERT_FALSE(lost);
+    EXPECT_TRUE(lost.error().m_sent);
+    expectStatus(m_port, get("/v1/rows/a"), 200);
+    EXPECT_EQ(count(m_port, "answers_lost"), 1);
+    switchFault(m_port, R"({"name":"table_slow_ms","value":50})");
+    const auto begin = Clock::now();
+    expectStatus(m_port, get("/v1/rows/a"), 200);
+    EXPECT_GE(Clock::now() - begin, 50ms);
+}
+
+// Guards against limits without effect, and limits that the table and the objects do not share.
+TEST_F(StandinPlatformHttpTest, RatesAreLimited)
+{
+    switchFault(m_port, R"({"name":"writes_per_s","value":0.0001})");
+    expectStatus(m_port, write("a", 0), 200);
+    expectStatus(m_port, write("b", 0), 429, "rate_limited");
+    expectStatus(m_port, {"PUT", "/v1/objects/o", {}, "x"}, 429, "rate_limited");
+    switchFault(m_port, R"({"name":"reads_per_s","value":0.0001})");
+    expectStatus(m_port, get("/v1/rows/a"), 200);
+    expectStatus(m_port, get("/v1/rows?prefix="), 429, "rate_limited");
+    EXPECT_EQ(count(m_port, "rate_limited"), 3);
+}
+
+// Guards against faults of objects and hosts without effect, and host lists that change in transit.
+TEST_F(StandinPlatformHttpTest, ObjectAndHostFaults)
+{
+    switchFault(m_port, R"({"name":"object_outage","value":true})");
+    expectStatus(m_port, get("/v1/objects/o"), 503, "unavailable");
+    switchFault(m_port, R"({"name":"object_outage","value":false})");
+    switchFault(m_port, R"({"name":"object_slow_ms","value":50})");
+    const auto begin = Clock::now();
+    expectStatus(m_port, get("/v1/objects/o"), 404, "unknown_object");
+    EXPECT_GE(Clock::now() - begin, 50ms);
+    const std::string hosts =
+        R"({"generation":1,"hosts":[{"accelerators":1,"address":"127.0.0.1","connections":64,"cpu_millis":2,"memory_mb":3,"name":"e","frame_port":9,"port":8,)"
+        R"("rack":"k","region":"r","role":"entry","slots":4,"state":"live","zone":"z"}]})";
+    expectStatus(m_port, {"PUT", "/standin/hosts", {}, hosts}, 200);
+    EXPECT_EQ(expectStatus(m_port, get("/v1/hosts"), 200), parseObject(hosts).value_or(QJsonObject{}));
+    switchFault(m_port, R"({"name":"host_list_lag_ms","value":10000000})");
+    expectStatus(m_port, {"PUT", "/standin/hosts/e", {}, R"({"state":"leaving"})"}, 200);
+    expectStatus(m_port, {"PUT", "/standin/hosts/x", {}, R"({"state":"leaving"})"}, 404, "unknown_host");
+    EXPECT_EQ(expectStatus(m_port, get("/v1/hosts"), 200), parseObject(hosts).value_or(QJsonObject{}));
+    switchFault(m_port, R"({"name":"host_list_outage","value":true})");
+    expectStatus(m_port, get("/v1/hosts"), 503, "unavailable");
+}
