Test that a paused worker executes nothing

Cause: with calls executed during a pause and only their answers held, standinhttptest still passed.

Change: PauseHoldsCallsUntilItEnds compares the count of executions before the pause ends.

--- a/tests/standinhttptest.cpp
+++ b/tests/standinhttptest.cpp
@@ -238,7 +238,7 @@
     EXPECT_EQ(textMember(journal[0].toObject(), QLatin1String("event")), "task_ended");
 }
 
-// Guards against a paused worker that answers, and against calls that a pause loses.
+// Guards against a paused worker that answers or executes, and against calls that a pause loses.
 TEST_F(StandinWorkerHttpTest, PauseHoldsCallsUntilItEnds)
 {
     switchWorkerFault(R"({"name":"pause","value":true})");
@@ -247,6 +247,7 @@
     EXPECT_TRUE(late.error().m_sent);
     std::optional<HttpReply> held;
     send(m_worker, request("r2"), longTimeout, held);
+    EXPECT_EQ(count(m_worker, "requests"), 0);
     switchWorkerFault(R"({"name":"pause","value":false})");
     waitUntil([&held] {
         return held.has_value();
