--- a/tests/standinhttptest.cpp
+++ b/tests/standinhttptest.cpp
@@ -5,6 +5,7 @@
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/link/httpclient.hpp"
 #include "linktesting.hpp"
+#include "standintesting.hpp"
 
 #include <gtest/gtest.h>
 #include <QJsonArray>
@@ -28,24 +29,6 @@
         requireApplication();
     }
 
-    /// Starts a duty and returns the ports that it prints, in order.
-    auto portsOf(Duty &duty) -> std::vector<std::uint16_t>
-    {
-        duty.start();
-        std::vector<Result<std::string>> lines;
-        while (!m_ready.isClosed()) {
-            m_ready.takeUntil(Clock::now() + 1s, lines);
-        }
-        m_ready.drain(lines);
-        std::vector<std::uint16_t> ports;
-        for (const auto &line : lines) {
-            EXPECT_TRUE(line) << line.error().m_message;
-            const auto text = line.value_or("port=0");
-            ports.push_back(static_cast<std::uint16_t>(std::stoi(text.substr(text.rfind('=') + 1))));
-        }
-        return ports;
-    }
-
     auto send(std::uint16_t port, HttpRequest request, Duration timeout, std::optional<HttpReply> &reply) -> void
     {
         m_client.call({"127.0.0.1", port}, std::move(request), timeout, [&reply](HttpReply &&received) {
@@ -108,7 +91,7 @@
 protected:
     StandinWorkerHttpTest() : m_duty(twoWorkers(), m_ready)
     {
-        const auto ports = portsOf(m_duty);
+        const auto ports = startedPorts(m_duty, m_ready);
         m_worker = ports.at(0);
         m_control = ports.at(2);
     }
@@ -180,7 +163,7 @@
 protected:
     StandinPlatformHttpTest() : m_duty({}, m_ready)
     {
-        m_port = portsOf(m_duty).at(0);
+        m_port = startedPorts(m_duty, m_ready).at(0);
     }
 
     [[nodiscard]] static auto write(std::string_view key, int version) -> HttpRequest
