--- a/src/operations/settingsfile.cpp
+++ b/src/operations/settingsfile.cpp
@@ -39,7 +39,7 @@
 // Limits of a member's type alone are not worth showing.
 [[nodiscard]] auto isShown(double limit) noexcept -> bool
 {
-    constexpr double largestShown = 4294967295.0;
+    constexpr double largestShown = 1e15;
     return std::isfinite(limit) && std::abs(limit) <= largestShown;
 }
 
