Add burdockspurctl

Cause: operators need a command line for configuration, presets, jobs, requests and status.

Ruled out: commands in daemons/, because tests then could not run them without starting a process; main() is thin and ControlProgram is part of the library.

Change: ControlProgram with a table of commands, member pointers and the flags each command takes; exit codes 0 to 4; configuration and jobs as TOML; tables, JSON or (config show) TOML as output.

--- /dev/null
+++ b/include/burdockspur/operations/controloptions.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "burdockspur/core/error.hpp"
+#include "burdockspur/link/httpclient.hpp"
+#include "burdockspur/operations/programoptions.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Burdockspur
+{
+/// @brief Values of the flags of burdockspurctl.
+struct ControlOptions {
+    HttpEndpoint m_entry;
+    std::string m_caller;
+    std::string m_state;
+    std::string m_key;
+    std::string m_body;
+    std::string m_bodyFile;
+    std::uint64_t m_expectedVersion = 0;
+    std::uint32_t m_limit = 0;
+    std::uint32_t m_deadlineMs = 0;
+    bool m_idempotent = false;
+    bool m_json = false;
+    bool m_toml = false;
+    Milliseconds m_followInterval{1'000};
+
+    /// @brief Takes the values of the flags from gflags and validates them.
+    /// @returns the options, or ErrorCode::BadRequest that names the flag and what was expected
+    [[nodiscard]] static auto fromFlags() -> Result<ControlOptions>;
+};
+
+/// @brief The flags of burdockspurctl for its help text.
+[[nodiscard]] auto controlFlags() -> std::span<const ProgramFlag>;
+
+/// @brief Parses `ADDRESS:PORT` or `[ADDRESS]:PORT`.
+/// @returns the endpoint, or ErrorCode::BadRequest
+[[nodiscard]] auto parseEndpoint(std::string_view text) -> Result<HttpEndpoint>;
+}
--- /dev/null
+++ b/include/burdockspur/operations/controlprogram.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "burdockspur/operations/controloptions.hpp"
+
+#include <expected>
+#include <ostream>
+#include <span>
+#include <string>
+#include <string_view>
+
+class QJsonObject;
+
+namespace Burdockspur
+{
+/// @brief Exit codes of burdockspurctl.
+enum class ControlExit : std::uint8_t {
+    Success = 0,
+    Refused = 1, ///< refused or failed
+    BadInput = 2, ///< wrong usage, or a file that is not valid
+    Unreachable = 3,
+    Conflict = 4, ///< lost a race against another change
+};
+
+/// @brief The commands of burdockspurctl, over the HTTP interface of an entry daemon.
+///
+/// Lives in a thread with a Qt application; each call runs an event loop until the reply has come. Files
+/// and flags are validated before anything is sent.
+///
+/// @code
+/// ControlProgram program(*options, std::cout, std::cerr);
+/// return static_cast<int>(program.run(positional));
+/// @endcode
+class ControlProgram
+{
+public:
+    /// @param options values of the flags
+    /// @param out for results
+    /// @param err for errors
+    ControlProgram(ControlOptions options, std::ostream &out, std::ostream &err);
+
+    /// @brief Runs a command.
+    /// @param words command and argument, e.g. `presets`, `switch`, `peak`
+    /// @param commandLine tells which flags were given
+    [[nodiscard]] auto run(std::span<const std::string_view> words, const ProgramOptions &commandLine) -> ControlExit;
+
+    /// @brief One line for each command.
+    [[nodiscard]] static auto commandHelp() -> std::string;
+
+private:
+    struct Command;
+    struct Call;
+    using Answer = std::expected<QJsonObject, ControlExit>;
+
+    [[nodiscard]] static auto commands() -> std::span<const Command>;
+
+    [[nodiscard]] auto showConfiguration(std::string_view argument) -> ControlExit;
+    [[nodiscard]] auto initConfiguration(std::string_view file) -> ControlExit;
+    [[nodiscard]] auto applyConfiguration(std::string_view file) -> ControlExit;
+    [[nodiscard]] auto listPresets(std::string_view argument) -> ControlExit;
+    [[nodiscard]] auto showPreset(std::string_view name) -> ControlExit;
+    [[nodiscard]] auto switchPreset(std::string_view name) -> ControlExit;
+    [[nodiscard]] auto submitJob(std::string_view file) -> ControlExit;
+    [[nodiscard]] auto listJobs(std::string_view argument) -> ControlExit;
+    [[nodiscard]] auto showJob(std::string_view id) -> ControlExit;
+    [[nodiscard]] auto cancelJob(std::string_view id) -> ControlExit;
+    [[nodiscard]] auto followJob(std::string_view id) -> ControlExit;
+    [[nodiscard]] auto sendRequest(std::string_view service) -> ControlExit;
+    [[nodiscard]] auto showStatus(std::string_view argument) -> ControlExit;
+
+    [[nodiscard]] auto checkUsage(const Command &command, std::span<const std::string_view> arguments, const ProgramOptions &commandLine) -> ControlExit;
+    [[nodiscard]] auto changeConfiguration(std::string_view file, std::uint64_t expectedVersion) -> ControlExit;
+    [[nodiscard]] auto send(const Call &call) -> Answer;
+    [[nodiscard]] auto exchange(const Call &call) const -> HttpReply;
+    [[nodiscard]] auto takeFailure(const Call &call, const HttpFailure &failure) -> ControlExit;
+    [[nodiscard]] auto takeErrorResponse(const HttpResponse &response) -> ControlExit;
+    [[nodiscard]] auto show(const Answer &answer) -> ControlExit;
+    [[nodiscard]] auto fail(ControlExit exit, std::string_view message) -> ControlExit;
+
+    ControlOptions m_options;
+    std::ostream *m_out;
+    std::ostream *m_err;
+};
+
+/// @brief Runs burdockspurctl.
+/// @param description of the program
+/// @param arguments as given to main()
+/// @param out for results
+/// @param err for errors
+/// @returns the exit code
+[[nodiscard]] auto runControlProgram(const ProgramDescription &description, std::span<char *const> arguments, std::ostream &out, std::ostream &err) -> int;
+}
--- /dev/null
+++ b/src/operations/controloptions.cpp
@@ -0,0 +1,137 @@
+#include "burdockspur/operations/controloptions.hpp"
+
+#include "burdockspur/contract/job.hpp"
+
+#include <arpa/inet.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+DEFINE_string(entry, "", "address and port of an entry daemon");
+DEFINE_string(caller, "operator", "name of the caller");
+DEFINE_string(state, "", "state of the jobs listed");
+DEFINE_string(key, "", "idempotency key");
+DEFINE_string(body, "", "body of the request");
+DEFINE_string(body_file, "", "file with the body of the request");
+DEFINE_uint64(expected_version, 0, "version that a change is based on");
+DEFINE_uint32(limit, 50, "most jobs listed");
+DEFINE_uint32(deadline_ms, 1000, "time limit of a request");
+DEFINE_bool(idempotent, false, "the request may be repeated");
+DEFINE_bool(json, false, "print JSON");
+DEFINE_bool(toml, false, "print TOML");
+
+namespace Burdockspur
+{
+namespace
+{
+constexpr std::array<ProgramFlag, 12> flagTable{{
+    {"entry", "ADDRESS:PORT", "callers' port of any entry daemon; required"},
+    {"json", "", "print the answer as JSON instead of tables"},
+    {"toml", "", "config show: print the document as TOML, for config apply"},
+    {"expected_version", "N", "version that the change is based on; another one is a conflict"},
+    {"state", "STATE", "jobs list: only jobs in this state"},
+    {"limit", "N", "jobs list: most jobs, 1 to 1000 (default 50)"},
+    {"key", "KEY", "idempotency key of a job or request"},
+    {"caller", "NAME", "caller of a job or request (default operator)"},
+    {"body", "TEXT", "request: body"},
+    {"body_file", "FILE", "request: file with the body"},
+    {"idempotent", "", "request: may be repeated when its outcome is unknown"},
+    {"deadline_ms", "N", "request: time limit, 1 to 600000 ms (default 1000)"},
+}};
+
+struct NumberRule {
+    std::string_view m_flag;
+    std::uint32_t m_value;
+    std::uint32_t m_maximum;
+};
+
+[[nodiscard]] auto wrongFlag(std::string_view flag, std::string_view found, std::string_view expected) -> std::unexpected<Error>
+{
+    return failure(ErrorCode::BadRequest, "flag --" + std::string(flag) + ": found '" + std::string(found) + "', expected " + std::string(expected));
+}
+
+[[nodiscard]] auto checkNumbers() -> Result<void>
+{
+    constexpr std::uint32_t maxLimit = 1000;
+    constexpr std::uint32_t maxDeadlineMs = 600'000;
+    for (const auto &rule : {NumberRule{"limit", FLAGS_limit, maxLimit}, NumberRule{"deadline_ms", FLAGS_deadline_ms, maxDeadlineMs}}) {
+        if (rule.m_value == 0 || rule.m_value > rule.m_maximum) {
+            return wrongFlag(rule.m_flag, std::to_string(rule.m_value), "an integer, 1 to " + std::to_string(rule.m_maximum));
+        }
+    }
+    return {};
+}
+
+// A header line must not be opened by a value of the command line.
+[[nodiscard]] auto checkHeaderText(std::string_view flag, std::string_view value) -> Result<void>
+{
+    constexpr std::size_t longest = 256;
+    const bool isPrintable = std::ranges::all_of(value, [](char character) {
+        return character >= ' ' && character != 0x7F;
+    });
+    return isPrintable && value.size() <= longest ? Result<void>() : wrongFlag(flag, value, "at most 256 characters without control characters");
+}
+}
+
+auto ControlOptions::fromFlags() -> Result<ControlOptions>
+{
+    if (FLAGS_entry.empty()) {
+        return failure(ErrorCode::BadRequest, "no entry daemon, expected --entry ADDRESS:PORT");
+    }
+    auto entry = parseEndpoint(FLAGS_entry);
+    if (!entry) {
+        return wrongFlag("entry", FLAGS_entry, entry.error().m_message);
+    }
+    if (!FLAGS_state.empty() && !jobStateFromName(FLAGS_state)) {
+        return wrongFlag("state", FLAGS_state, "queued, assigned, running, completed, failed, cancelled or unschedulable");
+    }
+    for (const auto &check : {checkNumbers(), checkHeaderText("key", FLAGS_key), checkHeaderText("caller", FLAGS_caller)}) {
+        if (!check) {
+            return std::unexpected(check.error());
+        }
+    }
+    ControlOptions options;
+    options.m_entry = std::move(*entry);
+    options.m_caller = FLAGS_caller;
+    options.m_state = FLAGS_state;
+    options.m_key = FLAGS_key;
+    options.m_body = FLAGS_body;
+    options.m_bodyFile = FLAGS_body_file;
+    options.m_expectedVersion = FLAGS_expected_version;
+    options.m_limit = FLAGS_limit;
+    options.m_deadlineMs = FLAGS_deadline_ms;
+    options.m_idempotent = FLAGS_idempotent;
+    options.m_json = FLAGS_json;
+    options.m_toml = FLAGS_toml;
+    return options;
+}
+
+auto controlFlags() -> std::span<const ProgramFlag>
+{
+    return flagTable;
+}
+
+auto parseEndpoint(std::string_view text) -> Result<HttpEndpoint>
+{
+    const auto wrong = failure(ErrorCode::BadRequest, "an IP address and a port, e.g. 10.0.0.1:8080 or [::1]:8080");
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return wrong;
+    }
+    auto address = text.substr(0, colon);
+    const auto portText = text.substr(colon + 1);
+    const bool isBracketed = address.starts_with('[') && address.ends_with(']');
+    if (isBracketed) {
+        address = address.substr(1, address.size() - 2);
+    }
+    std::uint16_t port = 0;
+    const auto [end, error] = std::from_chars(portText.data(), portText.data() + portText.size(), port);
+    HttpEndpoint endpoint{std::string(address), port};
+    std::array<unsigned char, sizeof(in6_addr)> buffer{};
+    const bool isAddress = ::inet_pton(isBracketed ? AF_INET6 : AF_INET, endpoint.m_address.c_str(), buffer.data()) == 1;
+    const bool isPort = error == std::errc() && end == portText.data() + portText.size() && port > 0;
+    return isAddress && isPort ? Result<HttpEndpoint>(std::move(endpoint)) : wrong;
+}
+}
