Check settings against each other

Cause: values that are valid by themselves can contradict each other, e.g. an owner lease that is longer than the takeover time, or a log level that does not exist.

Change: SettingsCheck rows with a key, a predicate and what was expected; loadSettings() and startProgram() take them as an optional argument and report each failed one with file, line and key.

--- a/include/burdockspur/operations/programstart.hpp
+++ b/include/burdockspur/operations/programstart.hpp
@@ -31,15 +31,18 @@
 /// @returns the settings, or the exit code: 0 after `--help`, `--version`, `--print_defaults` and a
 /// successful `--check`, 2 after a wrong flag or wrong settings
 template<typename Settings>
-[[nodiscard]] auto
-startProgram(const ProgramDescription &description, SettingsTable<Settings> table, std::span<char *const> arguments, std::ostream &out, std::ostream &err)
-    -> std::expected<Settings, int>
+[[nodiscard]] auto startProgram(const ProgramDescription &description,
+                                SettingsTable<Settings> table,
+                                std::span<char *const> arguments,
+                                std::ostream &out,
+                                std::ostream &err,
+                                std::span<const SettingsCheck<Settings>> checks = {}) -> std::expected<Settings, int>
 {
     const auto options = parseCommandLine(description, arguments, describeSettings<Settings>(table), out, err);
     if (!options) {
         return std::unexpected(options.error());
     }
-    auto settings = loadSettings<Settings>(settingsFlag(), table);
+    auto settings = loadSettings<Settings>(settingsFlag(), table, checks);
     if (!settings) {
         err << settings.error().m_message << '\n';
         return std::unexpected(exitBadUsage);
--- a/include/burdockspur/operations/settingsfile.hpp
+++ b/include/burdockspur/operations/settingsfile.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/core/error.hpp"
 #include "burdockspur/operations/settingsfield.hpp"
 
+#include <cstddef>
 #include <optional>
 #include <span>
 #include <string>
@@ -11,8 +12,14 @@
 
 namespace Burdockspur
 {
+/// @brief A value of a file and where it stands.
+struct SettingEntry {
+    SettingValue m_value;
+    std::size_t m_line = 1;
+};
+
 /// @brief Values of a file in the order of the table's rows; nothing for an optional key that is absent.
-using SettingValues = std::vector<std::optional<SettingValue>>;
+using SettingValues = std::vector<std::optional<SettingEntry>>;
 
 /// @brief Validates TOML text against a table.
 /// @param file name for messages
--- a/include/burdockspur/operations/settingstable.hpp
+++ b/include/burdockspur/operations/settingstable.hpp
@@ -4,6 +4,7 @@
 #include "burdockspur/operations/settingsfield.hpp"
 #include "burdockspur/operations/settingsfile.hpp"
 
+#include <algorithm>
 #include <span>
 #include <string>
 #include <string_view>
@@ -15,6 +16,20 @@
 template<typename Settings>
 using SettingsTable = std::span<const SettingsField<Settings>>;
 
+/// @brief A rule over several settings, or over the words that a text may be.
+///
+/// @code
+/// constexpr std::array<SettingsCheck<SchedulerSettings>, 1> checks{{
+///     {"shard.owner_lease_ms", [](const SchedulerSettings &s) { return s.m_ownerLease < s.m_takeover; }, "less than shard.takeover_ms"},
+/// }};
+/// @endcode
+template<typename Settings>
+struct SettingsCheck {
+    std::string_view m_key; ///< the setting that an operator has to change
+    bool (*m_holds)(const Settings &);
+    std::string_view m_expected;
+};
+
 /// @brief The rows with the defaults of a default-constructed Settings.
 template<typename Settings>
 [[nodiscard]] auto describeSettings(SettingsTable<Settings> table) -> std::vector<SettingDescription>
@@ -28,6 +43,30 @@
     return rows;
 }
 
+/// @brief Text with one line for each check that does not hold; empty when all hold.
+template<typename Settings>
+[[nodiscard]] auto failedChecks(std::string_view path,
+                                const Settings &settings,
+                                SettingsTable<Settings> table,
+                                const SettingValues &values,
+                                std::span<const SettingsCheck<Settings>> checks) -> std::string
+{
+    const auto rows = describeSettings<Settings>(table);
+    std::string lines;
+    for (const auto &check : checks) {
+        if (check.m_holds(settings)) {
+            continue;
+        }
+        lines.append(lines.empty() ? "" : "\n").append(path).append(":");
+        const auto row = std::ranges::find(rows, check.m_key, &SettingDescription::m_key);
+        if (row != rows.end() && values[static_cast<std::size_t>(row - rows.begin())]) {
+            lines.append(std::to_string(values[static_cast<std::size_t>(row - rows.begin())]->m_line)).append(":");
+        }
+        lines.append(" ").append(check.m_key).append(": expected ").append(check.m_expected);
+    }
+    return lines;
+}
+
 /// @brief Reads and validates a settings file.
 ///
 /// @code
@@ -36,25 +75,29 @@
 /// @endcode
 /// @param path TOML file
 /// @param table rows
+/// @param checks rules that are checked once every value is valid by itself
 /// @returns the settings, or ErrorCode::BadSettings with one line for each error of the file
 template<typename Settings>
-[[nodiscard]] auto loadSettings(std::string_view path, SettingsTable<Settings> table) -> Result<Settings>
+[[nodiscard]] auto loadSettings(std::string_view path, SettingsTable<Settings> table, std::span<const SettingsCheck<Settings>> checks = {}) -> Result<Settings>
 {
-    const auto rows = describeSettings<Settings>(table);
     auto text = readTextFile(path);
     if (!text) {
         return std::unexpected(std::move(text.error()));
     }
-    const auto values = parseSettings(path, *text, rows);
+    const auto values = parseSettings(path, *text, describeSettings<Settings>(table));
     if (!values) {
         return std::unexpected(values.error());
     }
     Settings settings{};
     for (std::size_t i = 0; i < table.size(); ++i) {
         if ((*values)[i]) {
-            table[i].assign(settings, *(*values)[i]);
+            table[i].assign(settings, (*values)[i]->m_value);
         }
     }
+    auto failed = failedChecks<Settings>(path, settings, table, *values, checks);
+    if (!failed.empty()) {
+        return failure(ErrorCode::BadSettings, std::move(failed));
+    }
     return settings;
 }
 }
--- a/src/operations/settingsfile.cpp
+++ b/src/operations/settingsfile.cpp
@@ -269,7 +269,7 @@
             m_errors.push_back({line, std::string(row.m_key), "found " + nodeText(node) + ", expected " + expectedText(row)});
             return;
         }
-        m_values[index] = std::move(value);
+        m_values[index] = SettingEntry{std::move(*value), line};
     }
 
     auto requireKeys(const toml::table &document) -> void
--- a/tests/settingstest.cpp
+++ b/tests/settingstest.cpp
@@ -126,6 +126,30 @@
     EXPECT_FALSE(loadSettings<SampleSettings>(testing::TempDir(), sampleFields));
 }
 
+// Guards against values that are valid by themselves and contradict each other.
+TEST_F(SettingsTest, ChecksOverSeveralSettingsNameTheKeyToChange)
+{
+    constexpr std::array<SettingsCheck<SampleSettings>, 2> checks{{
+        {"callers.timeout_ms",
+         [](const SampleSettings &settings) {
+             return settings.m_timeout < Milliseconds(settings.m_port);
+         },
+         "less than callers.port"},
+        {"budget.limit",
+         [](const SampleSettings &settings) {
+             return settings.m_limit < 0;
+         },
+         "a negative limit"},
+    }};
+    std::ofstream(m_path) << "name = 'h'\ncallers.address = '::1'\ncallers.timeout_ms = 8080\n";
+    const auto refused = loadSettings<SampleSettings>(m_path.string(), sampleFields, checks);
+    ASSERT_FALSE(refused);
+    EXPECT_EQ(refused.error().m_message,
+              m_path.string() + ":3: callers.timeout_ms: expected less than callers.port\n" + m_path.string() + ": budget.limit: expected a negative limit");
+    std::ofstream(m_path) << "name = 'h'\ncallers.address = '::1'\nbudget.limit = -1\n";
+    EXPECT_TRUE(loadSettings<SampleSettings>(m_path.string(), sampleFields, checks));
+}
+
 // Guards against a printed default file that the program itself refuses, apart from the required keys.
 TEST_F(SettingsTest, DefaultFileIsValidOnceRequiredKeysAreFilled)
 {
