Compress the configuration row; bound its size

Cause: every daemon reads the row each second, and control may use 7 KB/s of a daemon. The document of 29 teams, 29 services and 2 presets has 5,470 bytes of JSON, which is 7.3 KB in base64 before any header.

Ruled out: a second row with the version alone, because a change would need two rows and readers two reads; polling less often, because a change must be in force everywhere within 4 s.

Change: the row is compressed with qCompress; a plain JSON text is still read. Documents above 256 KiB are refused, also when only the size that a damaged row claims is larger. isIpAddress() exists once instead of three times, and ProgramOptions::parse() is split.

--- a/include/burdockspur/operations/configurationdocument.hpp
+++ b/include/burdockspur/operations/configurationdocument.hpp
@@ -12,7 +12,8 @@
 {
 /// @brief The configuration as JSON text, with the ids of the changes that led to it.
 ///
-/// The text of the table row has the member `changes` in addition; operators neither write nor see it.
+/// The table row has the member `changes` in addition, which operators neither write nor see, and is
+/// compressed: every daemon reads it each second, and control may use 7 KB/s of a daemon.
 ///
 /// @code
 /// {"shards": 16, "preset_in_force": "ordinary",
@@ -25,7 +26,7 @@
     std::vector<std::string> m_changes; ///< newest first
 
     /// @brief Parses and validates a text.
-    /// @param text JSON
+    /// @param text JSON of at most 256 KiB, or the bytes of a row
     /// @param version version of the row; 0 for a document that is not yet stored
     /// @returns the document, or ErrorCode::BadRequest with one line `path: found ..., expected ...` for each error
     [[nodiscard]] static auto parse(std::string_view text, ConfigVersion version) -> Result<ConfigurationDocument>;
@@ -33,7 +34,7 @@
     /// @brief Text for operators, without the ids of the changes; the version is not part of it.
     [[nodiscard]] static auto textOf(const Configuration &configuration) -> std::string;
 
-    /// @brief Text of the table row.
-    [[nodiscard]] auto rowText() const -> std::string;
+    /// @brief Bytes of the table row; parse() reads them too.
+    [[nodiscard]] auto rowBytes() const -> std::string;
 };
 }
--- a/include/burdockspur/operations/programoptions.hpp
+++ b/include/burdockspur/operations/programoptions.hpp
@@ -61,6 +61,9 @@
     [[nodiscard]] auto has(std::string_view flag) const noexcept -> bool;
 
 private:
+    // Returns the number of arguments taken.
+    [[nodiscard]] auto takeFlag(const ProgramDescription &description, std::span<char *const> arguments) -> Result<std::size_t>;
+
     std::vector<std::string_view> m_positional;
     std::vector<std::string_view> m_given;
 };
--- a/src/operations/configurationchange.cpp
+++ b/src/operations/configurationchange.cpp
@@ -80,7 +80,7 @@
 auto ConfigurationChange::write() -> void
 {
     const std::string key(configurationKey);
-    const Transaction transaction{{{key, m_expectedVersion}}, {{key, m_document.rowText()}}, {}};
+    const Transaction transaction{{{key, m_expectedVersion}}, {{key, m_document.rowBytes()}}, {}};
     m_store->commit(transaction, [change = weak_from_this()](CommitResult &&result) {
         if (const auto self = change.lock()) {
             self->takeCommit(std::move(result));
--- a/src/operations/configurationdocument.cpp
+++ b/src/operations/configurationdocument.cpp
@@ -2,7 +2,9 @@
 
 #include "burdockspur/impl/jsonfield.hpp"
 
+#include <QByteArray>
 #include <QJsonArray>
+#include <QtEndian>
 
 #include <array>
 #include <set>
@@ -118,14 +120,37 @@
     document.insert("teams", writeEntries<TeamQuota>(teamFields, configuration.m_teams));
     return document;
 }
+
+// Every daemon keeps the document and reads it each second.
+constexpr std::size_t maxDocumentBytes = 256UL * 1024UL;
+
+// A compressed row starts with the size of the text, whose first byte is 0 because the size is bounded.
+[[nodiscard]] auto isCompressed(std::string_view bytes) noexcept -> bool
+{
+    return bytes.size() > sizeof(quint32) && bytes.front() == '\0';
+}
+
+[[nodiscard]] auto expanded(std::string_view bytes) -> Result<std::string>
+{
+    const bool isPacked = isCompressed(bytes);
+    const std::size_t size = isPacked ? qFromBigEndian<quint32>(bytes.data()) : bytes.size();
+    if (size > maxDocumentBytes) {
+        return failure(ErrorCode::BadRequest, "found " + std::to_string(size) + " bytes, expected at most " + std::to_string(maxDocumentBytes));
+    }
+    return isPacked ? qUncompress(QByteArray(bytes.data(), static_cast<qsizetype>(bytes.size()))).toStdString() : std::string(bytes);
+}
 }
 
 auto ConfigurationDocument::parse(std::string_view text, ConfigVersion version) -> Result<ConfigurationDocument>
 {
+    const auto json = expanded(text);
+    if (!json) {
+        return std::unexpected(json.error());
+    }
     std::vector<std::string> errors;
     ConfigurationDocument document;
     document.m_configuration.m_version = version;
-    if (auto reader = JsonReader::parse(text, errors)) {
+    if (auto reader = JsonReader::parse(*json, errors)) {
         readConfiguration(*reader, document.m_configuration);
         if (reader->has("changes")) {
             document.m_changes = reader->texts("changes", nameLength);
@@ -142,7 +167,7 @@
     return jsonText(writeConfiguration(configuration));
 }
 
-auto ConfigurationDocument::rowText() const -> std::string
+auto ConfigurationDocument::rowBytes() const -> std::string
 {
     auto document = writeConfiguration(m_configuration);
     QJsonArray changes;
@@ -150,6 +175,6 @@
         changes.append(jsonString(change));
     }
     document.insert("changes", changes);
-    return jsonText(document);
+    return qCompress(QByteArray::fromStdString(jsonText(document))).toStdString();
 }
 }
--- a/src/operations/controloptions.cpp
+++ b/src/operations/controloptions.cpp
@@ -1,8 +1,8 @@
 #include "burdockspur/operations/controloptions.hpp"
 
 #include "burdockspur/contract/job.hpp"
+#include "burdockspur/impl/ipaddress.hpp"
 
-#include <arpa/inet.h>
 #include <gflags/gflags.h>
 
 #include <algorithm>
@@ -129,8 +129,7 @@
     std::uint16_t port = 0;
     const auto [end, error] = std::from_chars(portText.data(), portText.data() + portText.size(), port);
     HttpEndpoint endpoint{std::string(address), port};
-    std::array<unsigned char, sizeof(in6_addr)> buffer{};
-    const bool isAddress = ::inet_pton(isBracketed ? AF_INET6 : AF_INET, endpoint.m_address.c_str(), buffer.data()) == 1;
+    const bool isAddress = isIpAddress(address) && isIpv6Address(address) == isBracketed;
     const bool isPort = error == std::errc() && end == portText.data() + portText.size() && port > 0;
     return isAddress && isPort ? Result<HttpEndpoint>(std::move(endpoint)) : wrong;
 }
--- a/src/operations/programoptions.cpp
+++ b/src/operations/programoptions.cpp
@@ -73,35 +73,49 @@
     for (std::size_t i = 1; i < arguments.size(); ++i) {
         const std::string_view argument = arguments[i];
         if (argument == "--") {
-            options.m_positional.insert(options.m_positional.end(), arguments.begin() + static_cast<std::ptrdiff_t>(i) + 1, arguments.end());
+            const auto rest = arguments.subspan(i + 1);
+            options.m_positional.insert(options.m_positional.end(), rest.begin(), rest.end());
             break;
         }
         if (!isFlag(argument)) {
             options.m_positional.push_back(argument);
             continue;
         }
-        auto [name, value] = splitFlag(argument);
-        const auto *const flag = findFlag(description, name);
-        if (flag == nullptr) {
-            return failure(ErrorCode::BadRequest, "unknown flag " + std::string(argument) + ", expected one of those that --help shows");
+        const auto consumed = options.takeFlag(description, arguments.subspan(i));
+        if (!consumed) {
+            return std::unexpected(consumed.error());
         }
-        if (!value && flag->m_value.empty()) {
-            value = "true";
-        } else if (!value && i + 1 < arguments.size() && !std::string_view(arguments[i + 1]).starts_with("--")) {
-            value = arguments[++i];
-        }
-        const std::string expected = flag->m_value.empty() ? "true or false" : std::string(flag->m_value);
-        if (!value) {
-            return failure(ErrorCode::BadRequest, "flag --" + std::string(name) + " has no value, expected " + expected);
-        }
-        if (!setFlag(flag->m_name, *value)) {
-            return failure(ErrorCode::BadRequest, "flag --" + std::string(name) + ": '" + std::string(*value) + "' is not valid, expected " + expected);
-        }
-        options.m_given.push_back(flag->m_name);
+        i += *consumed - 1;
     }
     return options;
 }
 
+auto ProgramOptions::takeFlag(const ProgramDescription &description, std::span<char *const> arguments) -> Result<std::size_t>
+{
+    const std::string_view argument = arguments.front();
+    auto [name, value] = splitFlag(argument);
+    const auto *const flag = findFlag(description, name);
+    if (flag == nullptr) {
+        return failure(ErrorCode::BadRequest, "unknown flag " + std::string(argument) + ", expected one of those that --help shows");
+    }
+    const bool isSwitch = flag->m_value.empty();
+    const bool takesNext = !value && !isSwitch && arguments.size() > 1 && !std::string_view(arguments[1]).starts_with("--");
+    if (!value && isSwitch) {
+        value = "true";
+    } else if (takesNext) {
+        value = arguments[1];
+    }
+    const std::string expected = isSwitch ? "true or false" : std::string(flag->m_value);
+    if (!value) {
+        return failure(ErrorCode::BadRequest, "flag --" + std::string(name) + " has no value, expected " + expected);
+    }
+    if (!setFlag(flag->m_name, *value)) {
+        return failure(ErrorCode::BadRequest, "flag --" + std::string(name) + ": '" + std::string(*value) + "' is not valid, expected " + expected);
+    }
+    m_given.push_back(flag->m_name);
+    return takesNext ? 2 : 1;
+}
+
 auto ProgramOptions::has(std::string_view flag) const noexcept -> bool
 {
     // A switch can also be given as --check=false.
--- a/src/operations/settingsfile.cpp
+++ b/src/operations/settingsfile.cpp
@@ -1,8 +1,8 @@
 #include "burdockspur/operations/settingsfile.hpp"
 
-#include <toml++/toml.h>
+#include "burdockspur/impl/ipaddress.hpp"
 
-#include <arpa/inet.h>
+#include <toml++/toml.h>
 
 #include <algorithm>
 #include <array>
@@ -74,12 +74,6 @@
     return value == nullptr ? std::nullopt : std::optional<SettingValue>(value->get());
 }
 
-[[nodiscard]] auto isIpAddress(const std::string &text) noexcept -> bool
-{
-    std::array<unsigned char, sizeof(in6_addr)> buffer{};
-    return ::inet_pton(AF_INET, text.c_str(), buffer.data()) == 1 || ::inet_pton(AF_INET6, text.c_str(), buffer.data()) == 1;
-}
-
 [[nodiscard]] auto readIpAddress(const toml::node &node) -> std::optional<SettingValue>
 {
     auto value = readText(node);
--- a/src/platform/httphostlist.cpp
+++ b/src/platform/httphostlist.cpp
@@ -1,9 +1,8 @@
 #include "burdockspur/platform/httphostlist.hpp"
 
+#include "burdockspur/impl/ipaddress.hpp"
 #include "burdockspur/impl/jsonfield.hpp"
 
-#include <arpa/inet.h>
-
 #include <array>
 #include <set>
 
@@ -40,12 +39,6 @@
     {"frame_port", &memberOf<HostRecord, &HostRecord::m_framePort>, portRange},
 }};
 
-[[nodiscard]] auto isIpAddress(const std::string &text) noexcept -> bool
-{
-    std::array<unsigned char, sizeof(in6_addr)> buffer{};
-    return ::inet_pton(AF_INET, text.c_str(), buffer.data()) == 1 || ::inet_pton(AF_INET6, text.c_str(), buffer.data()) == 1;
-}
-
 [[nodiscard]] auto readHost(JsonReader &reader) -> HostRecord
 {
     HostRecord host;
--- a/tests/configurationdocumenttest.cpp
+++ b/tests/configurationdocumenttest.cpp
@@ -43,10 +43,36 @@
 {
     auto document = ConfigurationDocument::parse(valid, 1).value();
     document.m_changes = {"b", "a"};
-    EXPECT_EQ(ConfigurationDocument::parse(document.rowText(), 1).value().m_changes, document.m_changes);
+    EXPECT_EQ(ConfigurationDocument::parse(document.rowBytes(), 1).value().m_changes, document.m_changes);
     EXPECT_EQ(ConfigurationDocument::textOf(document.m_configuration).find("changes"), std::string::npos);
 }
 
+// Guards against polls of the row that use up what control may send: 7 KB/s of a daemon, as base64 and with HTTP headers.
+TEST(ConfigurationDocumentTest, RowsOfTheTargetSizeAreSmall)
+{
+    auto document = ConfigurationDocument::parse(valid, 1).value();
+    for (int i = 0; i < 28; ++i) {
+        document.m_configuration.m_teams.push_back({"team-" + std::to_string(i), {64'000 + i * 977, 100'000 + i * 3'001, i % 5}, 1.0});
+        document.m_configuration.m_services.push_back({"service-" + std::to_string(i), {500 + i * 37, 256 + i * 11, 0}, 50 + i});
+    }
+    document.m_changes.assign(16, "0123456789abcdef");
+    const auto bytes = document.rowBytes();
+    EXPECT_LT(bytes.size(), 2'500U);
+    RecordProperty("row_bytes", static_cast<int>(bytes.size()));
+    RecordProperty("text_bytes", static_cast<int>(ConfigurationDocument::textOf(document.m_configuration).size()));
+    EXPECT_EQ(ConfigurationDocument::parse(bytes, 1).value().m_configuration, document.m_configuration);
+}
+
+// Guards against a damaged or huge row that exhausts the memory of every daemon.
+TEST(ConfigurationDocumentTest, DamagedAndHugeRowsAreErrors)
+{
+    EXPECT_EQ(errorOf(std::string(262'145, ' ')), "found 262145 bytes, expected at most 262144");
+    EXPECT_EQ(errorOf(std::string("\0\xff\xff\xff\x78\x9c", 6)), "found 16777215 bytes, expected at most 262144");
+    auto bytes = ConfigurationDocument::parse(valid, 1).value().rowBytes();
+    bytes[bytes.size() / 2] = static_cast<char>(bytes[bytes.size() / 2] ^ 0x55);
+    EXPECT_TRUE(errorOf(bytes).starts_with("not valid JSON"));
+}
+
 // Guards against two or no presets in force.
 TEST(ConfigurationDocumentTest, ExactlyOneExistingPresetIsInForce)
 {
--- a/tests/configurationwatchertest.cpp
+++ b/tests/configurationwatchertest.cpp
@@ -227,7 +227,7 @@
         auto later = ConfigurationDocument::parse(m_store.m_rows["config"].m_value, 2).value();
         later.m_configuration.m_presetInForce = "ordinary";
         later.m_changes.insert(later.m_changes.begin(), "later");
-        m_store.put("config", later.rowText());
+        m_store.put("config", later.rowBytes());
     };
     EXPECT_EQ(switchPreset(1, "peak"), "2");
     EXPECT_EQ(storedPreset(), "ordinary");
