--- a/src/operations/settingsfile.cpp
+++ b/src/operations/settingsfile.cpp
@@ -1,8 +1,8 @@
 #include "burdockspur/operations/settingsfile.hpp"
 
-#include <toml++/toml.h>
+#include "burdockspur/impl/ipaddress.hpp"
 
-#include <arpa/inet.h>
+#include <toml++/toml.h>
 
 #include <algorithm>
 #include <array>
@@ -39,7 +39,7 @@
 // Limits of a member's type alone are not worth showing.
 [[nodiscard]] auto isShown(double limit) noexcept -> bool
 {
-    constexpr double largestShown = 4294967295.0;
+    constexpr double largestShown = 1e15;
     return std::isfinite(limit) && std::abs(limit) <= largestShown;
 }
 
@@ -74,12 +74,6 @@
     return value == nullptr ? std::nullopt : std::optional<SettingValue>(value->get());
 }
 
-[[nodiscard]] auto isIpAddress(const std::string &text) noexcept -> bool
-{
-    std::array<unsigned char, sizeof(in6_addr)> buffer{};
-    return ::inet_pton(AF_INET, text.c_str(), buffer.data()) == 1 || ::inet_pton(AF_INET6, text.c_str(), buffer.data()) == 1;
-}
-
 [[nodiscard]] auto readIpAddress(const toml::node &node) -> std::optional<SettingValue>
 {
     auto value = readText(node);
@@ -269,7 +263,7 @@
             m_errors.push_back({line, std::string(row.m_key), "found " + nodeText(node) + ", expected " + expectedText(row)});
             return;
         }
-        m_values[index] = std::move(value);
+        m_values[index] = SettingEntry{std::move(*value), line};
     }
 
     auto requireKeys(const toml::table &document) -> void
