Add the entry daemon with its duties

Cause: requests need the way from a caller's connection to a worker and back.

Ruled out: answering from the router's thread; the HTTP server lives in one thread, so answers go through the callers' ring.

Figures: entrydaemontest serves 100 concurrent requests through two stand-in workers; a lost answer is fetched by a settle.

Conclusion: service requests and configuration changes work end to end; commands about jobs have no reader yet.

--- a/bench/callersession.cpp
+++ b/bench/callersession.cpp
@@ -18,9 +18,7 @@
 }
 }
 
-CallerSession::CallerSession(Duration timeout)
-    : m_timeout(timeout)
-    , m_client(sessionLimits())
+CallerSession::CallerSession(Duration timeout) : m_timeout(timeout), m_client(sessionLimits())
 {
 }
 
@@ -57,11 +55,9 @@
 auto CallerSession::call(const HttpEndpoint &server, std::string_view method, std::string_view target, std::string body, std::vector<HttpField> fields)
     -> HttpReply
 {
-    PendingCall pending{.m_server = server,
-                        .m_request = {.m_method = std::string(method),
-                                      .m_target = std::string(target),
-                                      .m_fields = std::move(fields),
-                                      .m_body = std::move(body)}};
+    PendingCall pending{
+        .m_server = server,
+        .m_request = {.m_method = std::string(method), .m_target = std::string(target), .m_fields = std::move(fields), .m_body = std::move(body)}};
     return std::move(callAll(std::span(&pending, 1)).front());
 }
 
--- a/bench/demorun.cpp
+++ b/bench/demorun.cpp
@@ -32,9 +32,7 @@
 }
 }
 
-DemoRun::DemoRun(const DemoPlan &plan)
-    : m_plan(plan)
-    , m_random(plan.m_seed)
+DemoRun::DemoRun(const DemoPlan &plan) : m_plan(plan), m_random(plan.m_seed)
 {
 }
 
--- /dev/null
+++ b/include/burdockspur/host/entrysettings.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "burdockspur/core/clock.hpp"
+#include "burdockspur/host/callercodec.hpp"
+#include "burdockspur/host/routerlimits.hpp"
+#include "burdockspur/link/httplimits.hpp"
+#include "burdockspur/operations/settingstable.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace Burdockspur
+{
+/// @brief Settings of burdockspur-entry.
+struct EntrySettings : RouterLimits, HttpLimits, CallerLimits {
+    std::string m_hostName;
+    std::string m_zone;
+    std::string m_region;
+    std::string m_logLevel = "info";
+    std::string m_callersAddress = "127.0.0.1";
+    std::uint16_t m_callersPort = 8080;
+    std::string m_adminAddress = "127.0.0.1";
+    std::uint16_t m_adminPort = 8081;
+    std::string m_tableAddress;
+    std::uint16_t m_tablePort = 0;
+    std::string m_hostListAddress;
+    std::uint16_t m_hostListPort = 0;
+    Milliseconds m_platformTimeout{2'000};
+    Milliseconds m_hostsInterval{1'000};
+    Milliseconds m_configInterval{1'000};
+    Milliseconds m_drainTimeout{30'000};
+    std::uint64_t m_connectionsPerWorker = 16;
+    Milliseconds m_connectTimeout{1'000};
+};
+
+/// @brief The rows of the settings file.
+[[nodiscard]] auto entrySettingsTable() -> SettingsTable<EntrySettings>;
+}
--- /dev/null
+++ b/src/host/entrysettings.cpp
@@ -0,0 +1,69 @@
+#include "burdockspur/host/entrysettings.hpp"
+
+#include <array>
+
+namespace Burdockspur
+{
+auto entrySettingsTable() -> SettingsTable<EntrySettings>
+{
+    using enum SettingKind;
+    using enum SettingPresence;
+    using S = EntrySettings;
+    static constexpr SettingRange name{1, 128};
+    static constexpr SettingRange port{1, 65'535};
+    static constexpr SettingRange anyPort{0, 65'535};
+    static constexpr SettingRange period{1, 3'600'000};
+    static constexpr SettingRange count{1, 1'000'000};
+    static constexpr SettingRange percent{0, 100};
+    static constexpr SettingRange bytes{1'024, 1e9};
+    static constexpr std::array<SettingsField<S>, 46> table{{
+        {"host.name", &S::m_hostName, Text, Required, name, "", "Name of this entry host in the host list"},
+        {"host.zone", &S::m_zone, Text, Required, name, "", "Availability zone; workers in it are preferred"},
+        {"host.region", &S::m_region, Text, Required, name, "", "Region"},
+        {"log.level", &S::m_logLevel, Text, Optional, name, "", "debug, info, warning or error"},
+        {"callers.address", &S::m_callersAddress, IpAddress, Optional, {}, "", "Address for callers and operators"},
+        {"callers.port", &S::m_callersPort, Integer, Optional, anyPort, "", "Port for callers and operators; 0 picks a free one"},
+        {"callers.max_connections", &S::m_maxConnections, Integer, Optional, count, "connections", "Open connections"},
+        {"callers.max_header_bytes", &S::m_maxHeaderBytes, Integer, Optional, bytes, "bytes", "Longest header of a request"},
+        {"callers.max_body_bytes", &S::m_maxBodyBytes, Integer, Optional, bytes, "bytes", "Longest body of a request"},
+        {"callers.max_pipelined", &S::m_maxPipelined, Integer, Optional, count, "requests", "Unanswered requests of one connection"},
+        {"callers.request_timeout_ms", &HttpLimits::m_requestTimeout, DurationMs, Optional, period, "ms", "From the first byte of a request to its last"},
+        {"callers.idle_timeout_ms", &S::m_idleTimeout, DurationMs, Optional, period, "ms", "Kept connection without a request"},
+        {"callers.write_timeout_ms", &S::m_writeTimeout, DurationMs, Optional, period, "ms", "Caller that does not read its answer"},
+        {"callers.default_deadline_ms", &S::m_defaultDeadline, DurationMs, Optional, period, "ms", "Deadline of a request that gives none"},
+        {"callers.max_deadline_ms", &S::m_maxDeadline, DurationMs, Optional, period, "ms", "Longest deadline that a request may give"},
+        {"callers.job_deadline_ms", &S::m_jobDeadline, DurationMs, Optional, period, "ms", "Deadline of commands about jobs"},
+        {"admin.address", &S::m_adminAddress, IpAddress, Optional, {}, "", "Address of the admin port"},
+        {"admin.port", &S::m_adminPort, Integer, Optional, anyPort, "", "Admin port; 0 picks a free one"},
+        {"table.address", &S::m_tableAddress, IpAddress, Required, {}, "", "Address of the table service"},
+        {"table.port", &S::m_tablePort, Integer, Required, port, "", "Port of the table service"},
+        {"hostlist.address", &S::m_hostListAddress, IpAddress, Required, {}, "", "Address of the host list"},
+        {"hostlist.port", &S::m_hostListPort, Integer, Required, port, "", "Port of the host list"},
+        {"platform.timeout_ms", &S::m_platformTimeout, DurationMs, Optional, period, "ms", "One call to the table service or the host list"},
+        {"platform.hosts_interval_ms", &S::m_hostsInterval, DurationMs, Optional, period, "ms", "Between two reads of the host list"},
+        {"platform.config_interval_ms", &S::m_configInterval, DurationMs, Optional, period, "ms", "Between two reads of the configuration"},
+        {"router.max_in_flight", &S::m_maxInFlight, Integer, Optional, count, "requests", "Requests in progress"},
+        {"router.max_queued_per_class", &S::m_maxQueuedPerClass, Integer, Optional, count, "requests", "Requests of a service that wait for a slot"},
+        {"router.forward_timeout_ms", &S::m_forwardTimeout, DurationMs, Optional, period, "ms", "Longest wait for an answer before it is settled"},
+        {"router.settle_reserve_ms", &S::m_settleReserve, DurationMs, Optional, period, "ms", "Part of a deadline kept for settling"},
+        {"router.settle_timeout_ms", &S::m_settleTimeout, DurationMs, Optional, period, "ms", "One settle"},
+        {"router.settle_grace_ms", &S::m_settleGrace, DurationMs, Optional, period, "ms", "Settling after the deadline"},
+        {"router.pause_min_ms", &S::m_pauseMin, DurationMs, Optional, period, "ms", "First pause before a repetition; doubles"},
+        {"router.pause_max_ms", &S::m_pauseMax, DurationMs, Optional, period, "ms", "Longest pause before a repetition"},
+        {"router.leaving_mark_ms", &S::m_leavingMark, DurationMs, Optional, period, "ms", "How long a worker that replied leaving gets nothing"},
+        {"router.avoid_min_ms", &S::m_avoidMin, DurationMs, Optional, period, "ms", "Avoidance of a worker after a failure; doubles"},
+        {"router.avoid_max_ms", &S::m_avoidMax, DurationMs, Optional, period, "ms", "Longest avoidance of a worker"},
+        {"router.retry_percent", &S::m_retryPercent, Integer, Optional, percent, "%", "Retries, of a caller's recent requests"},
+        {"router.retry_minimum", &S::m_retryMinimum, Integer, Optional, count, "retries", "Retries that every caller has"},
+        {"router.retry_window_ms", &S::m_retryWindow, DurationMs, Optional, period, "ms", "Recent requests are those of one to two windows"},
+        {"router.retry_callers", &S::m_retryCallers, Integer, Optional, count, "callers", "Callers with a retry budget of their own"},
+        {"idempotency.entries", &S::m_idempotencyEntries, Integer, Optional, count, "keys", "Idempotency keys remembered"},
+        {"idempotency.bytes", &S::m_idempotencyBytes, Integer, Optional, bytes, "bytes", "Stored answers"},
+        {"idempotency.ttl_ms", &S::m_idempotencyTtl, DurationMs, Optional, {1, 86'400'000}, "ms", "How long an answer is stored"},
+        {"workers.connections", &S::m_connectionsPerWorker, Integer, Optional, {1, 1'024}, "connections", "Connections to one worker"},
+        {"workers.connect_timeout_ms", &S::m_connectTimeout, DurationMs, Optional, period, "ms", "Opening a connection to a worker"},
+        {"drain.timeout_ms", &S::m_drainTimeout, DurationMs, Optional, period, "ms", "Longest graceful shutdown"},
+    }};
+    return table;
+}
+}
--- /dev/null
+++ b/tests/entrydaemontest.cpp
@@ -0,0 +1,278 @@
+#include "burdockspur/host/entrydaemon.hpp"
+
+#include "burdockspur/core/identifiers.hpp"
+#include "burdockspur/host/entrysettings.hpp"
+#include "burdockspur/link/httpclient.hpp"
+
+#include "linktesting.hpp"
+#include "standins/platformduty.hpp"
+#include "standins/readyring.hpp"
+#include "standins/workersduty.hpp"
+
+#include <gtest/gtest.h>
+
+#include <QSocketNotifier>
+
+#include <optional>
+
+using namespace Burdockspur;
+using namespace std::chrono_literals;
+
+namespace
+{
+constexpr std::string_view local = "127.0.0.1";
+
+[[nodiscard]] auto portIn(std::string_view line) -> std::uint16_t
+{
+    const auto at = line.find("port=");
+    return at == std::string_view::npos ? 0 : static_cast<std::uint16_t>(std::stoi(std::string(line.substr(at + 5))));
+}
+
+/// @brief Takes as many lines as a stand-in reports.
+[[nodiscard]] auto portsFrom(Standins::ReadyRing &ring, std::size_t count) -> std::vector<std::uint16_t>
+{
+    std::vector<Result<std::string>> lines;
+    while (lines.size() < count) {
+        ring.takeUntil(Clock::now() + 1h, lines);
+    }
+    std::vector<std::uint16_t> ports;
+    for (const auto &line : lines) {
+        ports.push_back(line ? portIn(*line) : 0);
+    }
+    return ports;
+}
+
+/// @brief An entry daemon with two workers and a platform, all in this process, on loopback ports.
+class EntryDaemonTest : public testing::Test
+{
+protected:
+    EntryDaemonTest() : m_workers(planOfWorkers(), m_workerReady), m_platform(Standins::PlatformPlan{}, m_platformReady)
+    {
+        Testing::requireApplication();
+        m_client = std::make_unique<HttpClient>(HttpClientLimits{});
+        m_workers.start();
+        m_platform.start();
+        m_workerPorts = portsFrom(m_workerReady, workerCount + 1);
+        m_platformPort = portsFrom(m_platformReady, 1).front();
+        setHosts();
+        startDaemon();
+    }
+
+    ~EntryDaemonTest() override
+    {
+        m_daemon.reset();
+        m_client.reset();
+        m_workers.stop();
+        m_platform.stop();
+    }
+
+    static auto planOfWorkers() -> Standins::WorkersPlan
+    {
+        Standins::WorkersPlan plan;
+        plan.m_workers = workerCount;
+        return plan;
+    }
+
+    auto setHosts() -> void
+    {
+        std::string hosts;
+        for (std::size_t i = 0; i < workerCount; ++i) {
+            hosts += std::string(hosts.empty() ? "" : ",") + R"({"name":"worker)" + std::to_string(i) + R"(","role":"worker","address":"127.0.0.1","port":)"
+                + std::to_string(m_workerPorts[i])
+                + R"(,"zone":"z1","rack":"r1","region":"g1","state":"live","cpu_millis":16000,"memory_mb":60000,"accelerators":0,"slots":8,"connections":64})";
+        }
+        const auto response = call(m_platformPort, {"PUT", "/standin/hosts", {}, R"({"hosts":[)" + hosts + "]}"});
+        ASSERT_EQ(response.m_status, 200) << response.m_body;
+    }
+
+    auto startDaemon() -> void
+    {
+        EntrySettings settings;
+        settings.m_hostName = "e1";
+        settings.m_zone = "z1";
+        settings.m_callersPort = 0;
+        settings.m_adminPort = 0;
+        settings.m_tableAddress = local;
+        settings.m_tablePort = m_platformPort;
+        settings.m_hostListAddress = local;
+        settings.m_hostListPort = m_platformPort;
+        settings.m_forwardTimeout = 300ms;
+        m_daemon = std::make_unique<EntryDaemon>(settings);
+        const auto ports = m_daemon->start();
+        ASSERT_TRUE(ports);
+        m_ports = *ports;
+        // The first host list arrives a moment after the start.
+        while (call(m_ports.m_callers, {"GET", "/v1/status", {}, {}}).m_body.find("worker1") == std::string::npos) {}
+    }
+
+    [[nodiscard]] auto callAll(std::uint16_t port, std::vector<HttpRequest> requests) -> std::vector<HttpResponse>
+    {
+        std::vector<std::optional<HttpResponse>> responses(requests.size());
+        std::size_t open = requests.size();
+        for (std::size_t i = 0; i < requests.size(); ++i) {
+            m_client->call({std::string(local), port}, std::move(requests[i]), 30s, [&responses, &open, i](HttpReply &&reply) {
+                responses[i] = reply ? std::move(*reply) : HttpResponse{0, {}, std::string(errorName(reply.error().m_error.m_code))};
+                --open;
+            });
+        }
+        Testing::waitUntil([&open] {
+            return open == 0;
+        });
+        std::vector<HttpResponse> result;
+        for (auto &response : responses) {
+            result.push_back(std::move(*response));
+        }
+        return result;
+    }
+
+    [[nodiscard]] auto call(std::uint16_t port, HttpRequest &&request) -> HttpResponse
+    {
+        std::vector<HttpRequest> requests;
+        requests.push_back(std::move(request));
+        return callAll(port, std::move(requests)).front();
+    }
+
+    [[nodiscard]] static auto serviceRequest(std::string_view body, std::vector<HttpField> fields = {}) -> HttpRequest
+    {
+        fields.push_back({"Burdockspur-Caller", "test"});
+        return {"POST", "/v1/services/seats/requests", std::move(fields), std::string(body)};
+    }
+
+    [[nodiscard]] static auto answerTo(std::string_view body) -> std::string
+    {
+        return "seats:" + hexOf(hashOf(body)) + ":" + std::string(body);
+    }
+
+    auto switchFault(std::string_view name, std::string_view value, std::string_view rest = {}) -> void
+    {
+        std::string body = R"({"name":")";
+        body.append(name).append(R"(","value":)").append(value).append(rest).append("}");
+        const auto response = call(m_workerPorts.back(), {"PUT", "/standin/faults", {}, std::move(body)});
+        ASSERT_EQ(response.m_status, 200) << response.m_body;
+    }
+
+    static constexpr std::size_t workerCount = 2;
+
+    Standins::ReadyRing m_workerReady{8};
+    Standins::ReadyRing m_platformReady{8};
+    Standins::WorkersDuty m_workers;
+    Standins::PlatformDuty m_platform;
+    std::unique_ptr<HttpClient> m_client;
+    std::vector<std::uint16_t> m_workerPorts;
+    std::uint16_t m_platformPort = 0;
+    std::unique_ptr<EntryDaemon> m_daemon;
+    EntryDaemon::Ports m_ports;
+};
+}
+
+// Guards against answers that are mixed up between callers on the way through the duties.
+TEST_F(EntryDaemonTest, ConcurrentRequestsGetTheirOwnAnswers)
+{
+    std::vector<HttpRequest> requests;
+    for (int i = 0; i < 100; ++i) {
+        requests.push_back(serviceRequest("body " + std::to_string(i)));
+    }
+    const auto responses = callAll(m_ports.m_callers, std::move(requests));
+    for (std::size_t i = 0; i < responses.size(); ++i) {
+        EXPECT_EQ(responses[i].m_status, 200) << responses[i].m_body;
+        EXPECT_EQ(responses[i].m_body, answerTo("body " + std::to_string(i)));
+        EXPECT_FALSE(responses[i].field("Burdockspur-Request-Id").empty());
+    }
+}
+
+// Guards against a lost answer that ends unknown, or runs again, although the worker still has it.
+TEST_F(EntryDaemonTest, LostAnswerIsFetchedByASettle)
+{
+    switchFault("lose_answers", "1", R"(,"count":1,"match":"/services/")");
+    const auto response = call(m_ports.m_callers, serviceRequest("seat 4"));
+    EXPECT_EQ(response.m_status, 200) << response.m_body;
+    EXPECT_EQ(response.m_body, answerTo("seat 4"));
+    const auto metrics = call(m_ports.m_admin, {"GET", "/metrics", {}, {}}).m_body;
+    EXPECT_NE(metrics.find("burdockspur_settles_total 1"), std::string::npos) << metrics;
+}
+
+// Guards against a request that is sent to workers that refuse every request, without an end or a clear code.
+TEST_F(EntryDaemonTest, LeavingWorkersGiveARefusalWithACode)
+{
+    switchFault("leaving", "1");
+    const auto response = call(m_ports.m_callers, serviceRequest("seat 4"));
+    EXPECT_EQ(response.m_status, 503);
+    EXPECT_NE(response.m_body.find(R"("code":"no_target")"), std::string::npos) << response.m_body;
+    EXPECT_NE(response.m_body.find(R"("outcome":"refused")"), std::string::npos) << response.m_body;
+}
+
+// Guards against wrong requests that are forwarded, or refused without a code that a program can use.
+TEST_F(EntryDaemonTest, WrongRequestsAreRefusedWithStableCodes)
+{
+    struct Case {
+        HttpRequest m_request;
+        int m_status;
+        std::string_view m_code;
+    };
+    const std::vector<Case> cases{
+        {{"GET", "/v1/nothing", {}, {}}, 404, "unknown_route"},
+        {{"PUT", "/v1/jobs", {}, {}}, 405, "method_not_allowed"},
+        {{"POST", "/v1/services/seats/requests", {}, "x"}, 400, "bad_header"},
+        {serviceRequest("x", {{"Burdockspur-Deadline-Ms", "-1"}}), 400, "bad_header"},
+        {serviceRequest("x", {{"Burdockspur-Deadline-Ms", "1e3"}}), 400, "bad_header"},
+        {serviceRequest("x", {{"Burdockspur-Idempotent", "yes"}}), 400, "bad_header"},
+        {serviceRequest("x", {{"Burdockspur-Deadline-Ms", "0"}}), 504, "deadline_exceeded"},
+        {{"POST", "/v1/jobs", {{"Burdockspur-Caller", "test"}}, "{}"}, 400, "missing_idempotency_key"},
+        {{"POST", "/v1/jobs", {{"Burdockspur-Caller", "test"}, {"Idempotency-Key", "k"}}, "{"}, 400, "bad_request"},
+        {{"GET", "/v1/jobs?state=lost", {}, {}}, 400, "bad_request"},
+        {{"GET", "/v1/jobs?limit=0", {}, {}}, 400, "bad_request"},
+        {{"PUT", "/v1/config/preset", {}, R"({"preset":"peak"})"}, 400, "bad_request"},
+        {{"PUT", "/v1/config", {}, R"({"expected_version":-1,"document":{}})"}, 400, "bad_request"},
+        {{"GET", "/v1/config", {}, {}}, 503, "unavailable"},
+    };
+    for (const auto &entry : cases) {
+        const auto response = call(m_ports.m_callers, HttpRequest(entry.m_request));
+        EXPECT_EQ(response.m_status, entry.m_status) << entry.m_request.m_target << response.m_body;
+        EXPECT_NE(response.m_body.find(R"("code":")" + std::string(entry.m_code) + '"'), std::string::npos) << entry.m_request.m_target << response.m_body;
+    }
+}
+
+// Guards against a configuration change that is accepted but not in force, or overwrites a change of another operator.
+TEST_F(EntryDaemonTest, ConfigurationChangesByCompareAndSet)
+{
+    constexpr std::string_view document =
+        R"({"shards":4,"preset_in_force":"ordinary","presets":[{"name":"ordinary","tail_weight":1,"batch_weight":1,"eviction_weight":1,"accept_batch":true},{"name":"peak","tail_weight":3,"batch_weight":1,"eviction_weight":1,"accept_batch":true}],"services":[{"name":"seats","cpu_millis":0,"memory_mb":0,"accelerators":0,"latency_target_ms":50}],"teams":[]})";
+    const auto replace = R"({"expected_version":0,"document":)" + std::string(document) + "}";
+    const auto stored = call(m_ports.m_callers, {"PUT", "/v1/config", {}, replace});
+    EXPECT_EQ(stored.m_status, 200) << stored.m_body;
+    EXPECT_EQ(call(m_ports.m_callers, {"PUT", "/v1/config/preset", {}, R"({"preset":"peak","expected_version":1})"}).m_status, 200);
+    const auto conflict = call(m_ports.m_callers, {"PUT", "/v1/config/preset", {}, R"({"preset":"ordinary","expected_version":1})"});
+    EXPECT_EQ(conflict.m_status, 409) << conflict.m_body;
+    const auto shown = call(m_ports.m_callers, {"GET", "/v1/config", {}, {}}).m_body;
+    EXPECT_NE(shown.find(R"("preset_in_force":"peak")"), std::string::npos) << shown;
+    EXPECT_NE(shown.find(R"("version":2)"), std::string::npos) << shown;
+    const auto unknown = call(m_ports.m_callers, {"POST", "/v1/services/vans/requests", {{"Burdockspur-Caller", "test"}}, "x"});
+    EXPECT_EQ(unknown.m_status, 404) << unknown.m_body;
+    EXPECT_EQ(call(m_ports.m_callers, serviceRequest("x")).m_status, 200);
+}
+
+// Guards against a planned stop that interrupts a request in progress or never ends.
+TEST_F(EntryDaemonTest, DrainFinishesRequestsInProgress)
+{
+    switchFault("slow", "200");
+    std::optional<HttpResponse> response;
+    m_client->call({std::string(local), m_ports.m_callers}, serviceRequest("seat 4"), 30s, [&response](HttpReply &&reply) {
+        response = reply ? std::move(*reply) : HttpResponse{};
+    });
+    while (call(m_ports.m_admin, {"GET", "/metrics", {}, {}}).m_body.find("burdockspur_forwards_total 1") == std::string::npos) {}
+    EXPECT_EQ(call(m_ports.m_admin, {"POST", "/v1/drain", {}, {}}).m_status, 202);
+    Testing::waitUntil([&response] {
+        return response.has_value();
+    });
+    EXPECT_EQ(response->m_status, 200) << response->m_body;
+    EXPECT_EQ(response->m_body, answerTo("seat 4"));
+    QSocketNotifier drained(m_daemon->drainedDescriptor(), QSocketNotifier::Read);
+    bool isDrained = false;
+    QObject::connect(&drained, &QSocketNotifier::activated, &drained, [&] {
+        drained.setEnabled(false);
+        isDrained = true;
+    });
+    Testing::waitUntil([&isDrained] {
+        return isDrained;
+    });
+}
