--- a/include/burdockspur/host/entrydaemon.hpp
+++ b/include/burdockspur/host/entrydaemon.hpp
@@ -17,6 +17,7 @@
 class CallerDuty;
 class PlatformDuty;
 class RouterDuty;
+class SchedulerLinkDuty;
 class TargetDuty;
 struct EntrySettings;
 
@@ -65,6 +66,7 @@
     std::atomic<bool> m_draining{false};
     std::unique_ptr<RouterDuty> m_router;
     std::unique_ptr<TargetDuty> m_targets;
+    std::unique_ptr<SchedulerLinkDuty> m_links;
     std::unique_ptr<PlatformDuty> m_platform;
     std::unique_ptr<CallerDuty> m_callers;
     std::unique_ptr<AdminDuty> m_admin;
--- a/include/burdockspur/host/platformcommand.hpp
+++ b/include/burdockspur/host/platformcommand.hpp
@@ -28,5 +28,5 @@
 };
 
 /// @brief Everything that the platform duty takes from its ring.
-using PlatformCommand = std::variant<SwitchPreset, ReplaceConfiguration, VersionSeen>;
+using PlatformCommand = std::variant<VersionSeen, SwitchPreset, ReplaceConfiguration>;
 }
--- a/src/host/callercodec.cpp
+++ b/src/host/callercodec.cpp
@@ -81,8 +81,9 @@
 [[nodiscard]] auto readNumber(std::string_view text) -> std::optional<std::int64_t>
 {
     std::int64_t number = 0;
-    const auto *const end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, number);
+    const std::string copy(text);
+    const auto *const end = copy.c_str() + copy.size();
+    const auto parsed = std::from_chars(copy.c_str(), end, number);
     return parsed.ec == std::errc{} && parsed.ptr == end ? std::optional(number) : std::nullopt;
 }
 
--- a/src/host/entrydaemon.cpp
+++ b/src/host/entrydaemon.cpp
@@ -6,6 +6,7 @@
 #include "burdockspur/host/entrysettings.hpp"
 #include "burdockspur/host/platformduty.hpp"
 #include "burdockspur/host/routerduty.hpp"
+#include "burdockspur/host/schedulerlinkduty.hpp"
 #include "burdockspur/host/targetduty.hpp"
 
 #include <random>
@@ -55,12 +56,11 @@
 }
 
 /// @brief Adds an entry to a ring that its duty empties within milliseconds.
-template<typename T>
-auto pushWhenFree(BoundedRing<T> &ring, const T &entry) -> void
+template<typename Entry, typename T>
+auto pushWhenFree(BoundedRing<T> &ring) -> void
 {
     constexpr Milliseconds pause{1};
-    T copy = entry;
-    while (!ring.tryPush(std::move(copy)) && !ring.isClosed()) {
+    while (!ring.tryPush(Entry{}) && !ring.isClosed()) {
         std::this_thread::sleep_for(pause);
     }
 }
@@ -74,6 +74,7 @@
     });
     m_router = std::make_unique<RouterDuty>(settings, settings.m_zone, random.next64(), m_rings, m_entryMetrics, m_status);
     m_targets = std::make_unique<TargetDuty>(workerLimits(settings), m_rings, m_entryMetrics);
+    m_links = std::make_unique<SchedulerLinkDuty>(settings.m_hostName, random.next64(), m_rings, m_entryMetrics, m_status);
     m_platform = std::make_unique<PlatformDuty>(platformOptions(settings, random.next64()), m_rings, m_entryMetrics, m_status);
     m_callers = std::make_unique<CallerDuty>(callerOptions(settings, random.next64(), m_drained.descriptor()), m_rings, m_entryMetrics, m_status);
     m_admin = std::make_unique<AdminDuty>(settings.m_adminAddress, settings.m_adminPort, m_metrics, m_status, [this] {
@@ -87,6 +88,7 @@
     m_admin->stop();
     m_callers->stop();
     m_platform->stop();
+    m_links->stop();
     m_router->stop();
     m_targets->stop();
 }
@@ -95,6 +97,7 @@
 {
     m_router->start();
     m_targets->start();
+    m_links->start();
     m_platform->start();
     m_callers->start();
     m_admin->start();
@@ -114,8 +117,8 @@
     m_status.update([](EntryReport &report) {
         report.m_draining = true;
     });
-    pushWhenFree<RouterEvent>(m_rings.m_router, DrainRequested{});
-    pushWhenFree<CallerMessage>(m_rings.m_callers, DrainRequested{});
+    pushWhenFree<DrainRequested>(m_rings.m_router);
+    pushWhenFree<DrainRequested>(m_rings.m_callers);
     m_drainBegun.signal();
 }
 
--- a/tests/entrydaemontest.cpp
+++ b/tests/entrydaemontest.cpp
@@ -2,7 +2,9 @@
 
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/host/entrysettings.hpp"
+#include "burdockspur/link/frameserver.hpp"
 #include "burdockspur/link/httpclient.hpp"
+#include "burdockspur/link/peermessage.hpp"
 
 #include "linktesting.hpp"
 #include "standins/platformduty.hpp"
@@ -28,6 +30,13 @@
     return at == std::string_view::npos ? 0 : static_cast<std::uint16_t>(std::stoi(std::string(line.substr(at + 5))));
 }
 
+[[nodiscard]] auto jobNamed(std::string_view id) -> Job
+{
+    Job job;
+    job.m_id = id;
+    return job;
+}
+
 /// @brief Takes as many lines as a stand-in reports.
 [[nodiscard]] auto portsFrom(Standins::ReadyRing &ring, std::size_t count) -> std::vector<std::uint16_t>
 {
@@ -36,6 +45,7 @@
         ring.takeUntil(Clock::now() + 1h, lines);
     }
     std::vector<std::uint16_t> ports;
+    ports.reserve(lines.size());
     for (const auto &line : lines) {
         ports.push_back(line ? portIn(*line) : 0);
     }
@@ -73,9 +83,8 @@
         return plan;
     }
 
-    auto setHosts() -> void
+    auto setHosts(std::string hosts = {}) -> void
     {
-        std::string hosts;
         for (std::size_t i = 0; i < workerCount; ++i) {
             hosts += std::string(hosts.empty() ? "" : ",") + R"({"name":"worker)" + std::to_string(i) + R"(","role":"worker","address":"127.0.0.1","port":)"
                 + std::to_string(m_workerPorts[i])
@@ -119,6 +128,7 @@
             return open == 0;
         });
         std::vector<HttpResponse> result;
+        result.reserve(responses.size());
         for (auto &response : responses) {
             result.push_back(std::move(*response));
         }
@@ -169,6 +179,7 @@
 TEST_F(EntryDaemonTest, ConcurrentRequestsGetTheirOwnAnswers)
 {
     std::vector<HttpRequest> requests;
+    requests.reserve(100);
     for (int i = 0; i < 100; ++i) {
         requests.push_back(serviceRequest("body " + std::to_string(i)));
     }
@@ -276,3 +287,49 @@
         return isDrained;
     });
 }
+
+// Guards against a submission that is answered without the owner of its shard, or is lost when the first owner
+// has given the shard away.
+TEST_F(EntryDaemonTest, JobCommandsGoToTheOwnerOfTheShard)
+{
+    int submissions = 0;
+    FrameServer *server = nullptr;
+    const auto answer = [&](LinkId link, PeerMessage &&message) {
+        PeerMessage reply;
+        reply.m_correlation = message.m_correlation;
+        if (std::holds_alternative<Hello>(message.m_body)) {
+            reply.m_body = OwnershipReport{{{0, 1, "e1", 1}, {1, 1, "e1", 1}, {2, 1, "e1", 1}, {3, 1, "e1", 1}}, false};
+        } else if (const auto *const submit = std::get_if<SubmitJob>(&message.m_body)) {
+            ++submissions;
+            reply.m_body = ErrorReply{{ErrorCode::NotOwner, "the shard has moved"}};
+            if (submissions > 1) {
+                reply.m_body = JobReply{jobNamed(submit->m_job)};
+            }
+        } else if (const auto *const query = std::get_if<QueryJob>(&message.m_body)) {
+            reply.m_body = ErrorReply{{ErrorCode::UnknownJob, "there is no job " + query->m_job}};
+        } else if (std::holds_alternative<ListJobs>(message.m_body)) {
+            reply.m_body = JobListReply{{jobNamed("j2"), jobNamed("j1")}};
+        } else {
+            return;
+        }
+        server->send(link, reply);
+    };
+    FrameServer scheduler(FrameLimits{}, answer, [](LinkId, bool) {});
+    server = &scheduler;
+    const auto port = scheduler.listen(local, 0);
+    ASSERT_TRUE(port);
+    setHosts(R"({"name":"e1","role":"entry","address":"127.0.0.1","port":1,"frame_port":)" + std::to_string(*port)
+             + R"(,"zone":"z1","rack":"r1","region":"g1","state":"live"})");
+    constexpr std::string_view document =
+        R"({"expected_version":0,"document":{"shards":4,"preset_in_force":"ordinary","presets":[{"name":"ordinary","tail_weight":1,"batch_weight":1,"eviction_weight":1,"accept_batch":true}],"services":[],"teams":[]}})";
+    ASSERT_EQ(call(m_ports.m_callers, {"PUT", "/v1/config", {}, std::string(document)}).m_status, 200);
+    const std::vector<HttpField> fields{{"Burdockspur-Caller", "test"}, {"Idempotency-Key", "night-1"}};
+    constexpr std::string_view job = R"({"kind":"batch","class":"render","team":"shows","cpu_millis":1000,"memory_mb":512})";
+    const auto submitted = call(m_ports.m_callers, {"POST", "/v1/jobs", fields, std::string(job)});
+    EXPECT_EQ(submitted.m_status, 202) << submitted.m_body;
+    EXPECT_NE(submitted.m_body.find(jobIdOf("test", "night-1")), std::string::npos) << submitted.m_body;
+    EXPECT_EQ(submissions, 2);
+    EXPECT_EQ(call(m_ports.m_callers, {"GET", "/v1/jobs/j9", {}, {}}).m_status, 404);
+    const auto list = call(m_ports.m_callers, {"GET", "/v1/jobs?limit=5", {}, {}}).m_body;
+    EXPECT_LT(list.find("\"j1\""), list.find("\"j2\"")) << list;
+}
