Add the scheduler daemon

Cause: the decisions of a shard owner need threads, sockets and encodings around them.

ShardDuty sleeps until an input or the next deadline. A full ring is logged and counted; the deadline of the command, or the repeated request of the entry daemon, covers the loss.

--- /dev/null
+++ b/include/burdockspur/shard/schedulerplatformduty.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "burdockspur/core/eventloopduty.hpp"
+#include "burdockspur/shard/schedulerrings.hpp"
+#include "burdockspur/shard/schedulersettings.hpp"
+
+#include <memory>
+#include <vector>
+
+namespace Burdockspur
+{
+class ConfigurationWatcher;
+class HostList;
+class HostWatcher;
+class HttpClient;
+class ObjectStore;
+class ShardStore;
+class TableStore;
+
+/// @brief Thread `platform`: table service, object store, host list and configuration of the scheduler.
+class SchedulerPlatformDuty : public EventLoopDuty
+{
+public:
+    SchedulerPlatformDuty(const SchedulerSettings &settings, SchedulerRings &rings);
+    ~SchedulerPlatformDuty() override;
+    SchedulerPlatformDuty(const SchedulerPlatformDuty &) = delete;
+    SchedulerPlatformDuty(SchedulerPlatformDuty &&) = delete;
+    auto operator=(const SchedulerPlatformDuty &) -> SchedulerPlatformDuty & = delete;
+    auto operator=(SchedulerPlatformDuty &&) -> SchedulerPlatformDuty & = delete;
+
+protected:
+    auto setUp() -> void override;
+    auto tearDown() -> void override;
+
+private:
+    auto take() -> void;
+    auto takeVersions() -> void;
+    auto answer(ShardInput &&input) -> void;
+
+    const SchedulerSettings &m_settings;
+    SchedulerRings &m_rings;
+    std::unique_ptr<HttpClient> m_client;
+    std::unique_ptr<TableStore> m_table;
+    std::unique_ptr<ObjectStore> m_objects;
+    std::unique_ptr<HostList> m_hosts;
+    std::unique_ptr<ShardStore> m_store;
+    std::unique_ptr<HostWatcher> m_hostWatcher;
+    std::unique_ptr<ConfigurationWatcher> m_configurationWatcher;
+    std::vector<StoreCommand> m_taken;
+    std::vector<ConfigVersion> m_takenVersions;
+};
+}
--- /dev/null
+++ b/include/burdockspur/shard/schedulersettings.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "burdockspur/operations/settingstable.hpp"
+#include "burdockspur/shard/shardsettings.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace Burdockspur
+{
+/// @brief Settings of `burdockspur-scheduler`.
+struct SchedulerSettings : ShardSettings {
+    std::string m_host;
+    std::string m_zone;
+    std::string m_region;
+    std::string m_logLevel = "info";
+    std::string m_frameAddress = "127.0.0.1";
+    std::uint16_t m_framePort = 0;
+    std::string m_adminAddress = "127.0.0.1";
+    std::uint16_t m_adminPort = 0;
+    std::string m_tableAddress;
+    std::uint16_t m_tablePort = 0;
+    std::string m_objectsAddress;
+    std::uint16_t m_objectsPort = 0;
+    std::string m_hostsAddress;
+    std::uint16_t m_hostsPort = 0;
+    Milliseconds m_hostsPoll{1'000};
+    Milliseconds m_drain{15'000}; ///< a drain that takes longer leaves the shards to their takeover
+};
+
+/// @brief Rows of the scheduler's settings file.
+[[nodiscard]] auto schedulerFields() noexcept -> SettingsTable<SchedulerSettings>;
+}
--- /dev/null
+++ b/include/burdockspur/shard/shardduty.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "burdockspur/contract/configuration.hpp"
+#include "burdockspur/core/duty.hpp"
+#include "burdockspur/core/randomsource.hpp"
+#include "burdockspur/core/wakedescriptor.hpp"
+#include "burdockspur/shard/bestfitspread.hpp"
+#include "burdockspur/shard/ownedshard.hpp"
+#include "burdockspur/shard/schedulermetrics.hpp"
+#include "burdockspur/shard/schedulerrings.hpp"
+#include "burdockspur/shard/schedulersettings.hpp"
+#include "burdockspur/shard/statustext.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Burdockspur
+{
+/// @brief Thread `shards`: the claim of every shard and the scheduler of each shard owned.
+///
+/// It sleeps until an input arrives or the next deadline of a claim or scheduler comes.
+class ShardDuty : public Duty
+{
+public:
+    /// @param settings kept by reference
+    /// @param rings kept by reference
+    /// @param metrics kept by reference
+    /// @param status receives the text of `GET /v1/status`
+    /// @param drained signalled once when a drain has ended
+    ShardDuty(const SchedulerSettings &settings, SchedulerRings &rings, SchedulerMetrics &metrics, StatusText &status, WakeDescriptor &drained);
+    ~ShardDuty() override;
+    ShardDuty(const ShardDuty &) = delete;
+    ShardDuty(ShardDuty &&) = delete;
+    auto operator=(const ShardDuty &) -> ShardDuty & = delete;
+    auto operator=(ShardDuty &&) -> ShardDuty & = delete;
+
+protected:
+    auto run() -> void override;
+    auto requestStop() -> void override;
+
+private:
+    // Inputs, one function for each alternative of ShardInput.
+    auto take(EntryRequest &input) -> void;
+    auto take(RowWritten &input) -> void;
+    auto take(RowRead &input) -> void;
+    auto take(SnapshotStored &input) -> void;
+    auto take(ShardRecovered &input) -> void;
+    auto take(LeaseAnswered &input) -> void;
+    auto take(StartAnswered &input) -> void;
+    auto take(StopAnswered &input) -> void;
+    auto take(CheckpointAnswered &input) -> void;
+    auto take(Configuration &input) -> void;
+    auto take(HostListing &input) -> void;
+    auto take(DrainRequested &input) -> void;
+
+    // Requests of entry daemons, one function for each body that is a request.
+    auto serve(const Ticket &ticket, const SubmitJob &request) -> void;
+    auto serve(const Ticket &ticket, const CancelJob &request) -> void;
+    auto serve(const Ticket &ticket, const QueryJob &request) -> void;
+    auto serve(const Ticket &ticket, const ListJobs &request) -> void;
+
+    // Commands, one function for each alternative of ShardCommand.
+    auto execute(AnswerRequest &command) -> void;
+    auto execute(DoubtOwnership &command) -> void;
+    template<typename Command>
+    auto execute(Command &command) -> void;
+
+    auto dispatch(OwnedShard &shard, const ShardEvent &event) -> void;
+    auto apply(OwnedShard &shard, ShardClaim::Change change) -> void;
+    auto tick(OwnedShard &shard) -> void;
+    auto tickAll() -> void;
+    auto executeAll() -> void;
+    auto dropScheduler(OwnedShard &shard) -> void;
+    auto advanceDrain() -> void;
+    auto answer(const Ticket &ticket, PeerMessage::Body body) -> void;
+    auto answerError(const Ticket &ticket, ErrorCode code, std::string message) -> void;
+    auto publishOwnership() -> void;
+    auto publishFigures() -> void;
+
+    [[nodiscard]] auto find(ShardId shard) -> OwnedShard *;
+    [[nodiscard]] auto schedulerOf(std::string_view job, const Ticket &ticket) -> OwnedShard *;
+    [[nodiscard]] auto balance() const noexcept -> ClaimBalance;
+    [[nodiscard]] auto workersOf(ShardId shard) const -> WorkersListed;
+    [[nodiscard]] auto policy() const -> PolicyChanged;
+    [[nodiscard]] auto deadline() const noexcept -> TimePoint;
+
+    const SchedulerSettings &m_settings;
+    SchedulerRings &m_rings;
+    SchedulerMetrics &m_metrics;
+    StatusText &m_status;
+    WakeDescriptor &m_drained;
+    RandomSource m_random;
+    BestFitSpread m_policy;
+    std::map<ShardId, OwnedShard> m_shards;
+    std::optional<Configuration> m_configuration;
+    std::optional<HostListing> m_listing;
+    ShardCommands m_commands;
+    TimePoint m_now;
+    TimePoint m_figuresAt;
+    TimePoint m_drainEnd = TimePoint::max();
+    bool m_draining = false;
+    bool m_ownershipChanged = false;
+};
+}
--- a/include/burdockspur/shard/shardsettings.hpp
+++ b/include/burdockspur/shard/shardsettings.hpp
@@ -25,7 +25,7 @@
     std::size_t m_maxWaitingChanges = 10'000; ///< changed jobs that wait for the store; submissions beyond are refused
     std::size_t m_maxRowJobs = 200; ///< changed jobs in one journal row
     std::size_t m_maxRowBytes = 262'144; ///< approximate size of one journal row
-    std::uint32_t m_rowsPerSnapshot = 200; ///< journal rows between snapshots
+    std::uint32_t m_rowsPerSnapshot = 100; ///< journal rows between snapshots
     std::size_t m_scanLimit = 256; ///< queued jobs that one placement pass looks at
     std::size_t m_maxEndedJobs = 20'000; ///< ended jobs kept for queries and repeated submissions, per shard
 };
--- /dev/null
+++ b/src/shard/schedulerplatformduty.cpp
@@ -0,0 +1,96 @@
+#include "burdockspur/shard/schedulerplatformduty.hpp"
+
+#include "burdockspur/operations/configurationwatcher.hpp"
+#include "burdockspur/operations/hostwatcher.hpp"
+#include "burdockspur/operations/log.hpp"
+#include "burdockspur/platform/httphostlist.hpp"
+#include "burdockspur/platform/httpobjectstore.hpp"
+#include "burdockspur/platform/httptablestore.hpp"
+#include "burdockspur/shard/shardstore.hpp"
+
+#include <random>
+#include <utility>
+
+namespace Burdockspur
+{
+namespace
+{
+// The shard's own deadline for an answer is later, so that the store's answer is usually the first to come.
+constexpr Milliseconds answerMargin{500};
+}
+
+SchedulerPlatformDuty::SchedulerPlatformDuty(const SchedulerSettings &settings, SchedulerRings &rings)
+    : EventLoopDuty("platform"), m_settings(settings), m_rings(rings)
+{
+}
+
+SchedulerPlatformDuty::~SchedulerPlatformDuty()
+{
+    stop();
+}
+
+auto SchedulerPlatformDuty::setUp() -> void
+{
+    const std::uint64_t seed = (std::uint64_t(std::random_device()()) << 32U) | std::random_device()();
+    const Duration timeout = std::max(m_settings.m_storeTimeout - answerMargin, m_settings.m_storeTimeout / 2);
+    m_client = std::make_unique<HttpClient>(HttpClientLimits());
+    m_table = std::make_unique<HttpTableStore>(*m_client, HttpEndpoint{m_settings.m_tableAddress, m_settings.m_tablePort}, timeout);
+    m_objects = std::make_unique<HttpObjectStore>(*m_client, HttpEndpoint{m_settings.m_objectsAddress, m_settings.m_objectsPort}, timeout);
+    m_hosts = std::make_unique<HttpHostList>(*m_client, HttpEndpoint{m_settings.m_hostsAddress, m_settings.m_hostsPort}, timeout);
+    m_store = std::make_unique<ShardStore>(*m_table, *m_objects, [this](ShardInput &&input) {
+        answer(std::move(input));
+    });
+    m_hostWatcher = std::make_unique<HostWatcher>(*m_hosts, m_settings.m_hostsPoll, seed, [this](const HostListing &listing) {
+        answer(HostListing(listing));
+    });
+    ConfigurationWatcherOptions options;
+    options.m_seed = seed;
+    m_configurationWatcher = std::make_unique<ConfigurationWatcher>(*m_table, options, [this](const Configuration &configuration) {
+        answer(Configuration(configuration));
+    });
+    m_hostWatcher->start();
+    m_configurationWatcher->start();
+    watch(m_rings.m_platform.wakeDescriptor(), [this] {
+        take();
+    });
+    watch(m_rings.m_versions.wakeDescriptor(), [this] {
+        takeVersions();
+    });
+}
+
+auto SchedulerPlatformDuty::tearDown() -> void
+{
+    m_configurationWatcher.reset();
+    m_hostWatcher.reset();
+    m_store.reset();
+    m_hosts.reset();
+    m_objects.reset();
+    m_table.reset();
+    m_client.reset();
+}
+
+auto SchedulerPlatformDuty::take() -> void
+{
+    m_taken.clear();
+    m_rings.m_platform.drain(m_taken);
+    for (auto &command : m_taken) {
+        m_store->execute(std::move(command));
+    }
+}
+
+auto SchedulerPlatformDuty::takeVersions() -> void
+{
+    m_takenVersions.clear();
+    m_rings.m_versions.drain(m_takenVersions);
+    for (const auto version : m_takenVersions) {
+        m_configurationWatcher->noteVersion(version);
+    }
+}
+
+auto SchedulerPlatformDuty::answer(ShardInput &&input) -> void
+{
+    if (!m_rings.m_shards.tryPush(std::move(input))) {
+        logEvent(LogLevel::Warning, "ring_full", {{"ring", "shards"}, {"from", "platform"}});
+    }
+}
+}
--- /dev/null
+++ b/src/shard/shardduty.cpp
@@ -0,0 +1,401 @@
+#include "burdockspur/shard/shardduty.hpp"
+
+#include "burdockspur/operations/log.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace Burdockspur
+{
+namespace
+{
+constexpr Milliseconds figuresPeriod{1'000};
+constexpr Milliseconds recoveryRetry{10'000};
+// Bounds the work of a fault that leaves a deadline in the past.
+constexpr Milliseconds shortestSleep{1};
+
+[[nodiscard]] auto randomSeed() -> std::uint64_t
+{
+    std::random_device device;
+    return (std::uint64_t(device()) << 32U) | device();
+}
+}
+
+ShardDuty::ShardDuty(const SchedulerSettings &settings, SchedulerRings &rings, SchedulerMetrics &metrics, StatusText &status, WakeDescriptor &drained)
+    : Duty("shards"), m_settings(settings), m_rings(rings), m_metrics(metrics), m_status(status), m_drained(drained), m_random(randomSeed())
+{
+}
+
+ShardDuty::~ShardDuty()
+{
+    stop();
+}
+
+auto ShardDuty::requestStop() -> void
+{
+    m_rings.m_shards.close();
+}
+
+auto ShardDuty::run() -> void
+{
+    std::vector<ShardInput> inputs;
+    while (!m_rings.m_shards.isClosed()) {
+        inputs.clear();
+        m_rings.m_shards.takeUntil(std::max(deadline(), Clock::now() + shortestSleep), inputs);
+        m_now = Clock::now();
+        for (auto &input : inputs) {
+            std::visit(
+                [this](auto &alternative) {
+                    take(alternative);
+                },
+                input);
+            executeAll();
+        }
+        tickAll();
+        advanceDrain();
+        publishOwnership();
+        publishFigures();
+        m_metrics.observeTick(Clock::now() - m_now);
+    }
+}
+
+auto ShardDuty::deadline() const noexcept -> TimePoint
+{
+    TimePoint earliest = std::min(m_figuresAt, m_drainEnd);
+    for (const auto &[id, shard] : m_shards) {
+        earliest = std::min({earliest, shard.m_claim.deadline(), shard.m_recoverAt});
+        if (shard.m_scheduler && shard.m_claim.mayAct(m_now)) {
+            earliest = std::min(earliest, shard.m_scheduler->deadline());
+        }
+    }
+    return earliest;
+}
+
+auto ShardDuty::tickAll() -> void
+{
+    for (auto &[id, shard] : m_shards) {
+        tick(shard);
+    }
+    executeAll();
+}
+
+auto ShardDuty::tick(OwnedShard &shard) -> void
+{
+    if (m_now >= shard.m_claim.deadline()) {
+        shard.m_claim.tick(balance(), m_now, m_random, m_commands);
+    }
+    if (m_now >= shard.m_recoverAt) {
+        shard.m_recoverAt = m_now + recoveryRetry;
+        const ShardOwnership &ownership = shard.m_claim.ownership();
+        m_commands.emplace_back(RecoverShard{.m_shard = ownership.m_shard, .m_epoch = ownership.m_epoch});
+    }
+    if (shard.m_scheduler && shard.m_claim.mayAct(m_now) && m_now >= shard.m_scheduler->deadline()) {
+        shard.m_scheduler->tick(m_now, m_random, m_commands);
+    }
+}
+
+auto ShardDuty::executeAll() -> void
+{
+    const ShardCommands commands = std::exchange(m_commands, {});
+    for (auto command : commands) {
+        std::visit(
+            [this](auto &alternative) {
+                execute(alternative);
+            },
+            command);
+    }
+}
+
+template<typename Command>
+auto ShardDuty::execute(Command &command) -> void
+{
+    constexpr bool forWorker = std::is_constructible_v<WorkerCommand, Command>;
+    bool taken = false;
+    if constexpr (forWorker) {
+        taken = m_rings.m_workers.tryPush(std::move(command));
+    } else {
+        taken = m_rings.m_platform.tryPush(std::move(command));
+    }
+    if (!taken) {
+        // Every command has a deadline in the decision code, after which it is repeated.
+        m_metrics.countRingFull();
+        logEvent(LogLevel::Warning, "ring_full", {{"ring", forWorker ? "workers" : "platform"}, {"from", "shards"}});
+    }
+}
+
+auto ShardDuty::execute(AnswerRequest &command) -> void
+{
+    if (command.m_result) {
+        answer(command.m_ticket, JobReply{.m_job = std::move(*command.m_result)});
+    } else {
+        answer(command.m_ticket, ErrorReply{.m_error = std::move(command.m_result.error())});
+    }
+}
+
+auto ShardDuty::execute(DoubtOwnership &command) -> void
+{
+    if (OwnedShard *const shard = find(command.m_shard)) {
+        shard->m_claim.doubt();
+    }
+}
+
+auto ShardDuty::dispatch(OwnedShard &shard, const ShardEvent &event) -> void
+{
+    if (!shard.m_scheduler) {
+        return;
+    }
+    shard.m_scheduler->handle(event, m_now, m_random, m_commands);
+    if (shard.m_scheduler->isFenced()) {
+        dropScheduler(shard);
+        shard.m_claim.relinquish(m_now);
+    }
+}
+
+auto ShardDuty::take(EntryRequest &input) -> void
+{
+    std::visit(
+        [&]<typename Body>(const Body &body) {
+            if constexpr (requires { serve(input.m_ticket, body); }) {
+                serve(input.m_ticket, body);
+            } else {
+                answerError(input.m_ticket, ErrorCode::BadRequest, "the message is not a request");
+            }
+        },
+        input.m_body);
+}
+
+auto ShardDuty::take(RowWritten &input) -> void
+{
+    m_metrics.countStoreResult(input.m_status);
+    OwnedShard *const shard = find(input.m_shard);
+    if (shard == nullptr) {
+        return;
+    }
+    if (input.m_row == ShardRow::Owner) {
+        apply(*shard, shard->m_claim.onWritten(input, m_now, m_random));
+    } else {
+        dispatch(*shard, input);
+    }
+}
+
+auto ShardDuty::take(RowRead &input) -> void
+{
+    OwnedShard *const shard = find(input.m_shard);
+    if (shard == nullptr) {
+        return;
+    }
+    if (input.m_row != ShardRow::Owner) {
+        dispatch(*shard, input);
+        return;
+    }
+    apply(*shard, shard->m_claim.onRead(input, m_now, m_random));
+    // What was read may allow a claim at once.
+    shard->m_claim.tick(balance(), m_now, m_random, m_commands);
+}
+
+auto ShardDuty::take(SnapshotStored &input) -> void
+{
+    if (OwnedShard *const shard = find(input.m_shard)) {
+        dispatch(*shard, input);
+    }
+}
+
+auto ShardDuty::take(ShardRecovered &input) -> void
+{
+    OwnedShard *const shard = find(input.m_shard);
+    if (shard == nullptr || shard->m_scheduler || !shard->m_claim.isOwner() || shard->m_claim.ownership().m_epoch != input.m_epoch) {
+        return;
+    }
+    if (!input.m_content) {
+        shard->m_recoverAt = m_now + figuresPeriod;
+        return;
+    }
+    shard->m_recoverAt = TimePoint::max();
+    shard->m_counted = {};
+    shard->m_scheduler = std::make_unique<ShardScheduler>(
+        ShardTenure{
+            .m_shard = input.m_shard, .m_epoch = input.m_epoch, .m_epochVersion = shard->m_claim.epochVersion(), .m_host = m_settings.m_host, .m_since = m_now},
+        m_settings,
+        m_policy);
+    shard->m_scheduler->recover(*input.m_content);
+    dispatch(*shard, policy());
+    dispatch(*shard, workersOf(input.m_shard));
+    if (m_draining) {
+        shard->m_scheduler->beginDrain();
+    }
+    m_ownershipChanged = true;
+    logEvent(LogLevel::Info,
+             "shard_recovered",
+             {{"shard", input.m_shard}, {"epoch", input.m_epoch}, {"records", input.m_content->m_records.size()}, {"row", input.m_content->m_lastSequence}});
+}
+
+auto ShardDuty::take(LeaseAnswered &input) -> void
+{
+    if (OwnedShard *const shard = find(input.m_shard)) {
+        dispatch(*shard, input);
+    }
+}
+
+auto ShardDuty::take(StartAnswered &input) -> void
+{
+    if (OwnedShard *const shard = find(input.m_shard)) {
+        dispatch(*shard, input);
+    }
+}
+
+auto ShardDuty::take(StopAnswered &input) -> void
+{
+    if (OwnedShard *const shard = find(input.m_shard)) {
+        dispatch(*shard, input);
+    }
+}
+
+auto ShardDuty::take(CheckpointAnswered &input) -> void
+{
+    if (OwnedShard *const shard = find(input.m_shard)) {
+        dispatch(*shard, input);
+    }
+}
+
+auto ShardDuty::take(Configuration &input) -> void
+{
+    if (m_configuration && m_configuration->m_shards != input.m_shards) {
+        logEvent(LogLevel::Error, "shard_count_changed", {{"shards", m_configuration->m_shards}, {"ignored", input.m_shards}});
+        input.m_shards = m_configuration->m_shards;
+    }
+    m_configuration = std::move(input);
+    if (m_listing && m_shards.empty()) {
+        HostListing listing = *m_listing;
+        take(listing);
+    }
+    for (auto &[id, shard] : m_shards) {
+        dispatch(shard, policy());
+    }
+    m_ownershipChanged = true;
+}
+
+auto ShardDuty::take(HostListing &input) -> void
+{
+    m_listing = std::move(input);
+    if (!m_configuration) {
+        return;
+    }
+    // Claims begin only when the workers and the number of schedulers are known.
+    for (ShardId id = 0; m_shards.size() < m_configuration->m_shards; ++id) {
+        m_shards.try_emplace(id, id, m_settings.m_host, m_settings);
+    }
+    for (auto &[id, shard] : m_shards) {
+        dispatch(shard, workersOf(id));
+    }
+}
+
+auto ShardDuty::take(DrainRequested & /*input*/) -> void
+{
+    if (m_draining) {
+        return;
+    }
+    m_draining = true;
+    m_drainEnd = m_now + m_settings.m_drain;
+    m_ownershipChanged = true;
+    logEvent(LogLevel::Info, "drain_begins", {{"shards", balance().m_owned}});
+    for (auto &[id, shard] : m_shards) {
+        if (shard.m_scheduler) {
+            shard.m_scheduler->beginDrain();
+        }
+    }
+}
+
+auto ShardDuty::advanceDrain() -> void
+{
+    if (!m_draining || m_drainEnd == TimePoint::max()) {
+        return;
+    }
+    bool owns = false;
+    for (auto &[id, shard] : m_shards) {
+        owns = owns || shard.m_claim.isOwner() || shard.m_claim.isClaiming();
+        if (shard.m_claim.isOwner() && (!shard.m_scheduler || shard.m_scheduler->isDurable())) {
+            shard.m_claim.release();
+        }
+    }
+    if (!owns || m_now >= m_drainEnd) {
+        logEvent(owns ? LogLevel::Warning : LogLevel::Info, "drain_ends", {{"released", owns ? "false" : "true"}});
+        m_drainEnd = TimePoint::max();
+        m_drained.signal();
+    }
+}
+
+auto ShardDuty::apply(OwnedShard &shard, ShardClaim::Change change) -> void
+{
+    if (change == ShardClaim::Change::None) {
+        return;
+    }
+    const ShardOwnership &ownership = shard.m_claim.ownership();
+    if (change == ShardClaim::Change::Acquired) {
+        m_metrics.countTakeover();
+        shard.m_recoverAt = m_now;
+        logEvent(LogLevel::Info, "shard_acquired", {{"shard", ownership.m_shard}, {"epoch", ownership.m_epoch}});
+        return;
+    }
+    const bool lost = change == ShardClaim::Change::Lost;
+    logEvent(lost ? LogLevel::Warning : LogLevel::Info, lost ? "shard_lost" : "shard_released", {{"shard", ownership.m_shard}, {"epoch", ownership.m_epoch}});
+    dropScheduler(shard);
+}
+
+auto ShardDuty::dropScheduler(OwnedShard &shard) -> void
+{
+    shard.m_recoverAt = TimePoint::max();
+    if (shard.m_scheduler) {
+        shard.m_scheduler->abandon(m_commands);
+        m_metrics.add(shard.m_counted, shard.m_scheduler->counters());
+        shard.m_scheduler.reset();
+    }
+    m_ownershipChanged = true;
+}
+
+auto ShardDuty::find(ShardId shard) -> OwnedShard *
+{
+    const auto found = m_shards.find(shard);
+    return found == m_shards.end() ? nullptr : &found->second;
+}
+
+auto ShardDuty::balance() const noexcept -> ClaimBalance
+{
+    ClaimBalance balance;
+    balance.m_mayClaim = !m_draining;
+    std::size_t schedulers = 0;
+    if (m_listing) {
+        schedulers = static_cast<std::size_t>(std::ranges::count_if(m_listing->m_hosts, [](const HostRecord &host) {
+            return host.m_role == HostRole::Entry && host.m_state == HostState::Live;
+        }));
+    }
+    schedulers = std::max<std::size_t>(schedulers, 1);
+    balance.m_share = (m_shards.size() + schedulers - 1) / schedulers;
+    for (const auto &[id, shard] : m_shards) {
+        balance.m_owned += shard.m_claim.isOwner() || shard.m_claim.isClaiming() ? 1 : 0;
+    }
+    return balance;
+}
+
+auto ShardDuty::workersOf(ShardId shard) const -> WorkersListed
+{
+    WorkersListed listed;
+    for (const auto &host : m_listing->m_hosts) {
+        if (host.m_role == HostRole::Worker && shardOf(host.m_name, m_configuration->m_shards) == shard) {
+            listed.m_workers.push_back(host);
+        }
+    }
+    return listed;
+}
+
+auto ShardDuty::policy() const -> PolicyChanged
+{
+    PolicyChanged policy;
+    for (const auto &service : m_configuration->m_services) {
+        policy.m_reservation += service.m_reservation;
+    }
+    const auto preset = std::ranges::find(m_configuration->m_presets, m_configuration->m_presetInForce, &Preset::m_name);
+    policy.m_acceptBatch = preset == m_configuration->m_presets.end() || preset->m_acceptBatch;
+    return policy;
+}
+}
--- a/src/shard/snapshotkeeper.cpp
+++ b/src/shard/snapshotkeeper.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 constexpr Milliseconds retryDelay{2'000};
-constexpr std::uint64_t maxDeletes = 400; // keeps one transaction small after an outage of the object store
+constexpr std::uint64_t maxDeletes = 120; // each counts as a write of the table, so one transaction must stay small
 }
 
 SnapshotKeeper::SnapshotKeeper(ShardId shard, Epoch epoch, std::string_view host, const ShardSettings &settings, std::uint64_t epochVersion)
