--- a/src/shard/shardclaim.cpp
+++ b/src/shard/shardclaim.cpp
@@ -102,7 +102,8 @@
 {
     using Status = CommitResult::Status;
     m_storeFailed = m_storeFailed || answer.m_status == Status::NotApplied || answer.m_status == Status::Unknown;
-    if (answer.m_epochVersion > 0 && m_write.inProgress() && answer.m_operation == m_write.operation()) {
+    const bool known = answer.m_status == Status::Committed || answer.m_status == Status::Conflict;
+    if (known && answer.m_epochVersion > 0 && m_write.inProgress() && answer.m_operation == m_write.operation()) {
         m_epochVersion = answer.m_epochVersion;
     }
     return settle(m_write.onWritten(answer, now, random), answer.m_stamp, now);
--- /dev/null
+++ b/tests/shardschedulertest.cpp
@@ -0,0 +1,331 @@
+#include "burdockspur/shard/shardscheduler.hpp"
+#include "burdockspur/shard/bestfitspread.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace Burdockspur;
+
+namespace
+{
+/// @brief A scheduler whose journal and workers answer when the test says so.
+class ShardSchedulerTest : public ::testing::Test
+{
+protected:
+    auto handle(const ShardEvent &event) -> void
+    {
+        m_scheduler.handle(event, m_now, m_random, m_commands);
+    }
+
+    auto tick(Milliseconds after = Milliseconds(60)) -> void
+    {
+        m_now += after;
+        m_scheduler.tick(m_now, m_random, m_commands);
+    }
+
+    /// @brief Takes the commands of one kind.
+    template<typename Command>
+    auto take() -> std::vector<Command>
+    {
+        std::vector<Command> taken;
+        ShardCommands left;
+        for (auto &command : m_commands) {
+            if (auto *const wanted = std::get_if<Command>(&command)) {
+                taken.push_back(std::move(*wanted));
+            } else {
+                left.push_back(std::move(command));
+            }
+        }
+        m_commands = std::move(left);
+        return taken;
+    }
+
+    auto commitJournal() -> std::size_t
+    {
+        std::size_t rows = 0;
+        for (const auto &row : take<WriteJournalRow>()) {
+            ++rows;
+            RowWritten answer;
+            answer.m_row = ShardRow::Journal;
+            answer.m_operation = row.m_operation;
+            answer.m_status = CommitResult::Status::Committed;
+            handle(answer);
+        }
+        return rows;
+    }
+
+    auto listWorkers(int count, std::int64_t cpu = 4'000) -> void
+    {
+        WorkersListed listed;
+        for (int i = 0; i < count; ++i) {
+            HostRecord host;
+            host.m_name = "w" + std::to_string(i);
+            host.m_address = "127.0.0.1";
+            host.m_port = 1;
+            host.m_place.m_zone = "a";
+            host.m_capacity = {.m_cpuMillis = cpu, .m_memoryMb = 8'000, .m_accelerators = 0};
+            listed.m_workers.push_back(host);
+        }
+        handle(listed);
+        tick();
+        answerLeases({});
+    }
+
+    auto answerLeases(const std::vector<AttemptReport> &attempts) -> void
+    {
+        for (const auto &renewal : take<RenewLease>()) {
+            LeaseReport report;
+            for (const auto &attempt : attempts) {
+                const JobEntry *const entry = std::as_const(m_scheduler).jobs().find(attempt.m_attempt.m_job);
+                if (entry != nullptr && entry->m_record.m_job.m_worker == renewal.m_worker) {
+                    report.m_attempts.push_back(attempt);
+                }
+            }
+            handle(LeaseAnswered{.m_shard = 0, .m_epoch = 1, .m_worker = renewal.m_worker, .m_report = report});
+        }
+    }
+
+    auto submit(const std::string &id, std::int64_t cpu = 1'000, bool urgent = false) -> void
+    {
+        JobSpec spec;
+        spec.m_demand = {.m_cpuMillis = cpu, .m_memoryMb = 100, .m_accelerators = 0};
+        spec.m_urgent = urgent;
+        handle(JobSubmitted{.m_ticket = {.m_link = 1, .m_correlation = ++m_ticket}, .m_job = id, .m_spec = spec});
+    }
+
+    auto run() -> void
+    {
+        for (int i = 0; i < 4; ++i) {
+            tick();
+            commitJournal();
+        }
+    }
+
+    auto job(const std::string &id) -> const Job &
+    {
+        return m_scheduler.jobs().at(id).m_record.m_job;
+    }
+
+    auto answerStart(const StartAttempt &start, StartResult::Status status, std::string reason = {}) -> void
+    {
+        handle(StartAnswered{.m_shard = 0,
+                             .m_epoch = 1,
+                             .m_worker = start.m_worker,
+                             .m_attempt = start.m_order.m_attempt,
+                             .m_result = {.m_status = status, .m_reason = std::move(reason)}});
+    }
+
+    ShardSettings m_settings;
+    BestFitSpread m_policy;
+    RandomSource m_random{1};
+    TimePoint m_now{std::chrono::hours(1)};
+    ShardCommands m_commands;
+    std::uint64_t m_ticket = 0;
+    ShardScheduler m_scheduler{{.m_shard = 0, .m_epoch = 1, .m_epochVersion = 1, .m_host = "h1", .m_since = m_now}, m_settings, m_policy};
+};
+}
+
+// Guards against answers and starts that leave before their journal row is durable.
+TEST_F(ShardSchedulerTest, NothingLeavesBeforeItIsDurable)
+{
+    listWorkers(1);
+    submit("a");
+    tick();
+    EXPECT_TRUE(take<AnswerRequest>().empty());
+    EXPECT_TRUE(take<StartAttempt>().empty());
+    commitJournal();
+    EXPECT_EQ(take<AnswerRequest>().size(), 1U);
+    run();
+    EXPECT_EQ(take<StartAttempt>().size(), 1U);
+}
+
+// Guards against a repeated submission that creates a second job, and a key that is used for another job.
+TEST_F(ShardSchedulerTest, SubmissionIsIdempotent)
+{
+    listWorkers(1);
+    submit("a");
+    submit("a");
+    submit("a", 2'000);
+    run();
+    const auto answers = take<AnswerRequest>();
+    ASSERT_EQ(answers.size(), 3U);
+    EXPECT_FALSE(answers[0].m_result);
+    EXPECT_EQ(m_scheduler.counters().m_submissions, 1U);
+}
+
+// Guards against a job that can never run and blocks those behind it, or waits without a report.
+TEST_F(ShardSchedulerTest, UnschedulableJobIsReportedAndBlocksNobody)
+{
+    listWorkers(1);
+    submit("huge", 100'000);
+    submit("small");
+    run();
+    EXPECT_EQ(job("huge").m_state, JobState::Unschedulable);
+    EXPECT_FALSE(job("huge").m_reason.empty());
+    EXPECT_EQ(job("small").m_state, JobState::Assigned);
+    listWorkers(1, 200'000);
+    run();
+    EXPECT_EQ(job("huge").m_state, JobState::Assigned);
+}
+
+// Guards against batch work on capacity that is reserved for services.
+TEST_F(ShardSchedulerTest, ServiceReservationStaysFree)
+{
+    handle(PolicyChanged{.m_reservation = {.m_cpuMillis = 3'000, .m_memoryMb = 0, .m_accelerators = 0}, .m_acceptBatch = true});
+    listWorkers(1);
+    submit("a");
+    submit("b");
+    run();
+    EXPECT_EQ(job("a").m_state, JobState::Assigned);
+    EXPECT_EQ(job("b").m_state, JobState::Queued);
+}
+
+// Guards against unbounded memory while the store is unavailable, and against leases that end with it.
+TEST_F(ShardSchedulerTest, OutageBoundsSubmissionsAndKeepsLeases)
+{
+    m_settings.m_maxWaitingChanges = 3;
+    listWorkers(1);
+    for (int i = 0; i < 5; ++i) {
+        submit("j" + std::to_string(i));
+    }
+    const auto answers = take<AnswerRequest>();
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(answers[0].m_result.error().m_code, ErrorCode::Unavailable);
+    tick(m_settings.m_renewal);
+    EXPECT_EQ(take<RenewLease>().size(), 1U);
+}
+
+// Guards against an ambiguous start that is repeated with another attempt or on another worker.
+TEST_F(ShardSchedulerTest, AmbiguousStartIsRepeatedWithTheSameAttempt)
+{
+    listWorkers(2);
+    submit("a");
+    run();
+    const auto first = take<StartAttempt>();
+    ASSERT_EQ(first.size(), 1U);
+    answerStart(first[0], StartResult::Status::Unknown);
+    tick(Milliseconds(500));
+    const auto second = take<StartAttempt>();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].m_order.m_attempt, first[0].m_order.m_attempt);
+    EXPECT_EQ(second[0].m_worker, first[0].m_worker);
+}
+
+// Guards against a completion that is acknowledged to the worker before it is durable.
+TEST_F(ShardSchedulerTest, CompletionIsDurableBeforeItIsAcknowledged)
+{
+    listWorkers(1);
+    submit("a");
+    run();
+    answerStart(take<StartAttempt>().at(0), StartResult::Status::Started);
+    AttemptReport report;
+    report.m_attempt = {.m_job = "a", .m_number = 1};
+    report.m_state = AttemptState::Completed;
+    tick(m_settings.m_renewal);
+    answerLeases({report});
+    tick(m_settings.m_renewal);
+    const auto early = take<RenewLease>();
+    ASSERT_EQ(early.size(), 1U);
+    EXPECT_TRUE(early[0].m_renewal.m_acknowledged.empty());
+    handle(LeaseAnswered{.m_shard = 0, .m_epoch = 1, .m_worker = "w0", .m_report = LeaseReport()});
+    commitJournal();
+    tick(m_settings.m_renewal);
+    const auto late = take<RenewLease>();
+    ASSERT_EQ(late.size(), 1U);
+    ASSERT_EQ(late[0].m_renewal.m_acknowledged.size(), 1U);
+    EXPECT_EQ(late[0].m_renewal.m_acknowledged[0], report.m_attempt);
+}
+
+// Guards against a second attempt while the first may still run: a worker that was paused reads a renewal late.
+TEST_F(ShardSchedulerTest, SilentWorkerLosesItsAttemptsOnlyAfterEveryPossibleLease)
+{
+    listWorkers(1);
+    submit("a");
+    run();
+    answerStart(take<StartAttempt>().at(0), StartResult::Status::Started);
+    const TimePoint answered = m_now;
+    while (job("a").m_state == JobState::Running && m_now < answered + std::chrono::minutes(5)) {
+        tick(Milliseconds(100));
+        commitJournal();
+        for (const auto &renewal : take<RenewLease>()) {
+            handle(LeaseAnswered{.m_shard = 0, .m_epoch = 1, .m_worker = renewal.m_worker, .m_report = failure(ErrorCode::Timeout, "lost")});
+        }
+    }
+    // One lease after the last answer and one more for each of the two lost renewals.
+    EXPECT_GE(m_now - answered, 3 * m_settings.m_workerLease);
+    EXPECT_EQ(job("a").m_state, JobState::Queued);
+}
+
+// Guards against a worker that fails every task and keeps getting more, and against a zone in quarantine as a whole.
+TEST_F(ShardSchedulerTest, FailingWorkersAreQuarantinedUpToACap)
+{
+    listWorkers(4);
+    WorkerTable table(m_settings, m_now);
+    std::vector<HostRecord> hosts;
+    for (const auto &[name, worker] : m_scheduler.workers().workers()) {
+        hosts.push_back(worker.m_host);
+    }
+    table.update(hosts);
+    for (std::uint32_t i = 1; i < m_settings.m_quarantineFailures; ++i) {
+        EXPECT_FALSE(table.countFailure(table.at("w0"), m_now));
+    }
+    EXPECT_TRUE(table.countFailure(table.at("w0"), m_now));
+    for (std::uint32_t i = 0; i < 2 * m_settings.m_quarantineFailures; ++i) {
+        EXPECT_FALSE(table.countFailure(table.at("w1"), m_now));
+    }
+}
+
+// Guards against a job that fails on every start and is retried without end.
+TEST_F(ShardSchedulerTest, FailedAttemptsAreBounded)
+{
+    listWorkers(8);
+    submit("a");
+    AttemptReport report;
+    report.m_state = AttemptState::Failed;
+    report.m_result = "exit 1";
+    for (std::uint32_t i = 1; i <= m_settings.m_maxFailures; ++i) {
+        run();
+        const auto starts = take<StartAttempt>();
+        ASSERT_EQ(starts.size(), 1U) << i;
+        EXPECT_EQ(starts[0].m_order.m_attempt.m_number, i);
+        answerStart(starts[0], StartResult::Status::Started);
+        report.m_attempt = starts[0].m_order.m_attempt;
+        tick(m_settings.m_renewal);
+        answerLeases({report});
+    }
+    EXPECT_EQ(job("a").m_state, JobState::Failed);
+    EXPECT_NE(job("a").m_reason.find("exit 1"), std::string::npos);
+}
+
+// Guards against urgent jobs that wait behind ordinary ones.
+TEST_F(ShardSchedulerTest, UrgentJobsComeFirst)
+{
+    listWorkers(1, 1'000);
+    submit("ordinary");
+    submit("urgent", 1'000, true);
+    run();
+    EXPECT_EQ(job("urgent").m_state, JobState::Assigned);
+    EXPECT_EQ(job("ordinary").m_state, JobState::Queued);
+}
+
+// Guards against outward effects of an owner whose epoch is no longer valid.
+TEST_F(ShardSchedulerTest, FencedSchedulerAnswersNotOwnerAndStartsNothing)
+{
+    listWorkers(1);
+    submit("a");
+    tick();
+    const auto rows = take<WriteJournalRow>();
+    ASSERT_EQ(rows.size(), 1U);
+    RowWritten conflict;
+    conflict.m_row = ShardRow::Journal;
+    conflict.m_operation = rows[0].m_operation;
+    conflict.m_status = CommitResult::Status::Conflict;
+    conflict.m_fenced = true;
+    handle(conflict);
+    EXPECT_TRUE(m_scheduler.isFenced());
+    const auto answers = take<AnswerRequest>();
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].m_result.error().m_code, ErrorCode::NotOwner);
+    m_commands.clear();
+    tick(m_settings.m_renewal);
+    EXPECT_TRUE(m_commands.empty());
+}
