--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -82,12 +82,12 @@
 start_workers() {
     local process=$1 count=$2
     shift 2
-    start "$process" "worker=$process-$count " "$build/standins/standin-worker" --workers "$count" --name_prefix "$process-" --first_port 0 "$@"
+    start "$process" 'control port=' "$build/standins/standin-worker" --workers "$count" --name_prefix "$process-" --first_port 0 "$@"
     local line
     while read -r line; do
         worker_names+=("$(sed 's/.*worker=\([^ ]*\).*/\1/' <<<"$line")")
         worker_endpoints+=("127.0.0.1:$(sed 's/.*port=\([0-9]*\).*/\1/' <<<"$line")")
-    done < <(grep 'worker=' "$work/$process.out")
+    done < <(grep '^worker=' "$work/$process.out")
 }
 
 zone_of() {
--- a/tests/processes/schedulertest.sh
+++ b/tests/processes/schedulertest.sh
@@ -45,7 +45,7 @@
 
 settings() {
     printf '[host]\nname = "%s"\nzone = "a"\nregion = "r"\n[table]\naddress = "127.0.0.1"\nport = %s\n' "$1" "$platform"
-    printf '[objects]\naddress = "127.0.0.1"\nport = %s\n[hosts]\naddress = "127.0.0.1"\nport = %s\n' "$platform" "$platform"
+    printf '[objects]\naddress = "127.0.0.1"\nport = %s\n[hostlist]\naddress = "127.0.0.1"\nport = %s\n' "$platform" "$platform"
     printf '[shard]\ntakeover_ms = 1500\nheartbeat_ms = 300\nowner_lease_ms = 1200\n'
 }
 start() {
