Make the test of silent kept connections independent of the idle timeout

Cause: with the closing of idle connections after a timeout removed, the test still passed, because the idle timeout of 15 s closed them. Conclusion: the test now guards what it names.

--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -253,6 +253,9 @@
 // Guards against connections that have become silent together: the next call must not use another of them.
 TEST_F(HttpClientTest, SilentKeptConnectionsAreReplaced)
 {
+    // Otherwise the idle timeout would close the connections, too.
+    m_limits.m_idleTimeout = longTime;
+    restartClient();
     RawServer server;
     constexpr std::size_t kept = 3;
     for (std::size_t i = 0; i < kept; ++i) {
