--- a/tests/schedulerdaemontest.cpp
+++ b/tests/schedulerdaemontest.cpp
@@ -132,6 +132,12 @@
         ASSERT_EQ(call(m_platformPort, "PUT", "/standin/hosts", body).m_status, 200) << body;
     }
 
+    auto setPlatformFault(std::string_view name, std::string_view value) -> void
+    {
+        const std::string body = R"({"name":")" + std::string(name) + R"(","value":)" + std::string(value) + "}";
+        ASSERT_EQ(call(m_platformPort, "PUT", "/standin/faults", body).m_status, 200) << body;
+    }
+
     auto startScheduler(std::string host) -> SchedulerPorts
     {
         SchedulerSettings settings;
@@ -258,3 +264,48 @@
     submit("after");
     EXPECT_TRUE(waitForState("after", JobState::Completed));
 }
+
+// Guards against acceptance that is answered although it is not durable, and against jobs that an outage loses.
+TEST_F(SchedulerDaemonTest, OutageDelaysAnswersAndLosesNothing)
+{
+    const auto ports = startScheduler("h1");
+    connectTo(ports.m_frames);
+    ASSERT_TRUE(waitFor([&] {
+        return m_owned.size() == 2;
+    }));
+    setPlatformFault("table_outage", "true");
+    submit("a");
+    submit("b");
+    const auto refused = [&] {
+        const std::string text = call(ports.m_admin, "GET", "/metrics", "").m_body;
+        return text.find("result=\"not_applied\"} 0") == std::string::npos;
+    };
+    ASSERT_TRUE(waitFor(refused));
+    EXPECT_TRUE(m_jobs.empty());
+    setPlatformFault("table_outage", "false");
+    EXPECT_TRUE(waitForState("a", JobState::Completed));
+    EXPECT_TRUE(waitForState("b", JobState::Completed));
+}
+
+// Guards against jobs that are lost or run twice when the answers to journal writes are lost after their effect.
+TEST_F(SchedulerDaemonTest, LostAnswersOfTheTableAreReadBack)
+{
+    const auto ports = startScheduler("h1");
+    connectTo(ports.m_frames);
+    ASSERT_TRUE(waitFor([&] {
+        return m_owned.size() == 2;
+    }));
+    setPlatformFault("lose_write_answers", "0.5");
+    ASSERT_TRUE(waitFor([&] {
+        return call(ports.m_admin, "GET", "/metrics", "").m_body.find("result=\"unknown\"} 0") == std::string::npos;
+    }));
+    for (int i = 0; i < 5; ++i) {
+        submit("job" + std::to_string(i));
+    }
+    for (int i = 0; i < 5; ++i) {
+        ASSERT_TRUE(waitForState("job" + std::to_string(i), JobState::Completed)) << i;
+        EXPECT_EQ(m_jobs["job" + std::to_string(i)].m_attempt, 1U);
+    }
+    const std::string counts = call(m_controlPort, "GET", "/standin/counts", "").m_body;
+    EXPECT_EQ(counts.find("\"attempts_repeated\":1"), std::string::npos) << counts;
+}
