--- a/tests/schedulerdaemontest.cpp
+++ b/tests/schedulerdaemontest.cpp
@@ -138,6 +138,12 @@
         ASSERT_EQ(call(m_platformPort, "PUT", "/standin/faults", body).m_status, 200) << body;
     }
 
+    auto setWorkerFault(std::string_view worker, std::string_view name, std::string_view value) -> void
+    {
+        const std::string body = R"({"name":")" + std::string(name) + R"(","value":)" + std::string(value) + "}";
+        ASSERT_EQ(call(m_controlPort, "PUT", "/standin/faults?worker=" + std::string(worker), body).m_status, 200) << body;
+    }
+
     auto startScheduler(std::string host) -> SchedulerPorts
     {
         SchedulerSettings settings;
@@ -183,13 +189,14 @@
         }
     }
 
-    auto submit(const std::string &id) -> void
+    auto submit(const std::string &id, std::int64_t durationMs = 100, JobKind kind = JobKind::Batch) -> void
     {
         JobSpec spec;
         spec.m_caller = "trentside";
         spec.m_class = "stock";
         spec.m_demand = {.m_cpuMillis = 500, .m_memoryMb = 100, .m_accelerators = 0};
-        spec.m_durationMs = 100;
+        spec.m_kind = kind;
+        spec.m_durationMs = durationMs;
         m_link->send({.m_configVersion = 0, .m_correlation = 7, .m_body = SubmitJob{.m_job = id, .m_spec = spec}});
     }
 
@@ -309,3 +316,30 @@
     const std::string counts = call(m_controlPort, "GET", "/standin/counts", "").m_body;
     EXPECT_EQ(counts.find("\"attempts_repeated\":1"), std::string::npos) << counts;
 }
+
+// Guards against tasks that stay on a leaving worker, restart without their checkpoint, or run twice.
+TEST_F(SchedulerDaemonTest, LeavingWorkerHandsOverItsTasks)
+{
+    const auto ports = startScheduler("h1");
+    connectTo(ports.m_frames);
+    ASSERT_TRUE(waitFor([&] {
+        return m_owned.size() == 2;
+    }));
+    submit("long", 600'000);
+    submit("watch", 0, JobKind::Watcher);
+    ASSERT_TRUE(waitForState("long", JobState::Running));
+    ASSERT_TRUE(waitForState("watch", JobState::Running));
+    const std::string first = m_jobs["long"].m_worker;
+    setWorkerFault(first, "leaving", "true");
+    const auto moved = [&] {
+        m_link->send({.m_configVersion = 0, .m_correlation = 9, .m_body = QueryJob{.m_job = "long"}});
+        return m_jobs["long"].m_state == JobState::Running && m_jobs["long"].m_worker != first;
+    };
+    ASSERT_TRUE(waitFor(moved));
+    EXPECT_EQ(m_jobs["long"].m_attempt, 2U);
+    EXPECT_FALSE(m_jobs["long"].m_checkpoint.empty());
+    m_link->send({.m_configVersion = 0, .m_correlation = 10, .m_body = CancelJob{.m_job = "long"}});
+    m_link->send({.m_configVersion = 0, .m_correlation = 11, .m_body = CancelJob{.m_job = "watch"}});
+    EXPECT_TRUE(waitForState("long", JobState::Cancelled));
+    EXPECT_TRUE(waitForState("watch", JobState::Cancelled));
+}
