Match holds with the workers' journals; end daemons before the platform

Cause: entry hosts give requests with one key one request id, so journals never showed the caller's key and the demonstration compared nothing; schedulers waited for a table service that had already ended. Change: the demonstration takes the id from the answers and also requires that both copies agree; daemons end first; log lines have a plain time stamp and the level in lower case; batch jobs run 4 s so that the leaving worker always holds some. Conclusion: the check of holds now compares something.

--- a/bench/demorun.cpp
+++ b/bench/demorun.cpp
@@ -66,7 +66,7 @@
                           {QStringLiteral("cpu_millis"), isBatch ? 1000 : 200},
                           {QStringLiteral("memory_mb"), 512},
                           {QStringLiteral("accelerators"), 0},
-                          {QStringLiteral("duration_ms"), isBatch ? 1500 : 0},
+                          {QStringLiteral("duration_ms"), isBatch ? 4000 : 0},
                           {QStringLiteral("urgent"), false},
                           {QStringLiteral("payload"), QString::fromUtf8(payload.data(), static_cast<qsizetype>(payload.size()))}};
     PendingCall call{.m_server = entry(entryIndex), .m_request = {}};
@@ -85,7 +85,7 @@
         const std::string body = hexOf(m_random.next64()) + " " + std::to_string(i);
         // Only requests that go through two entry hosts need a key.
         const std::string key = copies > 1 ? std::string(service) + "-" + hexOf(m_random.next64()) : std::string();
-        asked.push_back({.m_key = key, .m_expected = std::string(service) + ":" + hexOf(hashOf(body)) + ":" + body});
+        asked.push_back({.m_requestId = {}, .m_expected = std::string(service) + ":" + hexOf(hashOf(body)) + ":" + body});
         for (std::size_t copy = 0; copy < copies; ++copy) {
             calls.push_back(requestCall(i + copy, service, key, body));
         }
@@ -98,10 +98,12 @@
             return reply && reply->m_status == statusOk;
         };
         const bool answered = std::ranges::all_of(copiesOfRequest, isAnswered);
+        // Entry hosts give requests with one key one request id, which the workers see as the key.
+        asked[i].m_requestId = answered ? copiesOfRequest.front()->field("Burdockspur-Request-Id") : std::string_view();
         row.m_answered += answered ? 1 : 0;
         row.m_lost += answered ? 0 : 1;
         row.m_different += static_cast<std::uint64_t>(std::ranges::count_if(copiesOfRequest, [&](const HttpReply &reply) {
-            return isAnswered(reply) && reply->m_body != asked[i].m_expected;
+            return isAnswered(reply) && (reply->m_body != asked[i].m_expected || reply->field("Burdockspur-Request-Id") != asked[i].m_requestId);
         }));
     }
     if (copies > 1) {
@@ -222,7 +224,7 @@
 auto DemoRun::duplicateExecutions(std::span<const AskedRequest> asked) const -> std::uint64_t
 {
     return static_cast<std::uint64_t>(std::ranges::count_if(asked, [this](const AskedRequest &request) {
-        return m_truth.executionsOfKey(request.m_key) > 1;
+        return m_truth.executionsOfKey(request.m_requestId) > 1;
     }));
 }
 
@@ -255,7 +257,7 @@
     holds.m_doubled = duplicateExecutions(m_keyed);
     checks.m_ran = m_truth.requestsExecuted() > m_keyed.size() ? m_truth.requestsExecuted() - m_keyed.size() : 0;
     holds.m_ran = static_cast<std::uint64_t>(std::ranges::count_if(m_keyed, [this](const AskedRequest &request) {
-        return m_truth.executionsOfKey(request.m_key) > 0;
+        return m_truth.executionsOfKey(request.m_requestId) > 0;
     }));
     return std::vector<WorkRow>{checks, holds, jobRow("batch jobs", *batch, "completed"), watcherRow};
 }
--- a/bench/demorun.hpp
+++ b/bench/demorun.hpp
@@ -29,7 +29,7 @@
 
 private:
     struct AskedRequest {
-        std::string m_key;
+        std::string m_requestId; ///< from the answer
         std::string m_expected;
     };
 
--- a/daemons/scheduler/main.cpp
+++ b/daemons/scheduler/main.cpp
@@ -37,7 +37,7 @@
     if (!settings) {
         return settings.error();
     }
-    if (const auto logging = configureLogging("scheduler", settings->m_host, settings->m_logLevel); !logging) {
+    if (const auto logging = configureLogging("burdockspur-scheduler", settings->m_host, settings->m_logLevel); !logging) {
         std::cerr << logging.error().m_message << '\n';
         return exitBadUsage;
     }
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -22,22 +22,35 @@
     trap 'exit 130' INT TERM
 }
 
-# Ends every process that was started here, by its id, and removes the working directory.
-deployment_end() {
-    local status=$?
-    local pid
-    for pid in "${pids[@]}"; do
-        kill -CONT "$pid" 2>/dev/null || true
-        kill -TERM "$pid" 2>/dev/null || true
+# end_processes PATTERN: ends the processes whose names match, by their ids; kills what is left after 5 s.
+end_processes() {
+    local name pid left=100
+    for name in "${!pids[@]}"; do
+        if [[ $name == $1 ]]; then
+            kill -CONT "${pids[$name]}" 2>/dev/null || true
+            kill -TERM "${pids[$name]}" 2>/dev/null || true
+        fi
     done
-    local left=100
-    for pid in "${pids[@]}"; do
+    for name in "${!pids[@]}"; do
+        [[ $name == $1 ]] || continue
+        pid=${pids[$name]}
         while kill -0 "$pid" 2>/dev/null && [ "$left" -gt 0 ]; do
             sleep 0.05
             left=$((left - 1))
         done
         kill -KILL "$pid" 2>/dev/null || true
+        wait "$pid" 2>/dev/null || true
+        unset "pids[$name]"
     done
+}
+
+# Ends every process that was started here and removes the working directory.
+deployment_end() {
+    local status=$?
+    # The daemons first: a scheduler needs the table service to release its shards.
+    end_processes 'entry-*'
+    end_processes 'scheduler-*'
+    end_processes '*'
     if [ "$status" -ne 0 ] && [ -n "${BURDOCKSPUR_KEEP_LOGS:-}" ]; then
         echo "logs kept in $work" >&2
     else
--- a/src/operations/log.cpp
+++ b/src/operations/log.cpp
@@ -87,7 +87,8 @@
     std::string prefix;
     appendPair(prefix, "program", program);
     appendPair(prefix, "host", host);
-    std::string pattern = "ts=%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z'}{UTC} level=%p{lower} ";
+    // log4cxx does not support quoted letters in a date format, so the time stamp has two parts.
+    std::string pattern = "ts=%d{yyyy-MM-dd}{UTC}T%d{HH:mm:ss.SSS}{UTC}Z ";
     // A percent sign would start a conversion of the pattern.
     std::ranges::replace(prefix, '%', '_');
     pattern += prefix + " %m%n";
@@ -117,7 +118,10 @@
     }
     const auto native = levelTable[static_cast<std::size_t>(level)].m_native();
     if (logger()->isEnabledFor(native)) {
-        logger()->forcedLog(native, formatLogLine(event, fields));
+        std::string line;
+        appendPair(line, "level", levelTable[static_cast<std::size_t>(level)].m_name);
+        line.append(" ").append(formatLogLine(event, fields));
+        logger()->forcedLog(native, line);
     }
 }
 }
