--- a/bench/capacitymain.cpp
+++ b/bench/capacitymain.cpp
@@ -1,5 +1,6 @@
 #include "capacityprobe.hpp"
 #include "routerprobe.hpp"
+#include "shardprobe.hpp"
 #include "slopefit.hpp"
 
 #include <gflags/gflags.h>
@@ -21,6 +22,9 @@
     probes.push_back(std::make_unique<RouterCpuProbe>());
     probes.push_back(std::make_unique<RouterWorkerMemoryProbe>());
     probes.push_back(std::make_unique<RouterRequestMemoryProbe>());
+    for (const ShardCost &cost : shardCosts()) {
+        probes.push_back(std::make_unique<ShardProbe>(cost));
+    }
     return probes;
 }
 
