--- a/tests/schedulerdaemontest.cpp
+++ b/tests/schedulerdaemontest.cpp
@@ -110,7 +110,7 @@
         document.m_configuration.m_presets.push_back({.m_name = "ordinary"});
         HttpTableStore table(*m_client, {"127.0.0.1", m_platformPort}, std::chrono::seconds(10));
         Transaction transaction;
-        transaction.m_puts.push_back({.m_key = "config", .m_value = document.rowText()});
+        transaction.m_puts.push_back({.m_key = "config", .m_value = document.rowBytes()});
         std::optional<CommitResult> result;
         table.commit(transaction, [&](CommitResult &&received) {
             result = std::move(received);
