Write log times and levels as the design page says

Ruled out: another date pattern in one part, because log4cxx copies the quotes and reads Z as a zone.

Change: the date format is given in two parts, and logEvent() writes the level, after program and host.

--- a/src/operations/log.cpp
+++ b/src/operations/log.cpp
@@ -87,7 +87,9 @@
     std::string prefix;
     appendPair(prefix, "program", program);
     appendPair(prefix, "host", host);
-    std::string pattern = "ts=%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z'}{UTC} level=%p{lower} ";
+    // log4cxx copies quotes of a date format as they are and has no lower-case form of a level: the format
+    // is given in two parts, and logEvent() writes the level.
+    std::string pattern = "ts=%d{yyyy-MM-dd}{UTC}T%d{HH:mm:ss.SSS}{UTC}Z ";
     // A percent sign would start a conversion of the pattern.
     std::ranges::replace(prefix, '%', '_');
     pattern += prefix + " %m%n";
@@ -117,7 +119,9 @@
     }
     const auto native = levelTable[static_cast<std::size_t>(level)].m_native();
     if (logger()->isEnabledFor(native)) {
-        logger()->forcedLog(native, formatLogLine(event, fields));
+        std::string line;
+        appendPair(line, "level", levelTable[static_cast<std::size_t>(level)].m_name);
+        logger()->forcedLog(native, line + " " + formatLogLine(event, fields));
     }
 }
 }
--- a/tests/logtest.cpp
+++ b/tests/logtest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <regex>
+
 using namespace Burdockspur;
 
 // Guards against log injection: a value must not add pairs or lines.
@@ -20,3 +22,15 @@
     ASSERT_FALSE(result);
     EXPECT_EQ(result.error().m_code, ErrorCode::BadSettings);
 }
+
+// Guards against lines that tools cannot read: section 6.6 gives the form of time and level.
+TEST(LogTest, LinesHaveTimeAndLevelOfTheDesignPage)
+{
+    ASSERT_TRUE(configureLogging("test", "h1", "info"));
+    testing::internal::CaptureStderr();
+    logEvent(LogLevel::Warning, "sample", {{"job", "j1"}});
+    logEvent(LogLevel::Debug, "hidden", {});
+    const auto lines = testing::internal::GetCapturedStderr();
+    const std::regex form("ts=[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9]{2}:[0-9]{2}:[0-9]{2}\\.[0-9]{3}Z program=test host=h1 level=warning event=sample job=j1\n");
+    EXPECT_TRUE(std::regex_match(lines, form)) << lines;
+}
