Read the host list conditionally

Cause: at 1,000 workers the list has 222,706 bytes of JSON (a generated list); polled each second that is 220 KB/s a daemon against 7 KB/s for all control. Ruled out: polling less often, because a leaving worker must get no new work after a few seconds; a generation parameter of our own, because If-None-Match is what HTTP services commonly know. Change: HttpHostList keeps the entity tag and the last listing and takes 304 as unchanged; the stand-in answers 304. A platform without entity tags works as before. Conclusion: an unchanged list costs a header each way; httphostlisttest covers it.

--- a/include/burdockspur/platform/httphostlist.hpp
+++ b/include/burdockspur/platform/httphostlist.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/platform/hostlist.hpp"
 #include "burdockspur/platform/serviceport.hpp"
 
+#include <string>
 #include <string_view>
 
 namespace Burdockspur
@@ -10,6 +11,9 @@
 /// @brief HostList over the platform's HTTP protocol.
 ///
 /// A listing with a malformed record is an error as a whole: half a listing would look like hosts that left.
+/// The list of 1,000 workers has over 200 KB, so that reading it each second would take 30 times the bytes that
+/// a daemon may spend. A read therefore carries the entity tag of the last listing, and a platform that knows
+/// If-None-Match answers 304 while nothing changed.
 class HttpHostList final : public HostList
 {
 public:
@@ -21,7 +25,11 @@
     auto fetch(ListingCallback callback) -> void override;
 
 private:
+    [[nodiscard]] auto take(const HttpReply &reply) -> Result<HostListing>;
+
     ServicePort m_port;
+    std::string m_entityTag; ///< of m_last; empty when the platform gave none
+    HostListing m_last;
 };
 
 /// @brief Decodes the answer to `GET /v1/hosts`.
--- a/include/burdockspur/platform/serviceport.hpp
+++ b/include/burdockspur/platform/serviceport.hpp
@@ -18,6 +18,9 @@
 
     auto call(std::string_view method, std::string target, std::string body, HttpClient::Callback callback) const -> void;
 
+    /// @brief Sends a request with header fields of its own.
+    auto call(HttpRequest &&request, HttpClient::Callback callback) const -> void;
+
 private:
     HttpClient *m_client;
     HttpEndpoint m_endpoint;
--- a/src/platform/httphostlist.cpp
+++ b/src/platform/httphostlist.cpp
@@ -63,15 +63,33 @@
 
 auto HttpHostList::fetch(ListingCallback callback) -> void
 {
-    m_port.call("GET", "/v1/hosts", "", [callback = std::move(callback)](HttpReply &&reply) {
-        if (!reply || reply->m_status != 200) {
-            callback(std::unexpected(errorOfReply(reply, hostsCall)));
-            return;
-        }
-        callback(decodeHostListing(reply->m_body));
+    HttpRequest request{.m_method = "GET", .m_target = "/v1/hosts", .m_fields = {}, .m_body = {}};
+    if (!m_entityTag.empty()) {
+        request.m_fields.push_back({"If-None-Match", m_entityTag});
+    }
+    m_port.call(std::move(request), [this, callback = std::move(callback)](HttpReply &&reply) {
+        callback(take(reply));
     });
 }
 
+auto HttpHostList::take(const HttpReply &reply) -> Result<HostListing>
+{
+    constexpr int statusOk = 200;
+    constexpr int statusNotModified = 304;
+    if (reply && reply->m_status == statusNotModified && !m_entityTag.empty()) {
+        return m_last;
+    }
+    if (!reply || reply->m_status != statusOk) {
+        return std::unexpected(errorOfReply(reply, hostsCall));
+    }
+    auto listing = decodeHostListing(reply->m_body);
+    if (listing) {
+        m_entityTag = reply->field("ETag");
+        m_last = *listing;
+    }
+    return listing;
+}
+
 auto decodeHostListing(std::string_view body) -> Result<HostListing>
 {
     std::vector<std::string> errors;
--- a/src/platform/serviceport.cpp
+++ b/src/platform/serviceport.cpp
@@ -37,7 +37,11 @@
 
 auto ServicePort::call(std::string_view method, std::string target, std::string body, HttpClient::Callback callback) const -> void
 {
-    HttpRequest request{std::string(method), std::move(target), {}, std::move(body)};
+    call(HttpRequest{std::string(method), std::move(target), {}, std::move(body)}, std::move(callback));
+}
+
+auto ServicePort::call(HttpRequest &&request, HttpClient::Callback callback) const -> void
+{
     m_client->call(m_endpoint, std::move(request), m_timeout, std::move(callback));
 }
 
--- a/standins/platformserver.cpp
+++ b/standins/platformserver.cpp
@@ -18,6 +18,7 @@
 {
 constexpr std::size_t defaultPage = 1'000;
 constexpr std::size_t maxPage = 10'000;
+constexpr int notModified = 304;
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
 constexpr int tooManyRequests = 429;
@@ -177,7 +178,14 @@
 auto PlatformServer::readHosts(const Call &call) -> Answer
 {
     ++m_counts.m_hostListReads;
-    return {encodeHosts(m_hosts.visible(call.m_now))};
+    const HostListing &visible = m_hosts.visible(call.m_now);
+    const std::string tag = "\"" + std::to_string(visible.m_generation) + "\"";
+    if (call.m_request.field("If-None-Match") == tag) {
+        return {HttpResponse{.m_status = notModified, .m_fields = {{"ETag", tag}}, .m_body = {}}};
+    }
+    HttpResponse response = encodeHosts(visible);
+    response.m_fields.push_back({"ETag", tag});
+    return {std::move(response)};
 }
 
 auto PlatformServer::readFaults(const Call &) -> Answer
--- a/tests/httphostlisttest.cpp
+++ b/tests/httphostlisttest.cpp
@@ -43,6 +43,31 @@
     EXPECT_EQ(stub.requests().front().m_target, "/v1/hosts");
 }
 
+// Guards against reading the whole list each second, which at 1,000 workers exceeds the bytes allowed for control.
+TEST(HttpHostListTest, AnUnchangedListIsNotSentAgain)
+{
+    HttpStub stub;
+    stub.respondWith([](const HttpRequest &request) -> std::optional<HttpResponse> {
+        if (request.field("If-None-Match") == "\"5\"") {
+            return HttpResponse{.m_status = 304, .m_fields = {}, .m_body = {}};
+        }
+        HttpResponse response = jsonResponse(200, listing(worker));
+        response.m_fields.push_back({"ETag", "\"5\""});
+        return response;
+    });
+    HttpHostList list(stub.client(), stub.endpoint(), Milliseconds(60'000));
+    const auto fetch = [&list] {
+        return HttpStub::await<Result<HostListing>>([&list](auto callback) {
+            list.fetch(std::move(callback));
+        });
+    };
+    const auto first = fetch();
+    const auto second = fetch();
+    ASSERT_TRUE(first && second);
+    EXPECT_EQ(second->m_hosts, first->m_hosts);
+    EXPECT_EQ(stub.requests().at(1).field("If-None-Match"), "\"5\"");
+}
+
 // Guards against a malformed listing that ends the process or hides hosts.
 TEST(HttpHostListTest, MalformedListingsNameTheMember)
 {
