Keep jobs queued while no worker is listed; log the life of each job

Cause: a job submitted before the first host list was answered as unschedulable, although nothing was known about the workers; job and attempt ids could not be followed in the logs at the default level. Ruled out: delaying the answer to the submission until the list is read. Change: such jobs are queued with a reason and reviewed when workers are listed; job_accepted, attempt_starting, attempt_started, job_requeued and job_ended are logged with ids; request_answered is an info event; the scheduler reads the host list each second again, which is cheap now. Conclusion: JobsWaitWhileNoWorkerIsListed fails before and passes after.

--- a/bench/instantfleet.cpp
+++ b/bench/instantfleet.cpp
@@ -38,7 +38,12 @@
         record.m_job.m_attempt = 1;
         record.m_job.m_worker = m_workers[i % m_workers.size()].m_name;
         record.m_submission = i + 1;
-        m_running[record.m_job.m_worker].push_back({.m_attempt = {.m_job = record.m_job.m_id, .m_number = 1}, .m_state = AttemptState::Running});
+        m_running[record.m_job.m_worker].push_back({.m_attempt = {.m_job = record.m_job.m_id, .m_number = 1},
+                                                    .m_state = AttemptState::Running,
+                                                    .m_progressPercent = 0,
+                                                    .m_checkpoint = {},
+                                                    .m_result = {},
+                                                    .m_usage = {}});
         content.m_records.push_back(std::move(record));
     }
     content.m_lastSequence = 1;
@@ -107,7 +112,8 @@
 auto InstantFleet::answer(StartAttempt &command) -> void
 {
     ++m_starts;
-    m_running[command.m_worker].push_back({.m_attempt = command.m_order.m_attempt, .m_state = AttemptState::Running});
+    m_running[command.m_worker].push_back(
+        {.m_attempt = command.m_order.m_attempt, .m_state = AttemptState::Running, .m_progressPercent = 0, .m_checkpoint = {}, .m_result = {}, .m_usage = {}});
     m_scheduler.handle(StartAnswered{.m_shard = 0,
                                      .m_epoch = 1,
                                      .m_worker = command.m_worker,
--- a/bench/shardprobe.cpp
+++ b/bench/shardprobe.cpp
@@ -29,7 +29,12 @@
     std::vector<AttemptReport> reports;
     const std::size_t recovered = heapBytes();
     for (std::size_t i = 0; i < static_cast<std::size_t>(size); ++i) {
-        reports.push_back({.m_attempt = {.m_job = std::string(33, 'j'), .m_number = 1}, .m_state = AttemptState::Running});
+        reports.push_back({.m_attempt = {.m_job = std::string(33, 'j'), .m_number = 1},
+                           .m_state = AttemptState::Running,
+                           .m_progressPercent = 0,
+                           .m_checkpoint = {},
+                           .m_result = {},
+                           .m_usage = {}});
     }
     const std::size_t modelBytes = heapBytes() - recovered;
     return (static_cast<double>(recovered) - static_cast<double>(constructed) - static_cast<double>(modelBytes)) / bytesPerKilobyte;
--- a/include/burdockspur/shard/schedulersettings.hpp
+++ b/include/burdockspur/shard/schedulersettings.hpp
@@ -24,7 +24,7 @@
     std::uint16_t m_objectsPort = 0;
     std::string m_hostsAddress;
     std::uint16_t m_hostsPort = 0;
-    Milliseconds m_hostsPoll{5'000}; ///< a worker also says itself that it leaves, with each lease answer
+    Milliseconds m_hostsPoll{1'000}; ///< an unchanged list costs a header; a worker also says itself that it leaves
     Milliseconds m_drain{15'000}; ///< a drain that takes longer leaves the shards to their takeover
 };
 
--- a/include/burdockspur/shard/shardscheduler.hpp
+++ b/include/burdockspur/shard/shardscheduler.hpp
@@ -181,6 +181,7 @@
     [[nodiscard]] auto mayPlace() const noexcept -> bool;
     [[nodiscard]] auto current(std::string_view worker, const AttemptId &attempt) -> JobEntry *;
     [[nodiscard]] auto concerns(ShardId shard, Epoch epoch) const noexcept -> bool;
+    auto logJob(std::string_view event, const JobEntry &entry) const -> void;
     auto change(JobEntry &entry, const Turn &turn) -> void;
     auto change(JobEntry &entry, DurableEffect effect, const Turn &turn) -> void;
 
@@ -193,7 +194,7 @@
     Journal m_journal;
     SnapshotKeeper m_snapshots;
     ShardCounters m_counters;
-    std::set<std::string, std::less<>> m_unschedulable;
+    std::set<std::string, std::less<>> m_unschedulable; ///< reviewed when the listed workers change
     std::vector<PlacementCandidate> m_candidates;
     std::uint64_t m_lastSubmission = 0;
     bool m_acceptBatch = true;
--- a/include/burdockspur/shard/workertable.hpp
+++ b/include/burdockspur/shard/workertable.hpp
@@ -40,6 +40,9 @@
     /// @brief True when a listed worker could ever hold the demand.
     [[nodiscard]] auto canEverHold(const Resources &demand) const noexcept -> bool;
 
+    /// @brief True when the host list shows at least one worker of the shard.
+    [[nodiscard]] auto hasListed() const noexcept -> bool;
+
     /// @brief Counts a failed start or task; quarantines the worker after several in a row.
     /// @returns true when the worker entered quarantine
     auto countFailure(Worker &worker, TimePoint now) -> bool;
--- a/src/host/callerduty.cpp
+++ b/src/host/callerduty.cpp
@@ -270,7 +270,7 @@
             "request_not_answered",
             {{"request", answer.m_requestId}, {"outcome", outcomeName(answer.m_outcome)}, {"code", errorName(answer.m_code)}, {"worker", answer.m_worker}});
     } else {
-        logEvent(LogLevel::Debug, "request_answered", {{"request", answer.m_requestId}, {"worker", answer.m_worker}});
+        logEvent(LogLevel::Info, "request_answered", {{"request", answer.m_requestId}, {"worker", answer.m_worker}});
     }
     send(pending->m_exchange, encodeAnswer(std::move(answer)));
 }
--- a/src/shard/shardscheduler.cpp
+++ b/src/shard/shardscheduler.cpp
@@ -156,6 +156,7 @@
     record.m_submission = ++m_lastSubmission;
     JobEntry &entry = m_jobs.put(record);
     enqueue(entry);
+    logJob("job_accepted", entry);
     change(entry, {.m_kind = DurableEffect::Kind::Answer, .m_ticket = event.m_ticket, .m_attempt = 0, .m_worker = {}}, turn);
 }
 
@@ -230,8 +231,9 @@
     m_queue.rewind();
     for (const auto &id : std::exchange(m_unschedulable, {})) {
         JobEntry &entry = *m_jobs.find(id);
+        const Job before = entry.m_record.m_job;
         enqueue(entry);
-        if (entry.m_record.m_job.m_state == JobState::Queued) {
+        if (entry.m_record.m_job != before) {
             change(entry, turn);
         }
     }
@@ -244,11 +246,13 @@
         job.m_reason.clear();
         m_jobs.setState(entry, JobState::Queued);
         m_queue.insert(entry.m_record);
-    } else {
-        job.m_reason = "no listed worker of the shard has the demanded capacity";
-        m_jobs.setState(entry, JobState::Unschedulable);
-        m_unschedulable.insert(job.m_id);
+        return;
     }
+    // Without any listed worker, nothing is known about the capacity that the shard will have.
+    const bool isKnown = m_workers.hasListed();
+    job.m_reason = isKnown ? "no listed worker of the shard has the demanded capacity" : "no worker of the shard is listed";
+    m_jobs.setState(entry, isKnown ? JobState::Unschedulable : JobState::Queued);
+    m_unschedulable.insert(job.m_id);
 }
 
 auto ShardScheduler::finish(JobEntry &entry, JobState state, std::string_view reason, const Turn &turn) -> void
@@ -258,9 +262,20 @@
     m_jobs.setState(entry, state);
     entry.m_record.m_job.m_reason = reason;
     change(entry, turn);
-    logEvent(LogLevel::Debug,
-             "job_ended",
-             {{"job", entry.m_record.m_job.m_id}, {"state", jobStateName(state)}, {"shard", m_tenure.m_shard}, {"epoch", m_tenure.m_epoch}});
+    logJob("job_ended", entry);
+}
+
+auto ShardScheduler::logJob(std::string_view event, const JobEntry &entry) const -> void
+{
+    const Job &job = entry.m_record.m_job;
+    logEvent(LogLevel::Info,
+             event,
+             {{"job", job.m_id},
+              {"attempt", job.m_attempt},
+              {"state", jobStateName(job.m_state)},
+              {"worker", job.m_worker},
+              {"shard", m_tenure.m_shard},
+              {"epoch", m_tenure.m_epoch}});
 }
 
 auto ShardScheduler::mayPlace() const noexcept -> bool
--- a/src/shard/shardschedulerattempts.cpp
+++ b/src/shard/shardschedulerattempts.cpp
@@ -85,6 +85,7 @@
         return;
     }
     enqueue(entry);
+    logJob("job_requeued", entry);
     change(entry, turn);
 }
 
--- a/src/shard/shardschedulerstore.cpp
+++ b/src/shard/shardschedulerstore.cpp
@@ -68,6 +68,7 @@
     if (entry.m_phase == AttemptPhase::Assigning && entry.m_record.m_job.m_attempt == effect.m_attempt) {
         entry.m_phase = AttemptPhase::Starting;
         ++m_counters.m_starts;
+        logJob("attempt_starting", entry);
         sendStart(entry, turn);
     }
 }
--- a/src/shard/shardschedulerworkers.cpp
+++ b/src/shard/shardschedulerworkers.cpp
@@ -159,6 +159,7 @@
     switch (event.m_result.m_status) {
     case StartResult::Status::Started:
         confirmRunning(*entry, AttemptReport(), turn);
+        logJob("attempt_started", *entry);
         if (worker.isLeaving()) {
             evict(*entry, turn);
         }
--- a/src/shard/workertable.cpp
+++ b/src/shard/workertable.cpp
@@ -78,6 +78,13 @@
     });
 }
 
+auto WorkerTable::hasListed() const noexcept -> bool
+{
+    return std::ranges::any_of(m_workers, [](const auto &entry) {
+        return entry.second.m_listed;
+    });
+}
+
 auto WorkerTable::countFailure(Worker &worker, TimePoint now) -> bool
 {
     ++worker.m_failures;
--- a/tests/shardschedulertest.cpp
+++ b/tests/shardschedulertest.cpp
@@ -329,3 +329,17 @@
     tick(m_settings.m_renewal);
     EXPECT_TRUE(m_commands.empty());
 }
+
+// Guards against jobs reported as unschedulable only because the host list was not read yet.
+TEST_F(ShardSchedulerTest, JobsWaitWhileNoWorkerIsListed)
+{
+    submit("a");
+    run();
+    EXPECT_EQ(job("a").m_state, JobState::Queued);
+    EXPECT_EQ(job("a").m_reason, "no worker of the shard is listed");
+    submit("large", 100'000);
+    listWorkers(1);
+    run();
+    EXPECT_EQ(job("a").m_state, JobState::Assigned);
+    EXPECT_EQ(job("large").m_state, JobState::Unschedulable);
+}
