--- a/tests/jobroutertest.cpp
+++ b/tests/jobroutertest.cpp
@@ -32,7 +32,7 @@
         m_router.handle(std::move(event), m_now, m_random, m_orders);
     }
 
-    auto own(std::string_view host, std::vector<ShardId> shards, Epoch epoch) -> void
+    auto own(std::string_view host, std::initializer_list<ShardId> shards, Epoch epoch) -> void
     {
         apply(LinkStateChanged{std::string(host), true});
         OwnershipReport report;
