--- a/bench/routerprobe.cpp
+++ b/bench/routercosts.cpp
@@ -1,4 +1,4 @@
-#include "routerprobe.hpp"
+#include "measuredcost.hpp"
 
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/core/randomsource.hpp"
@@ -6,11 +6,15 @@
 #include "fleet.hpp"
 #include "resourceusage.hpp"
 
+#include <array>
+
 namespace Burdockspur::Bench
 {
 namespace
 {
 constexpr std::size_t bodyBytes = 128;
+constexpr double bytesPerKilobyte = 1e3;
+constexpr double nanosecondsPerMicrosecond = 1e3;
 constexpr int requestsMeasured = 20'000;
 constexpr std::array<double, 5> workerCounts{65, 125, 250, 500, 1000};
 constexpr std::array<double, 4> requestCounts{500, 1000, 1500, 2000};
@@ -39,31 +43,9 @@
     }
     commands.clear();
 }
-}
-
-auto RouterCpuProbe::name() const noexcept -> std::string_view
-{
-    return "router: CPU of a request";
-}
-
-auto RouterCpuProbe::unit() const noexcept -> std::string_view
-{
-    return "us";
-}
-
-auto RouterCpuProbe::sizeName() const noexcept -> std::string_view
-{
-    return "workers";
-}
 
-auto RouterCpuProbe::sizes() const noexcept -> std::span<const double>
+[[nodiscard]] auto cpuOfRequest(double size) -> double
 {
-    return workerCounts;
-}
-
-auto RouterCpuProbe::measure(double size) -> double
-{
-    constexpr double nanosecondsPerMicrosecond = 1e3;
     RandomSource random(1);
     const TimePoint now{std::chrono::hours(1)};
     std::vector<RouterCommand> commands;
@@ -78,29 +60,8 @@
     return (threadCpuNanoseconds() - begin) / requestsMeasured / nanosecondsPerMicrosecond;
 }
 
-auto RouterWorkerMemoryProbe::name() const noexcept -> std::string_view
-{
-    return "router: memory for workers";
-}
-
-auto RouterWorkerMemoryProbe::unit() const noexcept -> std::string_view
+[[nodiscard]] auto memoryOfWorkers(double size) -> double
 {
-    return "KB";
-}
-
-auto RouterWorkerMemoryProbe::sizeName() const noexcept -> std::string_view
-{
-    return "workers";
-}
-
-auto RouterWorkerMemoryProbe::sizes() const noexcept -> std::span<const double>
-{
-    return workerCounts;
-}
-
-auto RouterWorkerMemoryProbe::measure(double size) -> double
-{
-    constexpr double bytesPerKilobyte = 1e3;
     RandomSource random(1);
     std::vector<RouterCommand> commands;
     const std::size_t before = heapBytes();
@@ -109,30 +70,9 @@
     return static_cast<double>(heapBytes() - before) / bytesPerKilobyte;
 }
 
-auto RouterRequestMemoryProbe::name() const noexcept -> std::string_view
-{
-    return "router: memory for requests in progress";
-}
-
-auto RouterRequestMemoryProbe::unit() const noexcept -> std::string_view
-{
-    return "KB";
-}
-
-auto RouterRequestMemoryProbe::sizeName() const noexcept -> std::string_view
-{
-    return "requests";
-}
-
-auto RouterRequestMemoryProbe::sizes() const noexcept -> std::span<const double>
-{
-    return requestCounts;
-}
-
-auto RouterRequestMemoryProbe::measure(double size) -> double
+[[nodiscard]] auto memoryOfRequests(double size) -> double
 {
     constexpr std::size_t workers = 1000;
-    constexpr double bytesPerKilobyte = 1e3;
     RandomSource random(1);
     const TimePoint now{std::chrono::hours(1)};
     RequestRouter router(RouterLimits{}, "zone-0");
@@ -147,4 +87,16 @@
     }
     return static_cast<double>(heapBytes() - before) / bytesPerKilobyte;
 }
+
+constexpr std::array<MeasuredCost, 3> costTable{{
+    {"router: CPU of a request", "us", "workers", workerCounts, &cpuOfRequest},
+    {"router: memory for workers", "KB", "workers", workerCounts, &memoryOfWorkers},
+    {"router: memory for requests in progress", "KB", "requests", requestCounts, &memoryOfRequests},
+}};
+}
+
+auto routerCosts() noexcept -> std::span<const MeasuredCost>
+{
+    return costTable;
+}
 }
--- a/bench/shardprobe.cpp
+++ b/bench/shardcosts.cpp
@@ -1,7 +1,6 @@
-#include "shardprobe.hpp"
-
 #include "burdockspur/shard/jobbatchcodec.hpp"
 #include "instantfleet.hpp"
+#include "measuredcost.hpp"
 #include "resourceusage.hpp"
 
 #include <array>
@@ -105,7 +104,7 @@
     return (threadCpuNanoseconds() - begin) / nanosecondsPerMillisecond;
 }
 
-constexpr std::array<ShardCost, 6> costTable{{
+constexpr std::array<MeasuredCost, 6> costTable{{
     {"shard: memory of running jobs", "KB", "jobs", jobCounts, &memoryOfJobs},
     {"shard: CPU of a lease renewal and its report", "us", "tasks on the worker", taskCounts, &cpuOfRenewal},
     {"shard: CPU of a start, from submission to completion", "us", "workers of the shard", shardWorkers, &cpuOfStart},
@@ -115,32 +114,7 @@
 }};
 }
 
-auto ShardProbe::name() const noexcept -> std::string_view
-{
-    return m_cost.m_name;
-}
-
-auto ShardProbe::unit() const noexcept -> std::string_view
-{
-    return m_cost.m_unit;
-}
-
-auto ShardProbe::sizeName() const noexcept -> std::string_view
-{
-    return m_cost.m_sizeName;
-}
-
-auto ShardProbe::sizes() const noexcept -> std::span<const double>
-{
-    return m_cost.m_sizes;
-}
-
-auto ShardProbe::measure(double size) -> double
-{
-    return m_cost.m_measure(size);
-}
-
-auto shardCosts() noexcept -> std::span<const ShardCost>
+auto shardCosts() noexcept -> std::span<const MeasuredCost>
 {
     return costTable;
 }
