Tell callers of an end only when it is durable

Cause: queries, and answers that waited for an earlier row, showed the state in memory, which may hold an end whose row is not written yet. A takeover could replace it by another end. Queries of ended jobs now wait for the row; others are answered at once. Lists still show the state in memory.

--- a/include/burdockspur/shard/shardevent.hpp
+++ b/include/burdockspur/shard/shardevent.hpp
@@ -25,6 +25,12 @@
     std::string m_job;
 };
 
+/// @brief A caller asks for a job.
+struct JobQueried {
+    Ticket m_ticket;
+    std::string m_job;
+};
+
 /// @brief The workers of the shard, as last listed by the platform.
 struct WorkersListed {
     std::vector<HostRecord> m_workers;
@@ -74,6 +80,7 @@
 /// @brief Everything that a ShardScheduler reacts to besides the passing of time.
 using ShardEvent = std::variant<JobSubmitted,
                                 CancelRequested,
+                                JobQueried,
                                 WorkersListed,
                                 PolicyChanged,
                                 LeaseAnswered,
--- a/include/burdockspur/shard/shardscheduler.hpp
+++ b/include/burdockspur/shard/shardscheduler.hpp
@@ -114,6 +114,7 @@
     // Callers.
     auto onEvent(const JobSubmitted &event, const Turn &turn) -> void;
     auto onEvent(const CancelRequested &event, const Turn &turn) -> void;
+    auto onEvent(const JobQueried &event, const Turn &turn) -> void;
     auto accept(const JobSubmitted &event, const Turn &turn) -> void;
     auto answer(const Ticket &ticket, const JobEntry &entry, const Turn &turn) -> void;
     auto answerError(const Ticket &ticket, ErrorCode code, std::string message, const Turn &turn) -> void;
--- a/src/shard/sharddutyrequests.cpp
+++ b/src/shard/sharddutyrequests.cpp
@@ -64,15 +64,8 @@
 
 auto ShardDuty::serve(const Ticket &ticket, const QueryJob &request) -> void
 {
-    OwnedShard *const shard = schedulerOf(request.m_job, ticket);
-    if (shard == nullptr) {
-        return;
-    }
-    const JobEntry *const entry = std::as_const(*shard->m_scheduler).jobs().find(request.m_job);
-    if (entry == nullptr) {
-        answerError(ticket, ErrorCode::UnknownJob, "no job has this id");
-    } else {
-        answer(ticket, JobReply{.m_job = entry->m_record.m_job});
+    if (OwnedShard *const shard = schedulerOf(request.m_job, ticket)) {
+        dispatch(*shard, JobQueried{.m_ticket = ticket, .m_job = request.m_job});
     }
 }
 
--- a/src/shard/shardscheduler.cpp
+++ b/src/shard/shardscheduler.cpp
@@ -192,6 +192,19 @@
     answer(event.m_ticket, *entry, turn);
 }
 
+auto ShardScheduler::onEvent(const JobQueried &event, const Turn &turn) -> void
+{
+    const JobEntry *const entry = m_jobs.find(event.m_job);
+    if (entry == nullptr) {
+        answerError(event.m_ticket, ErrorCode::UnknownJob, "no job has this id", turn);
+    } else if (isTerminal(entry->m_record.m_job.m_state)) {
+        // An end that is not durable could still be replaced by another one after a takeover.
+        answer(event.m_ticket, *entry, turn);
+    } else {
+        turn.m_commands.emplace_back(AnswerRequest{.m_ticket = event.m_ticket, .m_result = entry->m_record.m_job});
+    }
+}
+
 auto ShardScheduler::cancel(JobEntry &entry, const Turn &turn) -> void
 {
     entry.m_record.m_cancelRequested = true;
--- a/src/shard/shardschedulerstore.cpp
+++ b/src/shard/shardschedulerstore.cpp
@@ -59,6 +59,11 @@
 
 auto ShardScheduler::effectAnswer(JobEntry &entry, const DurableEffect &effect, const Turn &turn) -> void
 {
+    if (isTerminal(entry.m_record.m_job.m_state) && m_journal.isWaiting(entry.m_record.m_job.m_id)) {
+        // The job has ended since its row was cut; that end is in the next row.
+        change(entry, effect, turn);
+        return;
+    }
     turn.m_commands.emplace_back(AnswerRequest{.m_ticket = effect.m_ticket, .m_result = entry.m_record.m_job});
 }
 
--- a/tests/shardschedulertest.cpp
+++ b/tests/shardschedulertest.cpp
@@ -329,3 +329,22 @@
     tick(m_settings.m_renewal);
     EXPECT_TRUE(m_commands.empty());
 }
+
+// Guards against a caller who is told of an end that a takeover could still replace by another one.
+TEST_F(ShardSchedulerTest, EndIsToldOnlyWhenItIsDurable)
+{
+    listWorkers(1);
+    submit("a");
+    run();
+    take<AnswerRequest>();
+    handle(CancelRequested{.m_ticket = {.m_link = 1, .m_correlation = 90}, .m_job = "a"});
+    AttemptReport stopped;
+    stopped.m_attempt = {.m_job = "a", .m_number = 1};
+    stopped.m_state = AttemptState::Stopped;
+    handle(StopAnswered{.m_shard = 0, .m_epoch = 1, .m_worker = "w0", .m_attempt = stopped.m_attempt, .m_report = stopped});
+    EXPECT_EQ(job("a").m_state, JobState::Cancelled);
+    handle(JobQueried{.m_ticket = {.m_link = 1, .m_correlation = 91}, .m_job = "a"});
+    EXPECT_TRUE(take<AnswerRequest>().empty());
+    run();
+    EXPECT_EQ(take<AnswerRequest>().size(), 2U);
+}
