--- a/bench/demorun.cpp
+++ b/bench/demorun.cpp
@@ -4,6 +4,9 @@
 #include <QJsonObject>
 
 #include <algorithm>
+#include <array>
+#include <filesystem>
+#include <iostream>
 
 namespace Burdockspur::Bench
 {
@@ -12,6 +15,8 @@
 constexpr int statusOk = 200;
 constexpr int statusAccepted = 202;
 constexpr auto pollPeriod = Milliseconds(200);
+// Rounds of requests stay far below the 20,000 entries that a worker's journal keeps.
+constexpr auto roundPause = Milliseconds(250);
 
 [[nodiscard]] auto parseObject(std::string_view json) -> QJsonObject
 {
@@ -66,7 +71,7 @@
                           {QStringLiteral("cpu_millis"), isBatch ? 1000 : 200},
                           {QStringLiteral("memory_mb"), 512},
                           {QStringLiteral("accelerators"), 0},
-                          {QStringLiteral("duration_ms"), isBatch ? 4000 : 0},
+                          {QStringLiteral("duration_ms"), isBatch ? static_cast<qint64>(m_plan.m_batchDuration.count()) : 0},
                           {QStringLiteral("urgent"), false},
                           {QStringLiteral("payload"), QString::fromUtf8(payload.data(), static_cast<qsizetype>(payload.size()))}};
     PendingCall call{.m_server = entry(entryIndex), .m_request = {}};
@@ -77,6 +82,59 @@
     return call;
 }
 
+auto DemoRun::callRepeatedly(std::span<const PendingCall> calls, int wantedStatus) -> std::vector<HttpReply>
+{
+    const TimePoint deadline = Clock::now() + m_plan.m_patience;
+    const auto isUnanswered = [wantedStatus](const HttpReply &reply) {
+        return !reply || reply->m_status != wantedStatus;
+    };
+    std::vector<PendingCall> copies(calls.begin(), calls.end());
+    std::vector<HttpReply> replies = m_session.callAll(copies);
+    for (std::size_t shift = 1; m_plan.m_repeatUnanswered && std::ranges::any_of(replies, isUnanswered) && Clock::now() < deadline; ++shift) {
+        CallerSession::wait(pollPeriod);
+        std::vector<std::size_t> indices;
+        std::vector<PendingCall> repeated;
+        for (std::size_t i = 0; i < calls.size(); ++i) {
+            if (isUnanswered(replies[i])) {
+                const auto first = std::ranges::find(m_plan.m_entries, calls[i].m_server);
+                indices.push_back(i);
+                repeated.push_back(calls[i]);
+                repeated.back().m_server = entry(static_cast<std::size_t>(first - m_plan.m_entries.begin()) + shift);
+            }
+        }
+        std::vector<HttpReply> again = m_session.callAll(repeated);
+        for (std::size_t i = 0; i < indices.size(); ++i) {
+            replies[indices[i]] = std::move(again[i]);
+        }
+    }
+    return replies;
+}
+
+auto DemoRun::isStopped() const -> bool
+{
+    std::error_code error;
+    return m_plan.m_until.empty() || std::filesystem::exists(m_plan.m_until, error);
+}
+
+auto DemoRun::sendRounds(WorkRow &checks, WorkRow &holds) -> Result<void>
+{
+    for (std::size_t round = 1;; ++round) {
+        checks.add(sendRequests("check", m_plan.m_checks, 1));
+        if (round == 1) {
+            if (const auto left = makeWorkerLeave(); !left) {
+                return left;
+            }
+        }
+        holds.add(sendRequests("hold", m_plan.m_holds, 2));
+        if (isStopped()) {
+            return {};
+        }
+        // Scripts wait for rounds that began and ended under a fault.
+        std::cout << "round=" << round << " answered=" << checks.m_answered + holds.m_answered << " lost=" << checks.m_lost + holds.m_lost << std::endl;
+        CallerSession::wait(roundPause);
+    }
+}
+
 auto DemoRun::sendRequests(std::string_view service, std::size_t count, std::size_t copies) -> WorkRow
 {
     std::vector<AskedRequest> asked;
@@ -90,7 +148,7 @@
             calls.push_back(requestCall(i + copy, service, key, body));
         }
     }
-    const std::vector<HttpReply> replies = m_session.callAll(calls);
+    const std::vector<HttpReply> replies = callRepeatedly(calls, statusOk);
     WorkRow row{.m_kind = "requests: " + std::string(service), .m_asked = count};
     for (std::size_t i = 0; i < count; ++i) {
         const auto copiesOfRequest = std::span(replies).subspan(i * copies, copies);
@@ -102,6 +160,11 @@
         asked[i].m_requestId = answered ? copiesOfRequest.front()->field("Burdockspur-Request-Id") : std::string_view();
         row.m_answered += answered ? 1 : 0;
         row.m_lost += answered ? 0 : 1;
+        for (const HttpReply &reply : copiesOfRequest) {
+            if (!isAnswered(reply)) {
+                std::cerr << "unanswered " << service << ": " << describe(reply) << std::endl;
+            }
+        }
         row.m_different += static_cast<std::uint64_t>(std::ranges::count_if(copiesOfRequest, [&](const HttpReply &reply) {
             return isAnswered(reply) && (reply->m_body != asked[i].m_expected || reply->field("Burdockspur-Request-Id") != asked[i].m_requestId);
         }));
@@ -125,7 +188,7 @@
             calls.push_back(submitCall(i + copy, kind, key, payload));
         }
     }
-    const std::vector<HttpReply> replies = m_session.callAll(calls);
+    const std::vector<HttpReply> replies = callRepeatedly(calls, statusAccepted);
     for (std::size_t i = 0; i < replies.size(); ++i) {
         const HttpReply &reply = replies[i];
         if (!reply || reply->m_status != statusAccepted) {
@@ -141,8 +204,11 @@
 auto DemoRun::refresh(std::span<AskedJob> jobs) -> void
 {
     std::vector<PendingCall> calls;
+    calls.reserve(jobs.size());
+    ++m_refreshes;
     for (std::size_t i = 0; i < jobs.size(); ++i) {
-        calls.push_back({.m_server = entry(i), .m_request = {.m_method = "GET", .m_target = "/v1/jobs/" + jobs[i].m_id, .m_fields = {}, .m_body = {}}});
+        calls.push_back(
+            {.m_server = entry(i + m_refreshes), .m_request = {.m_method = "GET", .m_target = "/v1/jobs/" + jobs[i].m_id, .m_fields = {}, .m_body = {}}});
     }
     const std::vector<HttpReply> replies = m_session.callAll(calls);
     for (std::size_t i = 0; i < jobs.size(); ++i) {
@@ -169,14 +235,27 @@
     }
 }
 
-auto DemoRun::cancel(std::span<const AskedJob> jobs) -> void
+auto DemoRun::cancel(std::span<AskedJob> jobs) -> bool
 {
-    std::vector<PendingCall> calls;
-    for (std::size_t i = 0; i < jobs.size(); ++i) {
-        calls.push_back({.m_server = entry(i), .m_request = {.m_method = "DELETE", .m_target = "/v1/jobs/" + jobs[i].m_id, .m_fields = {}, .m_body = {}}});
+    const TimePoint deadline = Clock::now() + m_plan.m_patience;
+    for (std::size_t shift = 0;; ++shift) {
+        std::vector<PendingCall> calls;
+        calls.reserve(jobs.size());
+        for (std::size_t i = 0; i < jobs.size(); ++i) {
+            calls.push_back(
+                {.m_server = entry(i + shift), .m_request = {.m_method = "DELETE", .m_target = "/v1/jobs/" + jobs[i].m_id, .m_fields = {}, .m_body = {}}});
+        }
+        // Whether the cancellations took effect is seen in the states of the jobs.
+        [[maybe_unused]] const std::vector<HttpReply> replies = m_session.callAll(calls);
+        CallerSession::wait(pollPeriod);
+        refresh(jobs);
+        const bool ended = std::ranges::all_of(jobs, [](const AskedJob &job) {
+            return job.m_state == "cancelled";
+        });
+        if (ended || Clock::now() >= deadline) {
+            return ended;
+        }
     }
-    // Whether the cancellations took effect is seen in the states of the jobs.
-    [[maybe_unused]] const std::vector<HttpReply> replies = m_session.callAll(calls);
 }
 
 auto DemoRun::makeWorkerLeave() -> Result<void>
@@ -239,15 +318,17 @@
         return std::unexpected(batch.error());
     }
     const bool watchersRan = waitForState(*watchers, "running");
-    WorkRow checks = sendRequests("check", m_plan.m_checks, 1);
-    if (const auto left = makeWorkerLeave(); !left) {
-        return std::unexpected(left.error());
+    if (!m_plan.m_until.empty()) {
+        std::cout << "phase=working" << std::endl;
+    }
+    WorkRow checks{.m_kind = "requests: check"};
+    WorkRow holds{.m_kind = "requests: hold"};
+    if (const auto sent = sendRounds(checks, holds); !sent) {
+        return std::unexpected(sent.error());
     }
-    WorkRow holds = sendRequests("hold", m_plan.m_holds, 2);
     // An unfinished job shows as lost in its row.
     [[maybe_unused]] const bool completed = waitForState(*batch, "completed");
-    cancel(*watchers);
-    const bool watchersEnded = waitForState(*watchers, "cancelled");
+    const bool watchersEnded = cancel(*watchers);
     if (const auto truth = readTruth(); !truth) {
         return std::unexpected(truth.error());
     }
@@ -259,6 +340,14 @@
     holds.m_ran = static_cast<std::uint64_t>(std::ranges::count_if(m_keyed, [this](const AskedRequest &request) {
         return m_truth.executionsOfKey(request.m_requestId) > 0;
     }));
-    return std::vector<WorkRow>{checks, holds, jobRow("batch jobs", *batch, "completed"), watcherRow};
+    std::vector<WorkRow> rows{checks, holds, jobRow("batch jobs", *batch, "completed"), watcherRow};
+    const std::array<std::size_t, 4> planned{m_plan.m_checks, m_plan.m_holds, m_plan.m_batchJobs, m_plan.m_watchers};
+    for (std::size_t kind = planned.size(); kind-- > 0;) {
+        // A kind of work that the plan leaves out is no failure.
+        if (planned[kind] == 0) {
+            rows.erase(rows.begin() + static_cast<std::ptrdiff_t>(kind));
+        }
+    }
+    return rows;
 }
 }
--- a/bench/demorun.hpp
+++ b/bench/demorun.hpp
@@ -43,11 +43,14 @@
     [[nodiscard]] auto entry(std::size_t index) const -> const HttpEndpoint &;
     [[nodiscard]] auto requestCall(std::size_t entryIndex, std::string_view service, std::string_view key, std::string_view body) const -> PendingCall;
     [[nodiscard]] auto submitCall(std::size_t entryIndex, std::string_view kind, std::string_view key, std::string_view payload) const -> PendingCall;
+    [[nodiscard]] auto callRepeatedly(std::span<const PendingCall> calls, int wantedStatus) -> std::vector<HttpReply>;
+    [[nodiscard]] auto isStopped() const -> bool;
+    [[nodiscard]] auto sendRounds(WorkRow &checks, WorkRow &holds) -> Result<void>;
     [[nodiscard]] auto sendRequests(std::string_view service, std::size_t count, std::size_t copies) -> WorkRow;
     [[nodiscard]] auto submitJobs(std::string_view kind, std::size_t count) -> Result<std::vector<AskedJob>>;
     [[nodiscard]] auto waitForState(std::span<AskedJob> jobs, std::string_view state) -> bool;
     auto refresh(std::span<AskedJob> jobs) -> void;
-    auto cancel(std::span<const AskedJob> jobs) -> void;
+    [[nodiscard]] auto cancel(std::span<AskedJob> jobs) -> bool;
     [[nodiscard]] auto makeWorkerLeave() -> Result<void>;
     [[nodiscard]] auto readTruth() -> Result<void>;
     [[nodiscard]] auto jobRow(std::string_view kind, std::span<const AskedJob> jobs, std::string_view state) const -> WorkRow;
@@ -58,5 +61,6 @@
     CallerSession m_session;
     ExecutionTruth m_truth;
     std::vector<AskedRequest> m_keyed;
+    std::size_t m_refreshes = 0; ///< shifts the entry hosts that are asked, so that a failed one hides no job
 };
 }
--- a/bench/workrow.hpp
+++ b/bench/workrow.hpp
@@ -16,6 +16,18 @@
     std::uint64_t m_lost = 0; ///< without an answer or end state
     std::uint64_t m_different = 0; ///< answers or results that belong to something else
 
+    /// @brief Adds the counts of a further round of the same kind.
+    auto add(const WorkRow &round) noexcept -> void
+    {
+        m_asked += round.m_asked;
+        m_ran += round.m_ran;
+        m_answered += round.m_answered;
+        m_resumed += round.m_resumed;
+        m_doubled += round.m_doubled;
+        m_lost += round.m_lost;
+        m_different += round.m_different;
+    }
+
     [[nodiscard]] auto isClean() const noexcept -> bool
     {
         return m_asked > 0 && m_answered == m_asked && m_doubled == 0 && m_lost == 0 && m_different == 0;
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -117,7 +117,7 @@
         printf '[table]\naddress = "127.0.0.1"\nport = %s\n' "$platform_port"
         printf '[hostlist]\naddress = "127.0.0.1"\nport = %s\n' "$platform_port"
         if [ "$program" = entry ]; then
-            printf '[callers]\naddress = "127.0.0.1"\nport = 0\n'
+            printf '[callers]\naddress = "127.0.0.1"\nport = 0\n%s\n' "${caller_settings:-}"
         else
             printf '[objects]\naddress = "127.0.0.1"\nport = %s\n' "$platform_port"
             printf '[frames]\naddress = "127.0.0.1"\nport = 0\n'
@@ -188,3 +188,158 @@
     done
     join_by , "${list[@]}"
 }
+
+fail() {
+    echo "FAILED: $*"
+    exit 1
+}
+
+passed() {
+    echo "ok: $*"
+}
+
+now_ms() {
+    date +%s%3N
+}
+
+# wait_until SECONDS WHAT COMMAND...: repeats a command until it succeeds. The limit only keeps a test from hanging.
+wait_until() {
+    local limit=$1 what=$2 end=$((SECONDS + $1))
+    shift 2
+    until "$@"; do
+        [ "$SECONDS" -lt "$end" ] || fail "not reached within $limit s: $what"
+        sleep 0.05
+    done
+}
+
+# set_fault ADDRESS:PORT NAME VALUE [MEMBERS]: switches a fault of a stand-in; MEMBERS are further JSON members.
+set_fault() {
+    curl -sS -f -m 30 -o /dev/null -X PUT -d "{\"name\":\"$2\",\"value\":$3${4:+,$4}}" "http://$1/standin/faults"
+}
+
+# begin_work FLAG...: starts burdockspur-demo with rounds of requests and waits until its watchers run.
+begin_work() {
+    start work '^phase=working' "$build/bench/burdockspur-demo" --entry "$(join_by , "${entries[@]}")" --worker "$(named_workers)" \
+        --platform "$platform" --until "$work/stop" --patience_s 120 "$@"
+}
+
+rounds() {
+    grep -c '^round=' "$work/work.out" || true
+}
+
+# wait_rounds COUNT: waits for so many further rounds of requests.
+wait_rounds() {
+    local wanted=$(($(rounds) + $1))
+    wait_until 120 "round $wanted of requests" reached_round "$wanted"
+}
+
+reached_round() {
+    kill -0 "${pids[work]}" 2>/dev/null || fail "the work ended early: $(tail -n 5 "$work/work.log")"
+    [ "$(rounds)" -ge "$1" ]
+}
+
+# end_work: ends the rounds, waits for every job and fails when anything was doubled, lost or different.
+end_work() {
+    local code=0
+    touch "$work/stop"
+    wait "${pids[work]}" || code=$?
+    unset 'pids[work]'
+    grep -v '^\(round\|phase\)=' "$work/work.out" || true
+    if [ "$code" -ne 0 ]; then
+        tail -n 20 "$work/work.log"
+        fail "work was doubled, lost or different"
+    fi
+    passed "$(rounds) rounds of requests and all jobs and watchers agree with the workers' journals"
+}
+
+# status_of ADDRESS:PORT: the status of a daemon, from its admin port.
+status_of() {
+    curl -s -m 5 "http://$1/v1/status"
+}
+
+# owned_shards NUMBER: how many shards the scheduler of an entry host owns.
+owned_shards() {
+    status_of "${scheduler_admins[$1]}" | grep -o '"owned":true' | wc -l
+}
+
+# kill_daemon NAME: SIGKILL, by its process id.
+kill_daemon() {
+    kill -KILL "${pids[$1]}"
+    wait "${pids[$1]}" 2>/dev/null || true
+    unset "pids[$1]"
+}
+
+# raw_exchange ADDRESS:PORT: sends standard input over a new connection and prints what comes back until the
+# other end closes it, or for a safety limit of 20 s.
+raw_exchange() {
+    local descriptor
+    exec {descriptor}<>"/dev/tcp/${1%:*}/${1#*:}"
+    # A daemon may close before it has read everything.
+    cat >&"$descriptor" 2>/dev/null || true
+    timeout 20 cat <&"$descriptor" 2>/dev/null || true
+    exec {descriptor}>&-
+}
+
+# status_and_code CURL_ARGUMENT...: prints the HTTP status and the code of an error answer.
+status_and_code() {
+    local answer
+    answer=$(curl -sS -m 30 -w '\n%{http_code}' "$@")
+    echo "$(tail -n 1 <<<"$answer") $(sed -n 's/.*"code":"\([a-z_]*\)".*/\1/p' <<<"$answer" | head -n 1)"
+}
+
+# check_error EXPECTED WHAT CURL_ARGUMENT...: compares the status and code of an answer, e.g. "400 bad_request".
+check_error() {
+    local expected=$1 what=$2 found
+    shift 2
+    found=$(status_and_code "$@")
+    [ "$found" = "$expected" ] || fail "$what: answered '$found', expected '$expected'"
+    passed "$what: $expected"
+}
+
+# check_running: fails when a daemon has ended.
+check_running() {
+    local name
+    for name in "${!pids[@]}"; do
+        kill -0 "${pids[$name]}" 2>/dev/null || fail "$name has ended: $(tail -n 5 "$work/$name.log")"
+    done
+    passed "every process still runs"
+}
+
+# executions_of_key KEY: how often the workers executed requests with an idempotency key.
+executions_of_key() {
+    local endpoint runs=0
+    for endpoint in "${worker_endpoints[@]}"; do
+        runs=$((runs + $(curl -sS -f "http://$endpoint/standin/journal" | grep -o '{[^{}]*}' |
+            grep '"event":"request_started"' | grep -c "\"key\":\"$1\"" || true)))
+    done
+    echo "$runs"
+}
+
+# count_of_workers NAME: sum of a count over all workers.
+count_of_workers() {
+    local endpoint sum=0 value
+    for endpoint in "${worker_endpoints[@]}"; do
+        value=$(curl -sS -f -m 30 "http://$endpoint/standin/counts" | sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p")
+        sum=$((sum + ${value:?no count $1}))
+    done
+    echo "$sum"
+}
+
+# owner_of_shards: number of the entry host whose scheduler owns most shards.
+owner_of_shards() {
+    local number owned best=0 most=0
+    for number in "${!scheduler_admins[@]}"; do
+        owned=$(owned_shards "$number")
+        if [ "$owned" -gt "$most" ]; then
+            most=$owned
+            best=$number
+        fi
+    done
+    [ "$best" -gt 0 ] || fail "no scheduler owns a shard" >&2
+    echo "$best"
+}
+
+# jobs_in_state STATE COUNT CLASS: whether exactly so many jobs of a class are in a state.
+jobs_in_state() {
+    [ "$(curl -s -m 10 "http://${entries[1]}/v1/jobs?state=$1&limit=1000" | grep -o "\"class\":\"$3\"" | wc -l)" -eq "$2" ]
+}
