Share a worker's connections between the entry hosts

Cause: each entry daemon could open 16 connections to a worker; 9 hosts make 144, but a worker accepts 64. Ruled out: a smaller fixed number, which wastes slots when there are few hosts. Change: the router limits its requests in progress on a worker to its share of the connections, from the number of entry hosts in the host list, less one connection for the scheduler and one for settling. Figures: 9 hosts: 5 requests a host and worker, 63 connections at most instead of 144; up to 6 hosts: 8.

--- a/include/burdockspur/host/entrysettings.hpp
+++ b/include/burdockspur/host/entrysettings.hpp
@@ -29,7 +29,7 @@
     Milliseconds m_hostsInterval{1'000};
     Milliseconds m_configInterval{1'000};
     Milliseconds m_drainTimeout{30'000};
-    std::uint64_t m_connectionsPerWorker = 16;
+    std::uint64_t m_connectionsPerWorker = 8; ///< as many as a worker has slots; the router uses fewer with many entry hosts
     Milliseconds m_connectTimeout{1'000};
 };
 
--- a/include/burdockspur/host/target.hpp
+++ b/include/burdockspur/host/target.hpp
@@ -10,6 +10,7 @@
 /// @brief A worker as this entry host sees it.
 struct Target {
     HostRecord m_record;
+    std::uint32_t m_slotLimit = 0; ///< requests that this entry host may have in progress on the worker
     bool m_listed = true; ///< in the latest host list
     std::uint32_t m_inFlight = 0; ///< slots used by this entry host, never more than the worker has
     std::uint32_t m_references = 0; ///< exchanges that refer to this target
@@ -25,7 +26,7 @@
 
     [[nodiscard]] auto hasFreeSlot() const noexcept -> bool
     {
-        return m_inFlight < m_record.m_slots;
+        return m_inFlight < m_slotLimit;
     }
 
     /// @brief True while other workers are preferred.
@@ -37,7 +38,7 @@
     /// @brief Share of the slots in use, for comparison between workers of different sizes.
     [[nodiscard]] auto load() const noexcept -> double
     {
-        return m_record.m_slots == 0 ? 1.0 : static_cast<double>(m_inFlight) / m_record.m_slots;
+        return m_slotLimit == 0 ? 1.0 : static_cast<double>(m_inFlight) / m_slotLimit;
     }
 };
 }
--- a/src/host/targetduty.cpp
+++ b/src/host/targetduty.cpp
@@ -11,7 +11,7 @@
 /// @brief Settles are rare and must not wait behind requests or for their connections.
 [[nodiscard]] auto settleLimits(HttpClientLimits limits) -> HttpClientLimits
 {
-    limits.m_maxConnectionsPerEndpoint = 2;
+    limits.m_maxConnectionsPerEndpoint = 1;
     return limits;
 }
 }
--- a/src/host/targettable.cpp
+++ b/src/host/targettable.cpp
@@ -8,6 +8,26 @@
 
 namespace Burdockspur
 {
+namespace
+{
+/// Connections to each worker that an entry host needs besides those of requests: one of its scheduler and
+/// one that settles requests.
+constexpr std::uint32_t controlConnections = 2;
+
+/// @brief Requests that one of several entry hosts may have in progress on a worker.
+///
+/// Each uses a connection, and all hosts together must stay below the connections that the worker accepts:
+/// 64 connections over 9 hosts leave 5 for the requests of each.
+[[nodiscard]] auto slotLimitOf(const HostRecord &worker, std::uint32_t entryHosts) noexcept -> std::uint32_t
+{
+    if (worker.m_connections == 0 || entryHosts == 0) {
+        return worker.m_slots;
+    }
+    const std::uint32_t share = worker.m_connections / entryHosts;
+    return std::min(worker.m_slots, share > controlConnections ? share - controlConnections : 1);
+}
+}
+
 TargetTable::TargetTable(const RouterLimits &limits, std::string_view ownZone) : m_limits(limits), m_ownZone(ownZone)
 {
 }
@@ -17,6 +37,7 @@
     for (auto &[name, target] : m_targets) {
         target->m_listed = false;
     }
+    const auto entryHosts = static_cast<std::uint32_t>(std::ranges::count(hosts, HostRole::Entry, &HostRecord::m_role));
     for (const auto &host : hosts) {
         if (host.m_role != HostRole::Worker) {
             continue;
@@ -26,6 +47,7 @@
             target = std::make_unique<Target>();
         }
         target->m_record = host;
+        target->m_slotLimit = slotLimitOf(host, entryHosts);
         target->m_listed = true;
     }
     std::erase_if(m_targets, [](const auto &entry) {
--- a/src/shard/workerduty.cpp
+++ b/src/shard/workerduty.cpp
@@ -18,7 +18,10 @@
 
 auto WorkerDuty::setUp() -> void
 {
-    m_client = std::make_unique<HttpClient>(HttpClientLimits());
+    // A worker's connections are shared by all entry hosts, and its calls are short.
+    HttpClientLimits limits;
+    limits.m_maxConnectionsPerEndpoint = 1;
+    m_client = std::make_unique<HttpClient>(limits);
     m_port = std::make_unique<HttpWorkerPort>(*m_client);
     watch(m_rings.m_workers.wakeDescriptor(), [this] {
         take();
--- a/tests/shardschedulertest.cpp
+++ b/tests/shardschedulertest.cpp
@@ -342,6 +342,7 @@
     run();
     EXPECT_EQ(job("a").m_state, JobState::Assigned);
     EXPECT_EQ(job("large").m_state, JobState::Unschedulable);
+}
 
 // Guards against a caller who is told of an end that a takeover could still replace by another one.
 TEST_F(ShardSchedulerTest, EndIsToldOnlyWhenItIsDurable)
