Test a graceful stop under load and silent connections

Cause: no test stopped daemons with requests in progress or silenced connections to all workers. The killed entry daemon's holds were not certain to be in progress, because entry daemons do not forward Burdockspur-Service-Time-Us to workers, and its other work repeated unanswered requests, which hid failures.

--- a/bench/demomain.cpp
+++ b/bench/demomain.cpp
@@ -18,6 +18,7 @@
 DEFINE_uint32(batch, 40, "batch jobs, each submitted through two entry hosts");
 DEFINE_uint32(watchers, 6, "watchers");
 DEFINE_uint32(batch_duration_ms, 4000, "run time of a batch job");
+DEFINE_uint32(deadline_ms, 10000, "deadline of each request");
 DEFINE_uint32(patience_s, 60, "longest wait for a group of jobs or repeated calls");
 DEFINE_bool(repeat_unanswered, false, "repeat calls without an answer through the next entry host");
 DEFINE_string(until, "", "send requests in rounds until this file exists");
@@ -87,6 +88,7 @@
     plan.m_batchJobs = FLAGS_batch;
     plan.m_watchers = FLAGS_watchers;
     plan.m_batchDuration = Milliseconds(FLAGS_batch_duration_ms);
+    plan.m_deadline = Milliseconds(FLAGS_deadline_ms);
     plan.m_patience = std::chrono::seconds(FLAGS_patience_s);
     plan.m_repeatUnanswered = FLAGS_repeat_unanswered;
     plan.m_until = FLAGS_until;
--- a/bench/demoplan.hpp
+++ b/bench/demoplan.hpp
@@ -28,6 +28,7 @@
     std::string m_leavingWorker; ///< set to leaving while jobs run; empty for none
     std::uint64_t m_seed = 1;
     Milliseconds m_batchDuration{4'000}; ///< declared and actual run time of a batch job
+    Milliseconds m_deadline{10'000}; ///< of each request
     Milliseconds m_patience{60'000}; ///< longest wait for a group of jobs
     bool m_repeatUnanswered = false; ///< calls without an answer are repeated through the next entry host, within the patience
     std::string m_until; ///< requests are sent in rounds until this file exists; empty for one round
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -118,6 +118,7 @@
         printf '[hostlist]\naddress = "127.0.0.1"\nport = %s\n' "$platform_port"
         if [ "$program" = entry ]; then
             printf '[callers]\naddress = "127.0.0.1"\nport = 0\n%s\n' "${caller_settings:-}"
+            printf '%s\n' "${entry_settings:-}"
         else
             printf '[objects]\naddress = "127.0.0.1"\nport = %s\n' "$platform_port"
             printf '[frames]\naddress = "127.0.0.1"\nport = 0\n'
@@ -171,6 +172,15 @@
     done
     publish_hosts "$hosts"
     "$build/daemons/burdockspurctl" config init "${configuration:-scripts/lib/demo-configuration.toml}" --entry "${entries[1]}" >/dev/null
+    # A daemon that has not read the host list yet refuses requests with no_target.
+    for number in $(seq 1 "$hosts"); do
+        wait_until 60 "entry-$number knows $workers workers" knows_targets "$number" "$workers"
+    done
+}
+
+# knows_targets NUMBER COUNT: whether the entry daemon of a host lists so many workers.
+knows_targets() {
+    [ "$(status_of "${entry_admins[$1]}" | grep -o '"accepts":true' | wc -l)" -eq "$2" ]
 }
 
 # join_by SEPARATOR ITEM...
@@ -217,9 +227,10 @@
     curl -sS -f -m 30 -o /dev/null -X PUT -d "{\"name\":\"$2\",\"value\":$3${4:+,$4}}" "http://$1/standin/faults"
 }
 
-# begin_work FLAG...: starts burdockspur-demo with rounds of requests and waits until its watchers run.
+# begin_work FLAG...: starts burdockspur-demo with rounds of requests and waits until its watchers run. It uses
+# all entry daemons, or those in work_entries.
 begin_work() {
-    start work '^phase=working' "$build/bench/burdockspur-demo" --entry "$(join_by , "${entries[@]}")" --worker "$(named_workers)" \
+    start work '^phase=working' "$build/bench/burdockspur-demo" --entry "${work_entries:-$(join_by , "${entries[@]}")}" --worker "$(named_workers)" \
         --platform "$platform" --until "$work/stop" --patience_s 120 "$@"
 }
 
@@ -343,3 +354,13 @@
 jobs_in_state() {
     [ "$(curl -s -m 10 "http://${entries[1]}/v1/jobs?state=$1&limit=1000" | grep -o "\"class\":\"$3\"" | wc -l)" -eq "$2" ]
 }
+
+# pause_workers true|false: while paused, workers hold every call, and their tasks and leases stand still.
+pause_workers() {
+    set_fault "127.0.0.1:$(sed -n 's/^control port=\([0-9]*\).*/\1/p' "$work/worker.out")" pause "$1"
+}
+
+# in_flight NUMBER COUNT: whether an entry daemon has at least so many requests in progress.
+in_flight() {
+    [ "$(status_of "${entry_admins[$1]}" | sed -n 's/.*"requests_in_flight":\([0-9]*\).*/\1/p')" -ge "$2" ]
+}
