--- a/src/operations/log.cpp
+++ b/src/operations/log.cpp
@@ -87,7 +87,8 @@
     std::string prefix;
     appendPair(prefix, "program", program);
     appendPair(prefix, "host", host);
-    // log4cxx does not support quoted letters in a date format, so the time stamp has two parts.
+    // log4cxx copies quotes of a date format as they are and has no lower-case form of a level: the format
+    // is given in two parts, and logEvent() writes the level.
     std::string pattern = "ts=%d{yyyy-MM-dd}{UTC}T%d{HH:mm:ss.SSS}{UTC}Z ";
     // A percent sign would start a conversion of the pattern.
     std::ranges::replace(prefix, '%', '_');
@@ -120,8 +121,7 @@
     if (logger()->isEnabledFor(native)) {
         std::string line;
         appendPair(line, "level", levelTable[static_cast<std::size_t>(level)].m_name);
-        line.append(" ").append(formatLogLine(event, fields));
-        logger()->forcedLog(native, line);
+        logger()->forcedLog(native, line + " " + formatLogLine(event, fields));
     }
 }
 }
