Wait for the status that shows an owner of shards

Cause: process_killedschedulertest failed 3 times of 4 with 'no scheduler owns a shard', because the status of a scheduler is refreshed once a second and the test read it earlier. Ruled out: a missing owner; watchers were already running. Change: the function waits until a status shows an owner, at most 30 s.

--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -336,18 +336,25 @@
     echo "$sum"
 }
 
-# owner_of_shards: number of the entry host whose scheduler owns most shards.
-owner_of_shards() {
-    local number owned best=0 most=0
+# find_owner: sets owner to the number of the entry host whose scheduler owns most shards; fails when none does.
+find_owner() {
+    local number owned most=0
+    owner=0
     for number in "${!scheduler_admins[@]}"; do
         owned=$(owned_shards "$number")
         if [ "$owned" -gt "$most" ]; then
             most=$owned
-            best=$number
+            owner=$number
         fi
     done
-    [ "$best" -gt 0 ] || fail "no scheduler owns a shard" >&2
-    echo "$best"
+    [ "$owner" -gt 0 ]
+}
+
+# owner_of_shards: prints the owner of most shards. The status of a scheduler is refreshed once a second, so
+# it may not show a shard yet that already runs tasks.
+owner_of_shards() {
+    wait_until 30 'a scheduler shows a shard that it owns' find_owner >&2
+    echo "$owner"
 }
 
 # jobs_in_state STATE COUNT CLASS: whether exactly so many jobs of a class are in a state.
