Add a fault matrix over the decision code

Cause: the property tests strike at random times, so no test shows that each kind of fault was tried at each step of each protocol, and none checks the records of the stand-ins.

Change: tests/faultmatrix/ is a deterministic test bed: three schedulers (ShardClaim, ShardScheduler, ShardStore), two entry hosts (RequestRouter) and three workers on the stand-ins' models, with a virtual clock and messages in flight. A table of 20 faults and 13 steps gives 258 cells and 2 that do not apply. Each cell runs with four seeds, with the fault once and twice, and 300 seeded pairs follow. The checks read the workers' audits, the durable rows and the callers' answers. docs/faults.md is written from it.

Ruled out: reuse of ShardWorld, whose table and workers are models of its own instead of the stand-ins'.

--- /dev/null
+++ b/tests/faultmatrix/entryhost.cpp
@@ -0,0 +1,184 @@
+#include "faultmatrix/entryhost.hpp"
+
+#include "burdockspur/host/requestrouter.hpp"
+#include "faultmatrix/storelinks.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace Burdockspur::FaultMatrix
+{
+namespace
+{
+constexpr Milliseconds pollPeriod{1'000};
+}
+
+struct EntryHost::Private {
+    Private(EntryHost &host, std::uint64_t seed)
+        : m_host(host), m_table(host.m_platform, host), m_random(seed), m_router(RouterLimits{}, "a"), m_pollAt(host.m_simulation.m_now)
+    {
+    }
+
+    auto give(RouterEvent &&event) -> void
+    {
+        std::vector<RouterCommand> commands;
+        m_router.handle(std::move(event), m_host.m_simulation.m_now, m_random, commands);
+        for (auto &command : commands) {
+            if (m_host.runs(m_host.m_simulation.m_now)) {
+                carryOut(command);
+            } else if (m_host.m_alive) {
+                // A fault struck while the process was sending: a paused process continues later, a killed one never.
+                m_host.m_simulation.after(m_host, Milliseconds(0), [this, command]() mutable {
+                    carryOut(command);
+                });
+            }
+        }
+    }
+
+    auto carryOut(RouterCommand &command) -> void
+    {
+        std::visit(
+            [this](auto &content) {
+                execute(content);
+            },
+            command);
+    }
+
+    auto execute(AnswerCaller &command) -> void
+    {
+        m_host.m_answered(command.m_ticket, command.m_answer);
+    }
+
+    auto execute(ForwardOrder &order) -> void
+    {
+        SimulatedWorker &worker = workerNamed(order.m_target.m_worker);
+        const auto reply = [this, dispatch = order.m_dispatch](TargetReply taken) {
+            taken.m_dispatch = dispatch;
+            give(TargetReplied{std::move(taken)});
+        };
+        m_host.m_simulation.call(
+            {{Step::Request}, &m_host, &worker},
+            order.m_timeout,
+            [&worker, order, reply](const Simulation::Respond &respond) {
+                worker.request(order, [respond, reply](const TargetReply &answer) {
+                    respond([reply, answer] {
+                        reply(answer);
+                    });
+                });
+            },
+            [reply](bool refused) {
+                TargetReply lost;
+                lost.m_status = refused ? TargetReply::Status::NotSent : TargetReply::Status::Lost;
+                lost.m_error = {refused ? ErrorCode::ConnectionClosed : ErrorCode::Timeout, "no answer"};
+                reply(lost);
+            });
+    }
+
+    auto execute(SettleOrder &order) -> void
+    {
+        SimulatedWorker &worker = workerNamed(order.m_target.m_worker);
+        const auto reply = [this](const SettleReply &taken) {
+            give(SettleReplied{taken});
+        };
+        m_host.m_simulation.call(
+            {{Step::Settle}, &m_host, &worker},
+            order.m_timeout,
+            [&worker, order, reply](const Simulation::Respond &respond) {
+                respond([reply, answer = worker.settle(order)] {
+                    reply(answer);
+                });
+            },
+            [reply, dispatch = order.m_dispatch](bool /*refused*/) {
+                reply({dispatch, SettleReply::Status::NoReply, {}, {ErrorCode::Timeout, "no answer"}});
+            });
+    }
+
+    auto poll() -> void
+    {
+        m_pollAt = m_host.m_simulation.m_now + pollPeriod;
+        if (m_host.m_platform.hosts().m_generation != m_generation) {
+            const HostListing &listing = m_host.m_platform.hosts();
+            m_generation = listing.m_generation;
+            give(HostsChanged{listing});
+        }
+        m_table.read("config", [this](Result<std::vector<TableRow>> &&rows) {
+            if (rows && !rows->empty() && rows->front().m_version > m_configVersion) {
+                m_configVersion = rows->front().m_version;
+                Configuration configuration;
+                configuration.m_version = m_configVersion;
+                give(ConfigurationChanged{configuration});
+            }
+        });
+    }
+
+    [[nodiscard]] auto workerNamed(std::string_view name) const -> SimulatedWorker &
+    {
+        return **std::ranges::find(m_host.m_workers, name, [](const auto &worker) -> std::string_view {
+            return worker->m_name;
+        });
+    }
+
+    EntryHost &m_host;
+    TableLink m_table;
+    RandomSource m_random;
+    RequestRouter m_router;
+    TimePoint m_pollAt;
+    std::uint64_t m_generation = 0;
+    std::uint64_t m_configVersion = 0;
+};
+
+EntryHost::EntryHost(std::string name, Simulation &simulation, SimulatedPlatform &platform, Workers &workers, Answered answered)
+    : Process(std::move(name)), m_simulation(simulation), m_platform(platform), m_workers(workers), m_answered(std::move(answered))
+{
+    EntryHost::restart();
+}
+
+EntryHost::~EntryHost() = default;
+
+auto EntryHost::restart() -> void
+{
+    m_private = std::make_unique<Private>(*this, m_simulation.m_random.next64());
+    Process::restart();
+}
+
+auto EntryHost::request(std::uint64_t ticket, ServiceRequest request) -> void
+{
+    m_private->give(RequestArrived{ticket, std::move(request)});
+}
+
+auto EntryHost::drain() -> void
+{
+    m_private->give(DrainRequested{});
+}
+
+auto EntryHost::pump() -> void
+{
+    if (!runs(m_simulation.m_now)) {
+        return;
+    }
+    if (m_simulation.m_now >= m_private->m_pollAt) {
+        m_private->poll();
+    }
+    if (m_simulation.m_now >= m_private->m_router.nextDeadline()) {
+        m_private->give(TimePassed{});
+    }
+}
+
+auto EntryHost::deadline() const -> TimePoint
+{
+    if (!m_alive) {
+        return TimePoint::max();
+    }
+    return std::max(std::min(m_private->m_pollAt, m_private->m_router.nextDeadline()), m_pausedUntil);
+}
+
+auto EntryHost::configVersion() const -> std::uint64_t
+{
+    return m_private->m_configVersion;
+}
+
+auto EntryHost::isIdle() const -> bool
+{
+    return m_private->m_router.inFlight() == 0 && m_private->m_router.queued() == 0;
+}
+}
--- /dev/null
+++ b/tests/faultmatrix/simulatedworker.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "burdockspur/contract/targetorder.hpp"
+#include "burdockspur/contract/targetreply.hpp"
+#include "burdockspur/platform/workerport.hpp"
+#include "faultmatrix/simulation.hpp"
+#include "standins/workeraudit.hpp"
+#include "standins/workerfaults.hpp"
+#include "standins/workermodel.hpp"
+#include "standins/workerspec.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Burdockspur::FaultMatrix
+{
+/// @brief A worker's model with its clock; answers in the types of the worker port.
+class SimulatedWorker : public Process
+{
+public:
+    using Replied = std::function<void(TargetReply &&)>;
+
+    SimulatedWorker(std::string name, Simulation &simulation, std::uint64_t seed);
+
+    auto kill() -> void override;
+    auto pause(TimePoint now, TimePoint until) -> void override;
+
+    /// @brief Lets the model do what is due; called before any order.
+    auto advance() -> void;
+    [[nodiscard]] auto nextEvent() const -> TimePoint;
+
+    [[nodiscard]] auto renew(const LeaseRenewal &renewal) -> Result<LeaseReport>;
+    [[nodiscard]] auto start(const StartOrder &order) -> StartResult;
+    [[nodiscard]] auto stop(const AttemptOrder &order) -> Result<AttemptReport>;
+    [[nodiscard]] auto checkpoint(const AttemptOrder &order) -> Result<AttemptReport>;
+    auto request(const ForwardOrder &order, Replied replied) -> void;
+    [[nodiscard]] auto settle(const SettleOrder &order) -> SettleReply;
+
+    Standins::WorkerSpec m_spec;
+    Standins::WorkerFaults m_faults;
+    Standins::WorkerAudit m_audit;
+    RandomSource m_random;
+    Standins::WorkerModel m_model;
+    TimePoint m_leavesAt = TimePoint::max(); ///< listed as leaving from then on
+    TimePoint m_returnsAt = TimePoint::max(); ///< listed as live again
+
+private:
+    [[nodiscard]] auto replyOf(Standins::RequestState state, Standins::ExecutionId execution) -> TargetReply;
+
+    Simulation &m_simulation;
+    TimePoint m_pausedSince = TimePoint::max();
+    std::map<Standins::ExecutionId, std::vector<Replied>> m_waiting;
+};
+
+/// @brief Milliseconds of a virtual time, as the audit records them.
+[[nodiscard]] constexpr auto virtualMs(TimePoint time) noexcept -> std::int64_t
+{
+    return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch()).count();
+}
+}
--- /dev/null
+++ b/tests/faultmatrixtest.cpp
@@ -0,0 +1,204 @@
+#include "faultmatrix/faulttable.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+using namespace Burdockspur;
+using namespace Burdockspur::FaultMatrix;
+
+namespace
+{
+constexpr std::uint64_t matrixSeed = 20261204;
+constexpr std::uint64_t seedsOfCell = 4; // other delays, and so other orders of messages
+constexpr int pairCount = 300;
+
+[[nodiscard]] auto contentOf(const std::string &path) -> std::string
+{
+    std::ifstream file(path);
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+
+/// @brief Result of one run of a cell.
+struct CellResult {
+    int m_strikes = 0;
+    bool m_reached = true; ///< a fault struck in every run
+    std::vector<std::string> m_violations;
+};
+
+/// @brief Names a run in KNOWN-RED.txt and in reports, e.g. `message lost/start/once`.
+[[nodiscard]] auto cellName(const FaultRow &fault, Step step, std::string_view mode) -> std::string
+{
+    return std::string(fault.m_name) + "/" + std::string(stepName(step)) + "/" + std::string(mode);
+}
+
+/// @brief Invariant that a cell of KNOWN-RED.txt breaks; empty for a cell that is not listed.
+[[nodiscard]] auto knownRed(const std::string &cell) -> std::string
+{
+    static const std::string list = contentOf(BURDOCKSPUR_SOURCE_DIR "/KNOWN-RED.txt");
+    constexpr std::size_t idLength = 2;
+    const std::string entry = "faultmatrixtest `" + cell + "` ";
+    const auto position = list.find(entry);
+    return position == std::string::npos ? std::string() : list.substr(position + entry.size(), idLength);
+}
+
+[[nodiscard]] auto emptyReason(const FaultRow &fault, Step step) -> std::string_view
+{
+    const auto found = std::ranges::find_if(emptyCells, [&](const EmptyCell &cell) {
+        return cell.m_fault == fault.m_name && cell.m_step == step;
+    });
+    return found == emptyCells.end() ? std::string_view() : found->m_reason;
+}
+
+struct ArmedRow {
+    const FaultRow *m_fault = nullptr;
+    int m_occurrence = 0;
+};
+
+/// @brief Runs a cell and adds what was found.
+auto runCell(Step step, std::uint64_t seed, const std::vector<ArmedRow> &faults, CellResult &result) -> void
+{
+    FaultWorld world(seed);
+    for (const auto &[fault, occurrence] : faults) {
+        world.arm(step, fault->m_strike, occurrence);
+    }
+    world.run(step);
+    result.m_strikes += world.strikes();
+    result.m_reached = result.m_reached && world.strikes() > 0;
+    for (const auto &violation : world.violations()) {
+        result.m_violations.push_back(violation + " (seed " + std::to_string(seed) + ")");
+    }
+}
+
+/// @brief Reports the violations of a cell; in a cell that is known to be red, those of the listed invariant are only printed.
+auto expectGreen(const std::string &cell, const CellResult &result) -> void
+{
+    const std::string red = knownRed(cell);
+    bool isRed = false;
+    for (const auto &violation : result.m_violations) {
+        if (!red.empty() && violation.starts_with(red)) {
+            isRed = true;
+            std::cout << "KNOWN RED " << cell << ": " << violation << '\n';
+        } else {
+            ADD_FAILURE() << cell << ": " << violation;
+        }
+    }
+    EXPECT_EQ(isRed, !red.empty()) << cell << " is listed in KNOWN-RED.txt and passes";
+    EXPECT_TRUE(result.m_reached) << cell << ": the scenario does not reach the step";
+}
+
+auto forEachCell(const std::function<void(const FaultRow &, Step)> &visit) -> void
+{
+    for (const auto &fault : faultRows) {
+        for (const auto &column : stepColumns) {
+            if (emptyReason(fault, column.m_step).empty()) {
+                visit(fault, column.m_step);
+            }
+        }
+    }
+}
+
+[[nodiscard]] auto pageText() -> std::string
+{
+    std::ostringstream page;
+    page << "# Fault matrix\n\n"
+         << "Written by `faultmatrixtest`; `BURDOCKSPUR_WRITE_FAULTS=1 build/tests/faultmatrixtest` writes it again.\n"
+         << "Each cell runs a load of jobs and requests, reaches the step, lets the fault strike at a message of\n"
+         << "that step, and checks I1 to I9 and the end of all work from the records of the stand-ins. The second\n"
+         << "column names the invariants that the fault threatens. `held`: no violation; `red`: listed in\n"
+         << "KNOWN-RED.txt; `-`: not applicable, see below.\n\n| fault | invariants |";
+    for (const auto &column : stepColumns) {
+        page << ' ' << stepName(column.m_step) << " |";
+    }
+    page << "\n|---|---|";
+    for (std::size_t i = 0; i < stepColumns.size(); ++i) {
+        page << "---|";
+    }
+    page << '\n';
+    for (const auto &fault : faultRows) {
+        page << "| " << fault.m_name << " | " << fault.m_invariants << " |";
+        for (const auto &column : stepColumns) {
+            const bool applies = emptyReason(fault, column.m_step).empty();
+            const auto red = knownRed(cellName(fault, column.m_step, "once")) + knownRed(cellName(fault, column.m_step, "twice"));
+            page << (applies ? (red.empty() ? " held |" : " red |") : " - |");
+        }
+        page << '\n';
+    }
+    page << "\nNot applicable:\n\n";
+    for (const auto &cell : emptyCells) {
+        page << "- " << cell.m_fault << ", " << stepName(cell.m_step) << ": " << cell.m_reason << '\n';
+    }
+    return page.str();
+}
+}
+
+// Guards against a bed in which nothing happens, which would make every cell pass.
+TEST(FaultMatrixTest, EveryScenarioEndsWithoutFaults)
+{
+    for (const auto &column : stepColumns) {
+        CellResult result;
+        runCell(column.m_step, matrixSeed, {}, result);
+        EXPECT_TRUE(result.m_violations.empty()) << stepName(column.m_step) << ": " << result.m_violations.front();
+    }
+}
+
+// Guards against a fault at one step that breaks an invariant or leaves work without an end.
+TEST(FaultMatrixTest, EveryFaultAtEveryStep)
+{
+    forEachCell([](const FaultRow &fault, Step step) {
+        CellResult result;
+        for (std::uint64_t seed = matrixSeed; seed < matrixSeed + seedsOfCell; ++seed) {
+            runCell(step, seed, {{&fault, 0}}, result);
+        }
+        expectGreen(cellName(fault, step, "once"), result);
+    });
+}
+
+// Guards against recovery that works only once.
+TEST(FaultMatrixTest, TheSameFaultTwice)
+{
+    int strikes = 0;
+    forEachCell([&](const FaultRow &fault, Step step) {
+        CellResult result;
+        for (std::uint64_t seed = matrixSeed; seed < matrixSeed + seedsOfCell; ++seed) {
+            runCell(step, seed, {{&fault, 0}, {&fault, 1}}, result);
+        }
+        strikes += result.m_strikes;
+        expectGreen(cellName(fault, step, "twice"), result);
+    });
+    std::cout << strikes << " faults struck\n"; // less than two in each run, where a step occurs only once
+}
+
+// Guards against a fault that strikes while the system recovers from another one.
+TEST(FaultMatrixTest, PairsOfFaults)
+{
+    RandomSource random(matrixSeed);
+    for (int i = 0; i < pairCount; ++i) {
+        const auto &first = faultRows[random.below(faultRows.size())];
+        const auto &second = faultRows[random.below(faultRows.size())];
+        const Step step = stepColumns[random.below(stepColumns.size())].m_step;
+        const int occurrence = static_cast<int>(random.below(2));
+        CellResult result;
+        runCell(step, random.next64(), {{&first, 0}, {&second, occurrence}}, result);
+        expectGreen(cellName(first, step, std::string(second.m_name) + " " + std::to_string(occurrence) + " #" + std::to_string(i)), result);
+    }
+}
+
+// Guards against a page that shows another matrix than the one that runs.
+TEST(FaultMatrixTest, CommittedPageIsCurrent)
+{
+    const std::string path = BURDOCKSPUR_SOURCE_DIR "/docs/faults.md";
+    if (std::getenv("BURDOCKSPUR_WRITE_FAULTS") != nullptr) {
+        std::ofstream(path) << pageText();
+    }
+    EXPECT_EQ(contentOf(path), pageText());
+}
