Accept "never started" only from the incarnation that was asked

Cause: a worker that crashes and restarts forgets its requests and answers a settle of one that ran with never_started.

Ruled out: an incarnation for attempts of tasks.

Change: workers tell Burdockspur-Incarnation in every response. The router keeps the one it knew at each forward, also with an unresolved key, and takes never_started and tombstoned for a proof only from the same one; otherwise the outcome is unknown, or an idempotent request goes to another worker. A worker that enters the host list is asked by a settle of an unused id, beside the requests. A request that is sent again from unknown can no longer end refused by the tombstone of its second worker.

--- a/bench/routerprobe.cpp
+++ b/bench/routerprobe.cpp
@@ -32,8 +32,11 @@
     std::vector<RouterCommand> answers;
     for (RouterCommand &command : commands) {
         if (auto *const forward = std::get_if<ForwardOrder>(&command); forward != nullptr) {
-            TargetReply reply{
-                .m_dispatch = forward->m_dispatch, .m_status = TargetReply::Status::Answered, .m_body = std::move(forward->m_body), .m_error = {}};
+            TargetReply reply{.m_dispatch = forward->m_dispatch,
+                              .m_status = TargetReply::Status::Answered,
+                              .m_body = std::move(forward->m_body),
+                              .m_error = {},
+                              .m_incarnation = {}};
             router.handle(TargetReplied{std::move(reply)}, now, random, answers);
         }
     }
--- a/include/burdockspur/contract/targetorder.hpp
+++ b/include/burdockspur/contract/targetorder.hpp
@@ -36,6 +36,8 @@
 };
 
 /// @brief Asks a worker what became of a request; leaves a tombstone when it never started.
+///
+/// Exchange number 0 stands for no request: the id is unused and only the incarnation of the worker is wanted.
 struct SettleOrder {
     DispatchId m_dispatch;
     TargetAddress m_target;
--- a/include/burdockspur/contract/targetreply.hpp
+++ b/include/burdockspur/contract/targetreply.hpp
@@ -24,6 +24,7 @@
     Status m_status = Status::Lost;
     std::string m_body; ///< Answered and Failed
     Error m_error; ///< NotSent and Lost: why
+    std::string m_incarnation; ///< of the worker process that replied; empty when not told
 };
 
 /// @brief What became of a SettleOrder.
@@ -40,5 +41,6 @@
     Status m_status = Status::NoReply;
     std::string m_body; ///< Answered and Failed
     Error m_error; ///< NoReply: why
+    std::string m_incarnation; ///< of the worker process that replied; empty when not told
 };
 }
--- a/include/burdockspur/host/exchange.hpp
+++ b/include/burdockspur/host/exchange.hpp
@@ -39,6 +39,7 @@
     bool m_holdsSlot = false;
     std::string m_lastWorker; ///< worker of the latest forward
     std::string m_wireId; ///< request id of the latest forward
+    std::string m_incarnation; ///< of the worker as known before the latest forward; empty when not known
     std::vector<std::string> m_excluded; ///< workers that are not an option
     std::string m_queue; ///< class or worker in whose queue it waits
     std::uint32_t m_sequence = 0; ///< of the latest message to a worker
--- a/include/burdockspur/host/idempotencytable.hpp
+++ b/include/burdockspur/host/idempotencytable.hpp
@@ -30,6 +30,7 @@
     std::string m_id; ///< request id
     std::uint64_t m_exchange = 0;
     std::string m_worker;
+    std::string m_incarnation; ///< of m_worker as known before the request was sent
     RequestAnswer m_answer;
     TimePoint m_expires = TimePoint::max();
 };
@@ -70,8 +71,8 @@
     /// @brief Keeps the final answer.
     auto store(std::string_view id, const RequestAnswer &answer, TimePoint now) -> void;
 
-    /// @brief Keeps the worker that may have run the request.
-    auto leaveUnresolved(std::string_view id, std::string_view worker, TimePoint now) -> void;
+    /// @brief Keeps the worker that may have run the request, and its incarnation as known before the send.
+    auto leaveUnresolved(std::string_view id, std::string_view worker, std::string_view incarnation, TimePoint now) -> void;
 
     /// @brief Removes a key whose request did not run.
     auto forget(std::string_view id) -> void;
--- a/include/burdockspur/host/requestrouter.hpp
+++ b/include/burdockspur/host/requestrouter.hpp
@@ -11,6 +11,8 @@
 #include "burdockspur/host/targettable.hpp"
 #include "burdockspur/host/waitingqueues.hpp"
 
+#include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -26,6 +28,9 @@
 /// when no worker can have run the request; a non-idempotent request is sent again only after a proof that it
 /// did not run.
 ///
+/// The word of a worker that a request never started is a proof only from the incarnation that the router knew
+/// before it forwarded the request: a worker that restarts forgets what it ran.
+///
 /// A request with an idempotency key has the same request id on every entry host. It goes along the workers in
 /// rendezvous order, and moves on from a worker only after that worker has left a tombstone for the id.
 ///
@@ -133,6 +138,12 @@
     auto pause(Exchange &exchange, ExchangeState state, TimePoint latest, Turn &turn) -> void;
     auto settle(Exchange &exchange, Turn &turn) -> void;
 
+    // Incarnations of workers.
+    [[nodiscard]] static auto isProof(const Exchange &exchange, std::string_view incarnation) noexcept -> bool;
+    auto workerForgot(Exchange &exchange, Turn &turn) -> void;
+    auto probe(Target &target, Turn &turn) -> void;
+    auto probeReplied(const SettleReply &reply) -> void;
+
     // Timers, one function for each ExchangeState.
     auto queuedTooLong(Exchange &exchange, Turn &turn) -> void;
     auto retryPauseEnded(Exchange &exchange, Turn &turn) -> void;
@@ -164,6 +175,8 @@
     ExchangeTable m_exchanges;
     std::set<std::string, std::less<>> m_services; ///< empty: every name is accepted
     std::vector<Target *> m_freed; ///< workers with slots freed by the current event
+    std::map<std::uint32_t, std::string> m_probes; ///< workers asked for their incarnation, by sequence
+    std::uint32_t m_lastProbe = 0;
     bool m_draining = false;
 };
 }
--- a/include/burdockspur/host/target.hpp
+++ b/include/burdockspur/host/target.hpp
@@ -4,6 +4,7 @@
 #include "burdockspur/machine/hostrecord.hpp"
 
 #include <cstdint>
+#include <string>
 
 namespace Burdockspur
 {
@@ -16,6 +17,8 @@
     std::uint32_t m_failures = 0; ///< consecutive failures
     TimePoint m_leavingUntil = TimePoint::min(); ///< end of the mark left by the reply `leaving`
     TimePoint m_avoidUntil = TimePoint::min();
+    std::string m_incarnation; ///< told by the latest response; empty when not known
+    bool m_isProbed = false; ///< asked for its incarnation, and no failure since
 
     /// @brief True when new requests may be sent.
     [[nodiscard]] auto accepts(TimePoint now) const noexcept -> bool
--- a/include/burdockspur/host/targettable.hpp
+++ b/include/burdockspur/host/targettable.hpp
@@ -56,6 +56,9 @@
     /// @brief Avoids a worker briefly, because other entry hosts fill its slots.
     auto noteFull(Target &target, TimePoint now) const noexcept -> void;
 
+    /// @brief Keeps the incarnation that a response told, if it told one.
+    static auto noteIncarnation(Target &target, std::string_view incarnation) -> void;
+
     /// @brief Ends the avoidance of a worker that responds.
     static auto noteResponse(Target &target) noexcept -> void;
 
--- a/src/host/idempotencytable.cpp
+++ b/src/host/idempotencytable.cpp
@@ -83,12 +83,13 @@
     }
 }
 
-auto IdempotencyTable::leaveUnresolved(std::string_view id, std::string_view worker, TimePoint now) -> void
+auto IdempotencyTable::leaveUnresolved(std::string_view id, std::string_view worker, std::string_view incarnation, TimePoint now) -> void
 {
     const auto found = m_entries.find(std::string(keyPartOf(id)));
     requireInvariant(found != m_entries.end(), "idempotency_entry_known", id);
     found->second.m_state = KeyState::Unresolved;
     found->second.m_worker = worker;
+    found->second.m_incarnation = incarnation;
     finish(id, found->second, now);
 }
 
--- a/src/host/requestrouter.cpp
+++ b/src/host/requestrouter.cpp
@@ -85,6 +85,7 @@
     };
     auto &reply = event.m_reply;
     if (Exchange *const exchange = current(reply.m_dispatch, ExchangeState::Forwarded); exchange != nullptr) {
+        TargetTable::noteIncarnation(*exchange->m_target, reply.m_incarnation);
         (this->*handlers[static_cast<std::size_t>(reply.m_status)])(*exchange, std::move(reply), turn);
     }
 }
@@ -101,16 +102,22 @@
         &RequestRouter::settleNotReached,
     };
     auto &reply = event.m_reply;
-    if (Exchange *const exchange = current(reply.m_dispatch, ExchangeState::Settling); exchange != nullptr) {
+    if (reply.m_dispatch.m_exchange == 0) {
+        probeReplied(reply);
+    } else if (Exchange *const exchange = current(reply.m_dispatch, ExchangeState::Settling); exchange != nullptr) {
+        TargetTable::noteIncarnation(*exchange->m_target, reply.m_incarnation);
         (this->*handlers[static_cast<std::size_t>(reply.m_status)])(*exchange, std::move(reply), turn);
     }
 }
 
-auto RequestRouter::on(HostsChanged &&event, Turn & /*turn*/) -> void
+auto RequestRouter::on(HostsChanged &&event, Turn &turn) -> void
 {
     m_targets.update(event.m_listing.m_hosts);
     m_freed.assign(m_targets.local().begin(), m_targets.local().end());
     m_freed.insert(m_freed.end(), m_targets.remote().begin(), m_targets.remote().end());
+    for (Target *const target : m_freed) {
+        probe(*target, turn);
+    }
 }
 
 auto RequestRouter::on(ConfigurationChanged &&event, Turn & /*turn*/) -> void
@@ -202,7 +209,7 @@
         return;
     }
     if (answer.m_outcome == Outcome::Unknown) {
-        m_keys.leaveUnresolved(exchange.m_request.m_id, exchange.m_lastWorker, now);
+        m_keys.leaveUnresolved(exchange.m_request.m_id, exchange.m_lastWorker, exchange.m_incarnation, now);
     } else if (answer.m_outcome == Outcome::Refused) {
         m_keys.forget(exchange.m_request.m_id);
     } else {
--- a/src/host/requestrouteradmission.cpp
+++ b/src/host/requestrouteradmission.cpp
@@ -83,6 +83,7 @@
 auto RequestRouter::admitUnresolved(RequestArrived &&event, Turn &turn) -> void
 {
     const std::string worker = m_keys.entry(event.m_request.m_id).m_worker;
+    const std::string incarnation = m_keys.entry(event.m_request.m_id).m_incarnation;
     Target *const target = m_targets.find(worker);
     if (target == nullptr) {
         // The worker is gone, and with it the knowledge whether the request ran.
@@ -95,6 +96,7 @@
     }
     exchange->m_mayHaveRun = true;
     exchange->m_lastWorker = worker;
+    exchange->m_incarnation = incarnation;
     exchange->m_wireId = exchange->m_request.m_id;
     attach(*exchange, *target);
     settle(*exchange, turn);
--- a/src/host/requestrouterplacement.cpp
+++ b/src/host/requestrouterplacement.cpp
@@ -43,6 +43,7 @@
         // Another entry host may have sent this key to the leaving worker. Only its tombstone proves that no
         // one did, and then the next worker may be used.
         attach(exchange, *target);
+        exchange.m_incarnation = target->m_incarnation;
         exchange.m_wireId = exchange.m_request.m_id;
         settle(exchange, turn);
     } else if (!target->hasFreeSlot()) {
@@ -73,6 +74,8 @@
     TargetTable::takeSlot(target);
     exchange.m_holdsSlot = true;
     exchange.m_lastWorker = target.m_record.m_name;
+    exchange.m_incarnation = target.m_incarnation;
+    probe(target, turn);
     ++exchange.m_forwards;
     // A worker refuses an id that it has a tombstone for. The id of a key stays the same on purpose.
     const bool fresh = exchange.m_forwards > 1 && request.m_idempotencyKey.empty();
--- a/src/host/requestrouterreplies.cpp
+++ b/src/host/requestrouterreplies.cpp
@@ -40,8 +40,12 @@
     }
 }
 
-auto RequestRouter::targetTombstoned(Exchange &exchange, TargetReply && /*reply*/, Turn &turn) -> void
+auto RequestRouter::targetTombstoned(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void
 {
+    if (!isProof(exchange, reply.m_incarnation)) {
+        workerForgot(exchange, turn);
+        return;
+    }
     exchange.m_mayHaveRun = exchange.m_mayHaveRunBefore;
     retryElsewhere(exchange, turn);
 }
@@ -70,8 +74,12 @@
     }
 }
 
-auto RequestRouter::settledNeverStarted(Exchange &exchange, SettleReply && /*reply*/, Turn &turn) -> void
+auto RequestRouter::settledNeverStarted(Exchange &exchange, SettleReply &&reply, Turn &turn) -> void
 {
+    if (exchange.m_mayHaveRun && !isProof(exchange, reply.m_incarnation)) {
+        workerForgot(exchange, turn);
+        return;
+    }
     exchange.m_mayHaveRun = exchange.m_mayHaveRunBefore;
     retryElsewhere(exchange, turn);
 }
@@ -109,12 +117,55 @@
     if (!request.m_idempotent || request.m_deadline <= turn.m_now || !m_budget.tryTake(request.m_caller, turn.m_now)) {
         return false;
     }
+    // A refusal by the next worker, or its tombstone, proves nothing about this one.
+    exchange.m_mayHaveRunBefore = exchange.m_mayHaveRun;
     exchange.m_excluded.push_back(exchange.m_target->m_record.m_name);
     detach(exchange);
     place(exchange, turn);
     return true;
 }
 
+auto RequestRouter::isProof(const Exchange &exchange, std::string_view incarnation) noexcept -> bool
+{
+    return !incarnation.empty() && incarnation == exchange.m_incarnation;
+}
+
+auto RequestRouter::workerForgot(Exchange &exchange, Turn &turn) -> void
+{
+    // Asking again is useless: the memory of the process that may have run the request is gone.
+    if (!resendFromUnknown(exchange, turn)) {
+        finishWithoutAnswer(exchange, ErrorCode::OutcomeUnknown, turn);
+    }
+}
+
+auto RequestRouter::probe(Target &target, Turn &turn) -> void
+{
+    if (target.m_isProbed || !target.m_incarnation.empty()) {
+        return;
+    }
+    target.m_isProbed = true;
+    const auto &record = target.m_record;
+    m_probes.insert_or_assign(++m_lastProbe, record.m_name);
+    turn.m_commands.emplace_back(SettleOrder{
+        .m_dispatch = {0, m_lastProbe},
+        .m_target = {record.m_name, record.m_address, record.m_port},
+        .m_requestId = "incarnation-probe",
+        .m_timeout = m_limits.m_settleTimeout,
+    });
+}
+
+auto RequestRouter::probeReplied(const SettleReply &reply) -> void
+{
+    const auto found = m_probes.extract(reply.m_dispatch.m_sequence);
+    Target *const target = found.empty() ? nullptr : m_targets.find(found.mapped());
+    if (target == nullptr) {
+        return;
+    }
+    TargetTable::noteIncarnation(*target, reply.m_incarnation);
+    // A worker that answers without the header is not asked again.
+    target->m_isProbed = reply.m_status != SettleReply::Status::NoReply;
+}
+
 auto RequestRouter::settle(Exchange &exchange, Turn &turn) -> void
 {
     const auto &record = exchange.m_target->m_record;
--- a/src/host/routerduty.cpp
+++ b/src/host/routerduty.cpp
@@ -101,18 +101,20 @@
     const auto dispatch = order.m_dispatch;
     if (!m_rings.m_targets.tryPush(std::move(order))) {
         m_metrics.noteRingFull(RingName::Targets);
-        m_refused.push_back(TargetReplied{{dispatch, TargetReply::Status::NotSent, {}, {ErrorCode::RingFull, "the ring of the target duty is full"}}});
+        m_refused.push_back(TargetReplied{{dispatch, TargetReply::Status::NotSent, {}, {ErrorCode::RingFull, "the ring of the target duty is full"}, {}}});
     }
 }
 
 auto RouterDuty::carryOut(SettleOrder &&order) -> void
 {
-    logEvent(LogLevel::Info, "request_settled", {{"request", order.m_requestId}, {"worker", order.m_target.m_worker}});
-    m_metrics.noteSettle();
+    if (order.m_dispatch.m_exchange != 0) {
+        logEvent(LogLevel::Info, "request_settled", {{"request", order.m_requestId}, {"worker", order.m_target.m_worker}});
+        m_metrics.noteSettle();
+    }
     const auto dispatch = order.m_dispatch;
     if (!m_rings.m_targets.tryPush(std::move(order))) {
         m_metrics.noteRingFull(RingName::Targets);
-        m_refused.push_back(SettleReplied{{dispatch, SettleReply::Status::NoReply, {}, {ErrorCode::RingFull, "the ring of the target duty is full"}}});
+        m_refused.push_back(SettleReplied{{dispatch, SettleReply::Status::NoReply, {}, {ErrorCode::RingFull, "the ring of the target duty is full"}, {}}});
     }
 }
 
--- a/src/host/targettable.cpp
+++ b/src/host/targettable.cpp
@@ -108,6 +108,13 @@
     target.m_avoidUntil = std::max(target.m_avoidUntil, now + m_limits.m_pauseMin);
 }
 
+auto TargetTable::noteIncarnation(Target &target, std::string_view incarnation) -> void
+{
+    if (!incarnation.empty() && target.m_incarnation != incarnation) {
+        target.m_incarnation = incarnation;
+    }
+}
+
 auto TargetTable::noteResponse(Target &target) noexcept -> void
 {
     target.m_failures = 0;
--- a/src/platform/httptargetport.cpp
+++ b/src/platform/httptargetport.cpp
@@ -13,6 +13,7 @@
 {
 constexpr int statusOk = 200;
 constexpr std::string_view requestIdField = "Burdockspur-Request-Id";
+constexpr std::string_view incarnationField = "Burdockspur-Incarnation";
 
 /// @brief A status and code by which a worker says what became of a request.
 struct CodeEntry {
@@ -73,6 +74,7 @@
     }
     TargetReply reply;
     reply.m_status = found->m_status;
+    reply.m_incarnation = response.field(incarnationField);
     return reply;
 }
 
@@ -103,6 +105,7 @@
     }
     TargetReply answered;
     answered.m_status = TargetReply::Status::Answered;
+    answered.m_incarnation = reply->field(incarnationField);
     answered.m_body = std::move(reply->m_body);
     return answered;
 }
@@ -118,6 +121,7 @@
     }
     std::vector<std::string> errors;
     SettleReply settled;
+    settled.m_incarnation = reply->field(incarnationField);
     if (auto reader = JsonReader::parse(reply->m_body, errors)) {
         const auto name = reader->text("state", {}).value_or("");
         const auto *const state = std::ranges::find(stateTable, std::string_view(name), &StateEntry::m_name);
--- a/standins/workerserver.cpp
+++ b/standins/workerserver.cpp
@@ -8,6 +8,7 @@
 #include "burdockspur/operations/log.hpp"
 
 #include <QTimer>
+#include <QUuid>
 
 #include <algorithm>
 #include <array>
@@ -30,6 +31,12 @@
     return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
+/// @brief A text that no earlier start of a worker has used.
+[[nodiscard]] auto newIncarnation() -> std::string
+{
+    return QUuid::createUuid().toString(QUuid::WithoutBraces).toStdString();
+}
+
 [[nodiscard]] auto numberOr(std::string_view text, std::uint64_t otherwise) -> std::uint64_t
 {
     std::uint64_t number = 0;
@@ -105,6 +112,7 @@
         advance();
         armTimer();
     })
+    , m_incarnation(newIncarnation())
     , m_lifetime(std::make_unique<QObject>())
     , m_delayedAnswers(std::make_unique<QObject>())
 {
@@ -267,6 +275,7 @@
     m_isRestarting = true;
     ++m_audit.counts().m_crashes;
     m_model.crash(now());
+    m_incarnation = newIncarnation();
     m_audit.workerEvent(now(), "crashed");
     m_timer.arm(std::nullopt);
     // The answer to the call that switched the fault leaves first.
@@ -368,6 +377,7 @@
     if (!m_server || m_isClosing) {
         return;
     }
+    response.m_fields.push_back({"Burdockspur-Incarnation", m_incarnation});
     if (m_faults.m_loseAnswers.strikes(m_random, path)) {
         ++m_audit.counts().m_answersLost;
         m_server->abort(exchange);
--- a/standins/workerserver.hpp
+++ b/standins/workerserver.hpp
@@ -127,6 +127,7 @@
     RandomSource m_random;
     WorkerModel m_model;
     PreciseTimer m_timer;
+    std::string m_incarnation; ///< changes with each start and restart of the worker
     std::string m_address;
     std::uint16_t m_port = 0;
     std::unique_ptr<QObject> m_lifetime; ///< of calls that a closed port does not cancel
--- a/tests/entrydaemontest.cpp
+++ b/tests/entrydaemontest.cpp
@@ -202,6 +202,28 @@
     EXPECT_NE(metrics.find("burdockspur_settles_total 1"), std::string::npos) << metrics;
 }
 
+// Guards against "refused" or a second execution for a request whose worker crashed while it ran and has forgotten it.
+TEST_F(EntryDaemonTest, RequestOfARestartedWorkerEndsUnknown)
+{
+    const auto runs = [this] {
+        const auto counts = call(m_workerPorts.back(), {"GET", "/standin/counts", {}, {}}).m_body;
+        return counts.find(R"("requests":1)") != std::string::npos;
+    };
+    switchFault("slow", "200");
+    std::optional<HttpResponse> response;
+    m_client->call({std::string(local), m_ports.m_callers}, serviceRequest("seat 4"), 30s, [&response](HttpReply &&reply) {
+        response = reply ? std::move(*reply) : HttpResponse{};
+    });
+    while (!runs()) {}
+    switchFault("slow", "0");
+    switchFault("crash", "20");
+    Testing::waitUntil([&response] {
+        return response.has_value();
+    });
+    EXPECT_NE(response->m_body.find(R"("outcome":"unknown")"), std::string::npos) << response->m_body;
+    EXPECT_TRUE(runs());
+}
+
 // Guards against a request that is sent to workers that refuse every request, without an end or a clear code.
 TEST_F(EntryDaemonTest, LeavingWorkersGiveARefusalWithACode)
 {
--- a/tests/httptargetporttest.cpp
+++ b/tests/httptargetporttest.cpp
@@ -47,6 +47,20 @@
     EXPECT_EQ(decodeTargetReply(std::unexpected(HttpFailure{{ErrorCode::ConnectionClosed, ""}, false}), "r1").m_status, Status::NotSent);
 }
 
+// Guards against a proof without the start of the worker that gave it, and against one from a foreign response.
+TEST(HttpTargetPortTest, RepliesTellTheIncarnationOfTheWorker)
+{
+    const auto told = [](HttpResponse answer) {
+        answer.m_fields.push_back({"Burdockspur-Incarnation", "start-1"});
+        return answer;
+    };
+    EXPECT_EQ(decodeTargetReply(told(response(200, "seat 4")), "r1").m_incarnation, "start-1");
+    EXPECT_EQ(decodeTargetReply(told(response(503, R"({"code":"tombstoned"})")), "r1").m_incarnation, "start-1");
+    EXPECT_EQ(decodeTargetReply(told(response(503, R"({"code":"leaving"})", "r2")), "r1").m_incarnation, "");
+    EXPECT_EQ(decodeSettleReply(told(response(200, R"({"state":"never_started"})")), "r1").m_incarnation, "start-1");
+    EXPECT_EQ(decodeSettleReply(response(200, R"({"state":"never_started"})"), "r1").m_incarnation, "");
+}
+
 // Guards against a second send after a settle whose answer is damaged or belongs to another request.
 TEST(HttpTargetPortTest, OnlyAValidSettleCounts)
 {
