--- a/bench/shardcosts.cpp
+++ b/bench/shardcosts.cpp
@@ -27,6 +27,7 @@
     // The model of the workers holds a report for each job; a second one measures its share.
     std::vector<AttemptReport> reports;
     const std::size_t recovered = heapBytes();
+    reports.reserve(static_cast<std::size_t>(size));
     for (std::size_t i = 0; i < static_cast<std::size_t>(size); ++i) {
         reports.push_back({.m_attempt = {.m_job = std::string(33, 'j'), .m_number = 1},
                            .m_state = AttemptState::Running,
