--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -59,7 +59,8 @@
 
 auto main(int argc, char **argv) -> int
 {
-    const auto settings = startProgram<EntrySettings>(description, entrySettingsTable(), std::span(argv, static_cast<std::size_t>(argc)), std::cout, std::cerr);
+    const auto settings = startProgram<EntrySettings>(
+        description, entrySettingsTable(), std::span(argv, static_cast<std::size_t>(argc)), std::cout, std::cerr, entrySettingsChecks());
     if (!settings) {
         return settings.error();
     }
--- a/daemons/scheduler/main.cpp
+++ b/daemons/scheduler/main.cpp
@@ -32,8 +32,8 @@
 
 auto main(int argc, char **argv) -> int
 {
-    const auto settings =
-        startProgram<SchedulerSettings>(description, schedulerFields(), std::span(argv, static_cast<std::size_t>(argc)), std::cout, std::cerr);
+    const auto settings = startProgram<SchedulerSettings>(
+        description, schedulerFields(), std::span(argv, static_cast<std::size_t>(argc)), std::cout, std::cerr, schedulerChecks());
     if (!settings) {
         return settings.error();
     }
--- a/include/burdockspur/host/entrysettings.hpp
+++ b/include/burdockspur/host/entrysettings.hpp
@@ -7,6 +7,7 @@
 #include "burdockspur/operations/settingstable.hpp"
 
 #include <cstdint>
+#include <span>
 #include <string>
 
 namespace Burdockspur
@@ -35,4 +36,7 @@
 
 /// @brief The rows of the settings file.
 [[nodiscard]] auto entrySettingsTable() -> SettingsTable<EntrySettings>;
+
+/// @brief What the settings must be together.
+[[nodiscard]] auto entrySettingsChecks() noexcept -> std::span<const SettingsCheck<EntrySettings>>;
 }
--- a/include/burdockspur/operations/log.hpp
+++ b/include/burdockspur/operations/log.hpp
@@ -43,6 +43,9 @@
 /// @returns ErrorCode::BadSettings for an unknown level
 [[nodiscard]] auto configureLogging(std::string_view program, std::string_view host, std::string_view level) -> Result<void>;
 
+/// @brief True for a level that configureLogging() accepts.
+[[nodiscard]] auto isLogLevel(std::string_view name) noexcept -> bool;
+
 /// @brief Writes one event; silent before configureLogging().
 ///
 /// @code
--- a/include/burdockspur/shard/schedulersettings.hpp
+++ b/include/burdockspur/shard/schedulersettings.hpp
@@ -4,6 +4,7 @@
 #include "burdockspur/shard/shardsettings.hpp"
 
 #include <cstdint>
+#include <span>
 #include <string>
 
 namespace Burdockspur
@@ -30,4 +31,7 @@
 
 /// @brief Rows of the scheduler's settings file.
 [[nodiscard]] auto schedulerFields() noexcept -> SettingsTable<SchedulerSettings>;
+
+/// @brief What the settings must be together.
+[[nodiscard]] auto schedulerChecks() noexcept -> std::span<const SettingsCheck<SchedulerSettings>>;
 }
--- a/src/host/callercodec.cpp
+++ b/src/host/callercodec.cpp
@@ -200,9 +200,10 @@
         return failure(ErrorCode::BadRequest, "query state: found '" + command.m_state.substr(0, 64) + "', expected the name of a job state");
     }
     if (const auto limit = request.query("limit"); !limit.empty()) {
+        // A scheduler lists at most so many jobs; a longer page would miss some between two schedulers.
         const auto number = readNumber(limit);
         if (!number || *number < 1 || *number > longestList) {
-            return failure(ErrorCode::BadRequest, "query limit: found '" + limit.substr(0, 64) + "', expected an integer, 1 to 1000");
+            return failure(ErrorCode::BadRequest, "query limit: found '" + limit.substr(0, 64) + "', expected an integer, 1 to 500");
         }
         command.m_limit = static_cast<std::uint32_t>(*number);
     }
--- a/src/host/entrysettings.cpp
+++ b/src/host/entrysettings.cpp
@@ -1,5 +1,6 @@
 #include "burdockspur/host/entrysettings.hpp"
 
+#include "burdockspur/operations/log.hpp"
 #include <array>
 
 namespace Burdockspur
@@ -66,4 +67,21 @@
     }};
     return table;
 }
+
+auto entrySettingsChecks() noexcept -> std::span<const SettingsCheck<EntrySettings>>
+{
+    static constexpr std::array<SettingsCheck<EntrySettings>, 2> checks{{
+        {"log.level",
+         [](const EntrySettings &settings) {
+             return isLogLevel(settings.m_logLevel);
+         },
+         "debug, info, warning or error"},
+        {"callers.default_deadline_ms",
+         [](const EntrySettings &settings) {
+             return settings.m_defaultDeadline <= settings.m_maxDeadline;
+         },
+         "at most callers.max_deadline_ms"},
+    }};
+    return checks;
+}
 }
--- a/src/operations/log.cpp
+++ b/src/operations/log.cpp
@@ -102,6 +102,11 @@
     return {};
 }
 
+auto isLogLevel(std::string_view name) noexcept -> bool
+{
+    return std::ranges::find(levelTable, name, &LevelEntry::m_name) != levelTable.end();
+}
+
 auto formatLogLine(std::string_view event, std::initializer_list<LogField> fields) -> std::string
 {
     std::string line;
--- a/src/shard/schedulersettings.cpp
+++ b/src/shard/schedulersettings.cpp
@@ -1,5 +1,6 @@
 #include "burdockspur/shard/schedulersettings.hpp"
 
+#include "burdockspur/operations/log.hpp"
 #include <array>
 
 namespace Burdockspur
@@ -52,4 +53,31 @@
 {
     return fields;
 }
+
+auto schedulerChecks() noexcept -> std::span<const SettingsCheck<SchedulerSettings>>
+{
+    static constexpr std::array<SettingsCheck<SchedulerSettings>, 4> checks{{
+        {"log.level",
+         [](const SchedulerSettings &settings) {
+             return isLogLevel(settings.m_logLevel);
+         },
+         "debug, info, warning or error"},
+        {"shard.heartbeat_ms",
+         [](const SchedulerSettings &settings) {
+             return settings.m_heartbeat < settings.m_ownerLease;
+         },
+         "less than shard.owner_lease_ms"},
+        {"shard.owner_lease_ms",
+         [](const SchedulerSettings &settings) {
+             return settings.m_ownerLease < settings.m_takeover;
+         },
+         "less than shard.takeover_ms"},
+        {"worker.renewal_ms",
+         [](const SchedulerSettings &settings) {
+             return settings.m_renewal < settings.m_workerLease;
+         },
+         "less than worker.lease_ms"},
+    }};
+    return checks;
+}
 }
