Use one bound for lists of jobs

Change: ListJobs::longest is used by the scheduler and the entry daemon; burdockspurctl accepts 1 to 500, and its test expects that text. Conclusion: a page is never longer than what each scheduler lists.

--- a/include/burdockspur/link/peermessage.hpp
+++ b/include/burdockspur/link/peermessage.hpp
@@ -45,6 +45,8 @@
 
 /// @brief Asks for the jobs of all shards that the scheduler owns, in id order.
 struct ListJobs {
+    static constexpr std::uint32_t longest = 500; ///< most jobs of one list; their frame stays below the largest
+
     std::string m_state; ///< name of a state, or empty for all
     std::string m_after; ///< last id of the previous page
     std::uint32_t m_limit = 100;
--- a/src/host/callercodec.cpp
+++ b/src/host/callercodec.cpp
@@ -22,7 +22,6 @@
 // A job with its payload has to fit into a frame of 1 MiB and into a row of the journal.
 constexpr SettingRange payloadLength{0, 65'536};
 constexpr SettingRange versionRange{0, 9e15};
-constexpr std::uint32_t longestList = 1'000;
 
 constexpr std::array<std::string_view, 2> kindNames{"batch", "watcher"};
 
@@ -202,7 +201,7 @@
     if (const auto limit = request.query("limit"); !limit.empty()) {
         // A scheduler lists at most so many jobs; a longer page would miss some between two schedulers.
         const auto number = readNumber(limit);
-        if (!number || *number < 1 || *number > longestList) {
+        if (!number || *number < 1 || *number > ListJobs::longest) {
             return failure(ErrorCode::BadRequest, "query limit: found '" + limit.substr(0, 64) + "', expected an integer, 1 to 500");
         }
         command.m_limit = static_cast<std::uint32_t>(*number);
--- a/src/operations/controloptions.cpp
+++ b/src/operations/controloptions.cpp
@@ -32,7 +32,7 @@
     {"toml", "", "config show: print the document as TOML, for config apply"},
     {"expected_version", "N", "version that the change is based on; another one is a conflict"},
     {"state", "STATE", "jobs list: only jobs in this state"},
-    {"limit", "N", "jobs list: most jobs, 1 to 1000 (default 50)"},
+    {"limit", "N", "jobs list: most jobs, 1 to 500 (default 50)"},
     {"key", "KEY", "idempotency key of a job or request"},
     {"caller", "NAME", "caller of a job or request (default operator)"},
     {"body", "TEXT", "request: body"},
@@ -54,7 +54,7 @@
 
 [[nodiscard]] auto checkNumbers() -> Result<void>
 {
-    constexpr std::uint32_t maxLimit = 1000;
+    constexpr std::uint32_t maxLimit = 500;
     constexpr std::uint32_t maxDeadlineMs = 600'000;
     for (const auto &rule : {NumberRule{"limit", FLAGS_limit, maxLimit}, NumberRule{"deadline_ms", FLAGS_deadline_ms, maxDeadlineMs}}) {
         if (rule.m_value == 0 || rule.m_value > rule.m_maximum) {
--- a/src/shard/sharddutyrequests.cpp
+++ b/src/shard/sharddutyrequests.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 constexpr Milliseconds figuresPeriod{1'000};
-constexpr std::uint32_t longestList = 500;
 constexpr std::size_t longestListBytes = 700'000; // below the largest frame of 1 MiB
 
 auto cutList(std::vector<Job> &jobs, std::size_t limit) -> void
@@ -76,7 +75,7 @@
         answerError(ticket, ErrorCode::BadRequest, "unknown job state '" + request.m_state + "'");
         return;
     }
-    const std::size_t limit = std::clamp<std::uint32_t>(request.m_limit, 1, longestList);
+    const std::size_t limit = std::clamp<std::uint32_t>(request.m_limit, 1, ListJobs::longest);
     std::vector<Job> jobs;
     for (const auto &[id, shard] : m_shards) {
         if (shard.m_scheduler) {
--- a/tests/ctltest.cpp
+++ b/tests/ctltest.cpp
@@ -193,7 +193,7 @@
     EXPECT_EQ(run({"jobs", "cancel", "j1"}), 0);
     EXPECT_EQ(lastRequest(), "DELETE /v1/jobs/j1 ");
     expectBadInput({"jobs", "list", "--state", "idle"}, "flag --state: found 'idle', expected queued, assigned,");
-    expectBadInput({"jobs", "list", "--limit", "0"}, "flag --limit: found '0', expected an integer, 1 to 1000");
+    expectBadInput({"jobs", "list", "--limit", "0"}, "flag --limit: found '0', expected an integer, 1 to 500");
 }
 
 // Guards against a follower that ends early, repeats itself or reports a failed job as success.
