--- a/include/burdockspur/operations/controlprogram.hpp
+++ b/include/burdockspur/operations/controlprogram.hpp
@@ -77,6 +77,7 @@
     [[nodiscard]] auto fail(ControlExit exit, std::string_view message) -> ControlExit;
 
     ControlOptions m_options;
+    bool m_isCheckOnly = false; ///< validates everything and sends nothing
     std::ostream *m_out;
     std::ostream *m_err;
 };
--- a/src/operations/controloptions.cpp
+++ b/src/operations/controloptions.cpp
@@ -26,7 +26,8 @@
 {
 namespace
 {
-constexpr std::array<ProgramFlag, 12> flagTable{{
+constexpr std::array<ProgramFlag, 13> flagTable{{
+    {"check", "", "check the command and its files, send nothing (0 valid, 2 not)"},
     {"entry", "ADDRESS:PORT", "callers' port of any entry daemon; required"},
     {"json", "", "print the answer as JSON instead of tables"},
     {"toml", "", "config show: print the document as TOML, for config apply"},
--- a/src/operations/controlprogram.cpp
+++ b/src/operations/controlprogram.cpp
@@ -29,7 +29,7 @@
 constexpr std::array<std::string_view, 2> listFlags{"state", "limit"};
 constexpr std::array<std::string_view, 6> requestFlags{"body", "body_file", "key", "caller", "idempotent", "deadline_ms"};
 // Flags that every command takes.
-constexpr std::array<std::string_view, 4> generalFlags{"entry", "json", "help", "version"};
+constexpr std::array<std::string_view, 5> generalFlags{"check", "entry", "json", "help", "version"};
 
 constexpr std::array<std::string_view, 2> kindNames{"batch", "watcher"};
 
@@ -191,7 +191,15 @@
         }
         const auto arguments = words.subspan(length);
         const auto usage = checkUsage(command, arguments, commandLine);
-        return usage == ControlExit::Success ? (this->*command.m_run)(arguments.empty() ? "" : arguments.front()) : usage;
+        if (usage != ControlExit::Success) {
+            return usage;
+        }
+        m_isCheckOnly = commandLine.has("check");
+        const auto exit = (this->*command.m_run)(arguments.empty() ? "" : arguments.front());
+        if (m_isCheckOnly && exit == ControlExit::Success) {
+            *m_out << "the command and its files are valid\n";
+        }
+        return exit;
     }
     return fail(ControlExit::BadInput,
                 (words.empty() ? std::string("no command") : "unknown command '" + joined(words, " ") + "'") + ", expected one of those that --help shows");
@@ -372,6 +380,9 @@
     // The entry daemon answers at the deadline at the latest; the margin covers the way.
     constexpr Milliseconds margin{2'000};
     call.m_timeout = Milliseconds(m_options.m_deadlineMs) + margin;
+    if (m_isCheckOnly) {
+        return ControlExit::Success;
+    }
     const auto reply = exchange(call);
     if (!reply) {
         return takeFailure(call, reply.error());
@@ -390,6 +401,9 @@
 
 auto ControlProgram::send(const Call &call) -> Answer
 {
+    if (m_isCheckOnly) {
+        return std::unexpected(ControlExit::Success);
+    }
     const auto reply = exchange(call);
     if (!reply) {
         return std::unexpected(takeFailure(call, reply.error()));
--- a/tests/ctltest.cpp
+++ b/tests/ctltest.cpp
@@ -271,3 +271,16 @@
     EXPECT_EQ(runWords({"burdockspurctl", "status", "--entry", "localhost:80"}), 2);
     EXPECT_EQ(runWords({"burdockspurctl", "--help"}), 0);
 }
+
+// Guards against a check that sends something, or that accepts what the command itself would refuse.
+TEST_F(CtlTest, CheckValidatesAndSendsNothing)
+{
+    const auto sent = m_stub.requests().size();
+    EXPECT_EQ(run({"config", "init", file("config.toml", configurationFile), "--check"}), 0) << m_err.str();
+    EXPECT_EQ(run({"request", "seats", "--body", "x", "--check"}), 0) << m_err.str();
+    EXPECT_EQ(run({"status", "--check"}), 0) << m_err.str();
+    EXPECT_EQ(m_out.str(), "the command and its files are valid\n");
+    EXPECT_EQ(m_stub.requests().size(), sent);
+    expectBadInput({"config", "init", file("wrong.toml", "shards = 0\n"), "--check"}, "shards: found 0");
+    expectBadInput({"jobs", "list", "--limit", "0", "--check"}, "flag --limit");
+}
