--- a/bench/instantfleet.cpp
+++ b/bench/instantfleet.cpp
@@ -85,16 +85,21 @@
     }
 }
 
-auto InstantFleet::answer(WriteJournalRow &command) -> void
+auto InstantFleet::commit(ShardRow row, std::string_view operation) -> void
 {
-    ++m_rows;
     RowWritten written;
-    written.m_row = ShardRow::Journal;
-    written.m_operation = command.m_operation;
+    written.m_row = row;
+    written.m_operation = operation;
     written.m_status = CommitResult::Status::Committed;
     m_scheduler.handle(written, m_now, m_random, m_commands);
 }
 
+auto InstantFleet::answer(WriteJournalRow &command) -> void
+{
+    ++m_rows;
+    commit(ShardRow::Journal, command.m_operation);
+}
+
 auto InstantFleet::answer(PutSnapshot &command) -> void
 {
     m_scheduler.handle(SnapshotStored{.m_shard = 0, .m_object = std::move(command.m_object), .m_succeeded = true}, m_now, m_random, m_commands);
@@ -102,11 +107,7 @@
 
 auto InstantFleet::answer(WriteSnapshotRow &command) -> void
 {
-    RowWritten written;
-    written.m_row = ShardRow::Snapshot;
-    written.m_operation = command.m_operation;
-    written.m_status = CommitResult::Status::Committed;
-    m_scheduler.handle(written, m_now, m_random, m_commands);
+    commit(ShardRow::Snapshot, command.m_operation);
 }
 
 auto InstantFleet::answer(StartAttempt &command) -> void
--- a/bench/instantfleet.hpp
+++ b/bench/instantfleet.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Burdockspur::Bench
@@ -55,6 +56,7 @@
     }
 
 private:
+    auto commit(ShardRow row, std::string_view operation) -> void;
     auto answer(WriteJournalRow &command) -> void;
     auto answer(PutSnapshot &command) -> void;
     auto answer(WriteSnapshotRow &command) -> void;
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -80,6 +80,12 @@
     done
 }
 
+# ticks_of PID: processor time of a process, user and system, in clock ticks.
+ticks_of() { sed 's/.*) //' "/proc/$1/stat" | awk '{print $12 + $13}'; }
+
+# resident_kb PID: resident memory of a process in KB.
+resident_kb() { awk '/VmRSS/ {print $2}' "/proc/$1/status"; }
+
 # value_of FILE KEY: first value of KEY in lines of key=value pairs.
 value_of() {
     sed -n "s/.*\b$2=\([^ ]*\).*/\1/p" "$1" | head -n 1
