Ask for at most 500 jobs in the process tests

The common function asked for a page of 1,000 jobs; since the entry daemon refuses more than 500 with bad_request, and the function counted the refusal as zero jobs. Ruled out: lost jobs; the workers' counts showed all of them as completed. Change: a page of 500, and curl prints a refusal. Conclusion: both tests wait for the state that they check.

--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -365,7 +365,7 @@
 
 # jobs_in_state STATE COUNT CLASS: whether exactly so many jobs of a class are in a state.
 jobs_in_state() {
-    [ "$(curl -s -m 10 "http://${entries[1]}/v1/jobs?state=$1&limit=1000" | grep -o "\"class\":\"$3\"" | wc -l)" -eq "$2" ]
+    [ "$(curl -sS -f -m 10 "http://${entries[1]}/v1/jobs?state=$1&limit=500" | grep -o "\"class\":\"$3\"" | wc -l)" -eq "$2" ]
 }
 
 # pause_workers true|false: while paused, workers hold every call, and their tasks and leases stand still.
