Tell where a page of jobs ends

Cause: a scheduler cuts its list at 700 KB, and the entry daemon merged cut and complete lists; the next page then skipped jobs of the scheduler whose list was cut. Ruled out: smaller pages, which still depend on the size of the payloads. Conclusion: paging by the last id reaches every job.

--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -143,6 +143,7 @@
 struct JobCommand;
 struct JobEntry;
 struct JobListReply;
+struct JobPage;
 struct JobQueried;
 struct JobRecord;
 struct JobReply;
--- a/include/burdockspur/host/callercodec.hpp
+++ b/include/burdockspur/host/callercodec.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "burdockspur/contract/configuration.hpp"
-#include "burdockspur/contract/job.hpp"
+#include "burdockspur/contract/jobpage.hpp"
 #include "burdockspur/contract/outcome.hpp"
 #include "burdockspur/contract/requestanswer.hpp"
 #include "burdockspur/contract/servicerequest.hpp"
@@ -57,7 +57,7 @@
 [[nodiscard]] auto encodeAcceptedJob(const Job &job) -> HttpResponse;
 
 [[nodiscard]] auto encodeJob(const Job &job) -> HttpResponse;
-[[nodiscard]] auto encodeJobs(const std::vector<Job> &jobs) -> HttpResponse;
+[[nodiscard]] auto encodeJobs(const JobPage &page) -> HttpResponse;
 [[nodiscard]] auto encodeConfiguration(const Configuration &configuration) -> HttpResponse;
 [[nodiscard]] auto encodeConfigVersion(ConfigVersion version) -> HttpResponse;
 }
--- a/include/burdockspur/host/callermessage.hpp
+++ b/include/burdockspur/host/callermessage.hpp
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "burdockspur/contract/configuration.hpp"
-#include "burdockspur/contract/job.hpp"
+#include "burdockspur/contract/jobpage.hpp"
 #include "burdockspur/core/error.hpp"
 #include "burdockspur/host/routercommand.hpp"
 
 #include <variant>
-#include <vector>
 
 namespace Burdockspur
 {
@@ -20,7 +19,7 @@
 /// @brief Result of a list of jobs.
 struct AnswerJobList {
     CallerTicket m_ticket = 0;
-    Result<std::vector<Job>> m_result;
+    Result<JobPage> m_result;
 };
 
 /// @brief Result of a change of the configuration.
--- a/include/burdockspur/host/jobrouter.hpp
+++ b/include/burdockspur/host/jobrouter.hpp
@@ -87,6 +87,7 @@
         std::uint32_t m_tries = 0;
         std::set<std::uint64_t> m_open; ///< correlations without a reply
         std::map<std::string, Job> m_jobs; ///< of the schedulers that replied to ListJobs
+        std::optional<std::string> m_listedUpTo; ///< a scheduler has jobs beyond this id that its reply does not name
         bool m_wasSent = false;
     };
 
--- a/include/burdockspur/impl/messages_generated.h
+++ b/include/burdockspur/impl/messages_generated.h
@@ -1152,16 +1152,21 @@
   typedef JobListReplyBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_JOBS = 4
+    VT_JOBS = 4,
+    VT_HAS_MORE = 6
   };
   const flatbuffers::Vector<flatbuffers::Offset<Burdockspur::Wire::Job>> *jobs() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Burdockspur::Wire::Job>> *>(VT_JOBS);
   }
+  bool has_more() const {
+    return GetField<uint8_t>(VT_HAS_MORE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_JOBS) &&
            verifier.VerifyVector(jobs()) &&
            verifier.VerifyVectorOfTables(jobs()) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_MORE, 1) &&
            verifier.EndTable();
   }
 };
@@ -1173,6 +1178,9 @@
   void add_jobs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Burdockspur::Wire::Job>>> jobs) {
     fbb_.AddOffset(JobListReply::VT_JOBS, jobs);
   }
+  void add_has_more(bool has_more) {
+    fbb_.AddElement<uint8_t>(JobListReply::VT_HAS_MORE, static_cast<uint8_t>(has_more), 0);
+  }
   explicit JobListReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1186,9 +1194,11 @@
 
 inline flatbuffers::Offset<JobListReply> CreateJobListReply(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Burdockspur::Wire::Job>>> jobs = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Burdockspur::Wire::Job>>> jobs = 0,
+    bool has_more = false) {
   JobListReplyBuilder builder_(_fbb);
   builder_.add_jobs(jobs);
+  builder_.add_has_more(has_more);
   return builder_.Finish();
 }
 
@@ -1199,11 +1209,13 @@
 
 inline flatbuffers::Offset<JobListReply> CreateJobListReplyDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<Burdockspur::Wire::Job>> *jobs = nullptr) {
+    const std::vector<flatbuffers::Offset<Burdockspur::Wire::Job>> *jobs = nullptr,
+    bool has_more = false) {
   auto jobs__ = jobs ? _fbb.CreateVector<flatbuffers::Offset<Burdockspur::Wire::Job>>(*jobs) : 0;
   return Burdockspur::Wire::CreateJobListReply(
       _fbb,
-      jobs__);
+      jobs__,
+      has_more);
 }
 
 struct ErrorReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/burdockspur/link/peermessage.hpp
+++ b/include/burdockspur/link/peermessage.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockspur/contract/job.hpp"
+#include "burdockspur/contract/jobpage.hpp"
 #include "burdockspur/contract/shardownership.hpp"
 #include "burdockspur/core/error.hpp"
 
@@ -59,7 +60,7 @@
 
 /// @brief Answer to ListJobs.
 struct JobListReply {
-    std::vector<Job> m_jobs;
+    JobPage m_page;
 };
 
 /// @brief Answer to any request that failed.
--- a/include/burdockspur/operations/controloptions.hpp
+++ b/include/burdockspur/operations/controloptions.hpp
@@ -19,6 +19,7 @@
     std::string m_body;
     std::string m_bodyFile;
     std::uint64_t m_expectedVersion = 0;
+    std::string m_after; ///< last job of the previous page
     std::uint32_t m_limit = 0;
     std::uint32_t m_deadlineMs = 0;
     bool m_idempotent = false;
--- a/src/host/callercodec.cpp
+++ b/src/host/callercodec.cpp
@@ -279,13 +279,13 @@
     return jsonResponse(200, jsonText(jobObject(job)));
 }
 
-auto encodeJobs(const std::vector<Job> &jobs) -> HttpResponse
+auto encodeJobs(const JobPage &page) -> HttpResponse
 {
     QJsonArray array;
-    for (const auto &job : jobs) {
+    for (const auto &job : page.m_jobs) {
         array.append(jobObject(job));
     }
-    return jsonResponse(200, jsonText({{"jobs", array}}));
+    return jsonResponse(200, jsonText({{"jobs", array}, {"more", page.m_hasMore}}));
 }
 
 auto encodeConfiguration(const Configuration &configuration) -> HttpResponse
--- a/src/host/jobrouter.cpp
+++ b/src/host/jobrouter.cpp
@@ -181,7 +181,12 @@
 auto JobRouter::take(CallerTicket ticket, JobListReply &&reply, Turn &turn) -> void
 {
     auto &pending = m_pending.at(ticket);
-    for (auto &job : reply.m_jobs) {
+    auto &page = reply.m_page;
+    if (page.m_hasMore && !page.m_jobs.empty()) {
+        const auto &last = page.m_jobs.back().m_id;
+        pending.m_listedUpTo = std::min(pending.m_listedUpTo.value_or(last), last);
+    }
+    for (auto &job : page.m_jobs) {
         // A shard that changes its owner between two replies appears in both.
         const std::string id = job.m_id;
         pending.m_jobs.insert_or_assign(id, std::move(job));
@@ -235,6 +240,7 @@
         return false;
     }
     pending.m_jobs.clear();
+    pending.m_listedUpTo.reset();
     for (const auto &host : hosts) {
         send(pending, host, turn);
     }
@@ -297,15 +303,17 @@
 {
     const CallerTicket ticket = pending.m_command.m_ticket;
     const auto limit = std::get<ListJobs>(pending.m_command.m_body).m_limit;
-    std::vector<Job> jobs;
+    JobPage page;
     for (auto &[id, job] : pending.m_jobs) {
-        if (jobs.size() == limit) {
+        // Beyond the last id of a cut reply, the jobs of that scheduler would be missing from the list.
+        if (page.m_jobs.size() == limit || (pending.m_listedUpTo && id > *pending.m_listedUpTo)) {
             break;
         }
-        jobs.push_back(std::move(job));
+        page.m_jobs.push_back(std::move(job));
     }
+    page.m_hasMore = pending.m_listedUpTo.has_value() || page.m_jobs.size() < pending.m_jobs.size();
     forget(pending);
-    turn.m_orders.emplace_back(AnswerJobList{ticket, std::move(jobs)});
+    turn.m_orders.emplace_back(AnswerJobList{ticket, std::move(page)});
 }
 
 auto JobRouter::forget(Pending &pending) -> void
--- a/src/link/framecodec.cpp
+++ b/src/link/framecodec.cpp
@@ -121,18 +121,19 @@
 [[nodiscard]] auto encode(Builder &builder, const JobListReply &reply) -> flatbuffers::Offset<Wire::JobListReply>
 {
     std::vector<flatbuffers::Offset<Wire::Job>> jobs;
-    jobs.reserve(reply.m_jobs.size());
-    for (const auto &job : reply.m_jobs) {
+    jobs.reserve(reply.m_page.m_jobs.size());
+    for (const auto &job : reply.m_page.m_jobs) {
         jobs.push_back(encodeJob(builder, job));
     }
-    return Wire::CreateJobListReply(builder, builder.CreateVector(jobs));
+    return Wire::CreateJobListReply(builder, builder.CreateVector(jobs), reply.m_page.m_hasMore);
 }
 
 [[nodiscard]] auto decode(WireReader &reader, const Wire::JobListReply &reply) -> JobListReply
 {
     JobListReply read;
+    read.m_page.m_hasMore = reply.has_more();
     for (flatbuffers::uoffset_t i = 0; reply.jobs() != nullptr && i < reply.jobs()->size() && reader.fault().empty(); ++i) {
-        read.m_jobs.push_back(reader.job(reply.jobs()->Get(i)));
+        read.m_page.m_jobs.push_back(reader.job(reply.jobs()->Get(i)));
     }
     return read;
 }
--- a/src/operations/controloptions.cpp
+++ b/src/operations/controloptions.cpp
@@ -14,6 +14,7 @@
 DEFINE_string(entry, "", "address and port of an entry daemon");
 DEFINE_string(caller, "operator", "name of the caller");
 DEFINE_string(state, "", "state of the jobs listed");
+DEFINE_string(after, "", "last job of the previous page");
 DEFINE_string(key, "", "idempotency key");
 DEFINE_string(body, "", "body of the request");
 DEFINE_string(body_file, "", "file with the body of the request");
@@ -28,7 +29,7 @@
 {
 namespace
 {
-constexpr std::array<ProgramFlag, 13> flagTable{{
+constexpr std::array<ProgramFlag, 14> flagTable{{
     {"check", "", "check the command and its files, send nothing (0 valid, 2 not)"},
     {"entry", "ADDRESS:PORT", "callers' port of any entry daemon; required"},
     {"json", "", "print the answer as JSON instead of tables"},
@@ -36,6 +37,7 @@
     {"expected_version", "N", "version that the change is based on; another one is a conflict"},
     {"state", "STATE", "jobs list: only jobs in this state"},
     {"limit", "N", "jobs list: most jobs, 1 to 500 (default 50)"},
+    {"after", "ID", "jobs list: only jobs after this id, the last one of the previous page"},
     {"key", "KEY", "idempotency key of a job or request"},
     {"caller", "NAME", "caller of a job or request (default operator)"},
     {"body", "TEXT", "request: body"},
@@ -98,6 +100,7 @@
     options.m_entry = std::move(*entry);
     options.m_caller = FLAGS_caller;
     options.m_state = FLAGS_state;
+    options.m_after = FLAGS_after;
     options.m_key = FLAGS_key;
     options.m_body = FLAGS_body;
     options.m_bodyFile = FLAGS_body_file;
--- a/src/operations/controlprogram.cpp
+++ b/src/operations/controlprogram.cpp
@@ -26,7 +26,7 @@
 constexpr std::array<std::string_view, 1> keyFlag{"key"};
 constexpr std::array<std::string_view, 1> tomlFlag{"toml"};
 constexpr std::array<std::string_view, 1> callerFlag{"caller"};
-constexpr std::array<std::string_view, 2> listFlags{"state", "limit"};
+constexpr std::array<std::string_view, 3> listFlags{"state", "limit", "after"};
 constexpr std::array<std::string_view, 6> requestFlags{"body", "body_file", "key", "caller", "idempotent", "deadline_ms"};
 // Flags that every command takes.
 constexpr std::array<std::string_view, 5> generalFlags{"check", "entry", "json", "help", "version"};
@@ -317,6 +317,9 @@
     if (!m_options.m_state.empty()) {
         target += "&state=" + m_options.m_state;
     }
+    if (!m_options.m_after.empty()) {
+        target += "&after=" + percentEncoded(m_options.m_after);
+    }
     return show(send({"GET", std::move(target), "", {}}));
 }
 
--- a/src/shard/sharddutyrequests.cpp
+++ b/src/shard/sharddutyrequests.cpp
@@ -15,7 +15,7 @@
 constexpr Milliseconds figuresPeriod{1'000};
 constexpr std::size_t longestListBytes = 700'000; // below the largest frame of 1 MiB
 
-auto cutList(std::vector<Job> &jobs, std::size_t limit) -> void
+[[nodiscard]] auto pageOf(std::vector<Job> &&jobs, std::size_t limit) -> JobPage
 {
     std::ranges::sort(jobs, {}, &Job::m_id);
     std::size_t bytes = 0;
@@ -27,7 +27,10 @@
             break;
         }
     }
-    jobs.resize(count);
+    JobPage page{.m_jobs = std::move(jobs), .m_hasMore = false};
+    page.m_hasMore = count < page.m_jobs.size();
+    page.m_jobs.resize(count);
+    return page;
 }
 }
 
@@ -79,11 +82,11 @@
     std::vector<Job> jobs;
     for (const auto &[id, shard] : m_shards) {
         if (shard.m_scheduler) {
-            shard.m_scheduler->jobs().list(state ? &*state : nullptr, request.m_after, jobs.size() + limit, jobs);
+            // One more than the page holds tells whether another page follows.
+            shard.m_scheduler->jobs().list(state ? &*state : nullptr, request.m_after, jobs.size() + limit + 1, jobs);
         }
     }
-    cutList(jobs, limit);
-    answer(ticket, JobListReply{.m_jobs = std::move(jobs)});
+    answer(ticket, JobListReply{.m_page = pageOf(std::move(jobs), limit)});
 }
 
 auto ShardDuty::answer(const EntryTicket &ticket, PeerMessage::Body body) -> void
--- a/tests/ctltest.cpp
+++ b/tests/ctltest.cpp
@@ -188,6 +188,8 @@
     EXPECT_EQ(run({"jobs", "list", "--state", "running", "--limit", "2"}), 0);
     EXPECT_EQ(lastRequest(), "GET /v1/jobs?limit=2&state=running ");
     EXPECT_EQ(m_out.str(), "\njobs:\njob_id  state    worker  reason\nj1      running  -       -\nj2      queued   -       no [2J\n");
+    EXPECT_EQ(run({"jobs", "list", "--limit", "2", "--after", "j/2"}), 0);
+    EXPECT_EQ(lastRequest(), "GET /v1/jobs?limit=2&after=j%2F2 ");
     EXPECT_EQ(run({"jobs", "show", "j/1"}), 0);
     EXPECT_EQ(lastRequest(), "GET /v1/jobs/j%2F1 ");
     EXPECT_EQ(run({"jobs", "cancel", "j1"}), 0);
--- a/tests/entrydaemontest.cpp
+++ b/tests/entrydaemontest.cpp
@@ -332,7 +332,7 @@
         } else if (const auto *const query = std::get_if<QueryJob>(&message.m_body)) {
             reply.m_body = ErrorReply{{ErrorCode::UnknownJob, "there is no job " + query->m_job}};
         } else if (std::holds_alternative<ListJobs>(message.m_body)) {
-            reply.m_body = JobListReply{{jobNamed("j2"), jobNamed("j1")}};
+            reply.m_body = JobListReply{{{jobNamed("j1"), jobNamed("j2")}}};
         } else {
             return;
         }
--- a/tests/framecodectest.cpp
+++ b/tests/framecodectest.cpp
@@ -52,7 +52,7 @@
         QueryJob{.m_job = "j3"},
         ListJobs{.m_state = "queued", .m_after = "j4", .m_limit = 0},
         JobReply{.m_job = someJob("j5")},
-        JobListReply{.m_jobs = {someJob("j6"), {}, someJob("j7")}},
+        JobListReply{.m_page = {.m_jobs = {someJob("j6"), {}, someJob("j7")}, .m_hasMore = true}},
         ErrorReply{.m_error = {.m_code = ErrorCode::NotOwner, .m_message = "owned by entry-3"}},
     };
     std::vector<PeerMessage> messages;
@@ -100,8 +100,9 @@
     EXPECT_EQ(std::get<JobReply>(reply->m_body).m_job, someJob("j5"));
     const auto list = decode(std::string_view(encodeFrame(messages[8])).substr(lengthBytes));
     ASSERT_TRUE(list);
-    EXPECT_EQ(std::get<JobListReply>(list->m_body).m_jobs[1], Job());
-    EXPECT_EQ(std::get<JobListReply>(list->m_body).m_jobs[2], someJob("j7"));
+    EXPECT_EQ(std::get<JobListReply>(list->m_body).m_page.m_jobs[1], Job());
+    EXPECT_EQ(std::get<JobListReply>(list->m_body).m_page.m_jobs[2], someJob("j7"));
+    EXPECT_TRUE(std::get<JobListReply>(list->m_body).m_page.m_hasMore);
     const auto report = decode(std::string_view(encodeFrame(messages[2])).substr(lengthBytes));
     ASSERT_TRUE(report);
     EXPECT_EQ(std::get<OwnershipReport>(report->m_body).m_shards, std::get<OwnershipReport>(messages[2].m_body).m_shards);
--- a/tests/jobroutertest.cpp
+++ b/tests/jobroutertest.cpp
@@ -138,12 +138,31 @@
     ASSERT_EQ(m_orders.size(), 2U);
     const auto toFirst = std::get<SendToPeer>(m_orders[0]);
     const auto toSecond = std::get<SendToPeer>(m_orders[1]);
-    reply(toFirst.m_host, toFirst.m_message.m_correlation, JobListReply{{jobNamed("j4"), jobNamed("j1")}});
+    reply(toFirst.m_host, toFirst.m_message.m_correlation, JobListReply{{{jobNamed("j1"), jobNamed("j4")}}});
     EXPECT_TRUE(m_orders.empty());
-    reply(toSecond.m_host, toSecond.m_message.m_correlation, JobListReply{{jobNamed("j3"), jobNamed("j2")}});
+    reply(toSecond.m_host, toSecond.m_message.m_correlation, JobListReply{{{jobNamed("j2"), jobNamed("j3")}}});
     const auto answer = first<AnswerJobList>();
     ASSERT_TRUE(answer.m_result);
-    ASSERT_EQ(answer.m_result->size(), 3U);
-    EXPECT_EQ(answer.m_result->front().m_id, "j1");
-    EXPECT_EQ(answer.m_result->back().m_id, "j3");
+    ASSERT_EQ(answer.m_result->m_jobs.size(), 3U);
+    EXPECT_EQ(answer.m_result->m_jobs.front().m_id, "j1");
+    EXPECT_EQ(answer.m_result->m_jobs.back().m_id, "j3");
+    EXPECT_TRUE(answer.m_result->m_hasMore);
+}
+
+// Guards against paging that skips the jobs which a scheduler left out of a reply that would be too large.
+TEST_F(JobRouterTest, ListEndsAtTheLastIdOfACutReply)
+{
+    own("e1", {0}, 1);
+    own("e2", {1}, 1);
+    apply(JobCommand{1, m_now + 5s, ListJobs{{}, {}, 10}});
+    ASSERT_EQ(m_orders.size(), 2U);
+    const auto toFirst = std::get<SendToPeer>(m_orders[0]);
+    const auto toSecond = std::get<SendToPeer>(m_orders[1]);
+    reply(toFirst.m_host, toFirst.m_message.m_correlation, JobListReply{{{jobNamed("j1"), jobNamed("j3")}, true}});
+    reply(toSecond.m_host, toSecond.m_message.m_correlation, JobListReply{{{jobNamed("j2"), jobNamed("j5")}, false}});
+    const auto answer = first<AnswerJobList>();
+    ASSERT_TRUE(answer.m_result);
+    ASSERT_EQ(answer.m_result->m_jobs.size(), 3U);
+    EXPECT_EQ(answer.m_result->m_jobs.back().m_id, "j3");
+    EXPECT_TRUE(answer.m_result->m_hasMore);
 }
