Share the decoding and forwarding of commands in two duties

Cause: three calls of WorkerDuty and four handlers of CallerDuty repeated the same lines with other types. Change: one template each; the member of WorkerPort and the member that takes the reply are arguments. Tests: schedulerdaemontest, entrydaemontest and process_badinputtest pass. Conclusion: behaviour is unchanged.

--- a/include/burdockspur/host/callerduty.hpp
+++ b/include/burdockspur/host/callerduty.hpp
@@ -92,8 +92,10 @@
     auto replaceConfiguration(Call &call) -> void;
     auto showStatus(Call &call) -> void;
 
-    auto commandJobs(ExchangeId exchange, AnswerKind kind, JobCommand::Body &&body) -> void;
-    auto commandPlatform(ExchangeId exchange, PlatformCommand &&command, CallerTicket ticket) -> void;
+    template<typename Command>
+    auto commandJobs(const Call &call, AnswerKind kind, Result<Command> &&command) -> void;
+    template<typename Command>
+    auto changeConfiguration(const Call &call, Result<Command> &&command) -> void;
     [[nodiscard]] auto remember(ExchangeId exchange, AnswerKind kind) -> CallerTicket;
     auto refuse(ExchangeId exchange, const Error &error) -> void;
 
--- a/include/burdockspur/shard/workerduty.hpp
+++ b/include/burdockspur/shard/workerduty.hpp
@@ -35,6 +35,11 @@
     auto run(const StartAttempt &command) -> void;
     auto run(const StopAttempt &command) -> void;
     auto run(const CheckpointAttempt &command) -> void;
+    /// @brief Calls a worker and answers with what it said.
+    /// @tparam Call member of WorkerPort
+    /// @param outcome member of the answer that takes the worker's reply
+    template<auto Call, typename Answered, typename Outcome, typename Command>
+    auto carryOut(Outcome Answered::*outcome, const Command &command) -> void;
     auto answer(ShardInput &&input) -> void;
 
     const ShardSettings &m_settings;
--- a/src/host/callerduty.cpp
+++ b/src/host/callerduty.cpp
@@ -141,32 +141,22 @@
 
 auto CallerDuty::submitJob(Call &call) -> void
 {
-    auto command = decodeSubmission(call.m_request);
-    if (!command) {
-        refuse(call.m_exchange, command.error());
-        return;
-    }
-    commandJobs(call.m_exchange, AnswerKind::Submission, std::move(*command));
+    commandJobs(call, AnswerKind::Submission, decodeSubmission(call.m_request));
 }
 
 auto CallerDuty::showJob(Call &call) -> void
 {
-    commandJobs(call.m_exchange, AnswerKind::Job, QueryJob{std::move(call.m_segment)});
+    commandJobs(call, AnswerKind::Job, Result<QueryJob>(QueryJob{std::move(call.m_segment)}));
 }
 
 auto CallerDuty::listJobs(Call &call) -> void
 {
-    auto command = decodeJobQuery(call.m_request);
-    if (!command) {
-        refuse(call.m_exchange, command.error());
-        return;
-    }
-    commandJobs(call.m_exchange, AnswerKind::JobList, std::move(*command));
+    commandJobs(call, AnswerKind::JobList, decodeJobQuery(call.m_request));
 }
 
 auto CallerDuty::cancelJob(Call &call) -> void
 {
-    commandJobs(call.m_exchange, AnswerKind::Job, CancelJob{std::move(call.m_segment)});
+    commandJobs(call, AnswerKind::Job, Result<CancelJob>(CancelJob{std::move(call.m_segment)}));
 }
 
 auto CallerDuty::showConfiguration(Call &call) -> void
@@ -180,26 +170,28 @@
 
 auto CallerDuty::switchPreset(Call &call) -> void
 {
-    auto command = decodePresetChange(call.m_request.m_body);
-    if (!command) {
-        refuse(call.m_exchange, command.error());
-        return;
-    }
-    command->m_ticket = remember(call.m_exchange, AnswerKind::ConfigChange);
-    const CallerTicket ticket = command->m_ticket;
-    commandPlatform(call.m_exchange, std::move(*command), ticket);
+    changeConfiguration(call, decodePresetChange(call.m_request.m_body));
 }
 
 auto CallerDuty::replaceConfiguration(Call &call) -> void
 {
-    auto command = decodeConfigChange(call.m_request.m_body);
+    changeConfiguration(call, decodeConfigChange(call.m_request.m_body));
+}
+
+template<typename Command>
+auto CallerDuty::changeConfiguration(const Call &call, Result<Command> &&command) -> void
+{
     if (!command) {
         refuse(call.m_exchange, command.error());
         return;
     }
-    command->m_ticket = remember(call.m_exchange, AnswerKind::ConfigChange);
-    const CallerTicket ticket = command->m_ticket;
-    commandPlatform(call.m_exchange, std::move(*command), ticket);
+    const CallerTicket ticket = remember(call.m_exchange, AnswerKind::ConfigChange);
+    command->m_ticket = ticket;
+    if (!m_rings.m_platform.tryPush(std::move(*command))) {
+        m_metrics.noteRingFull(RingName::Platform);
+        complete(ticket);
+        refuse(call.m_exchange, {ErrorCode::Overloaded, "this entry host has too many configuration changes in progress"});
+    }
 }
 
 auto CallerDuty::showStatus(Call &call) -> void
@@ -207,28 +199,24 @@
     send(call.m_exchange, jsonResponse(statusOk, m_status.text()));
 }
 
-auto CallerDuty::commandJobs(ExchangeId exchange, AnswerKind kind, JobCommand::Body &&body) -> void
+template<typename Command>
+auto CallerDuty::commandJobs(const Call &call, AnswerKind kind, Result<Command> &&command) -> void
 {
+    if (!command) {
+        refuse(call.m_exchange, command.error());
+        return;
+    }
     m_metrics.noteJobCommand();
     if (m_draining) {
-        refuse(exchange, {ErrorCode::Draining, "this entry host is shutting down; use another one"});
+        refuse(call.m_exchange, {ErrorCode::Draining, "this entry host is shutting down; use another one"});
         return;
     }
-    const CallerTicket ticket = remember(exchange, kind);
+    const CallerTicket ticket = remember(call.m_exchange, kind);
     const TimePoint deadline = Clock::now() + m_options.m_callerLimits.m_jobDeadline;
-    if (!m_rings.m_links.tryPush(JobCommand{ticket, deadline, std::move(body)})) {
+    if (!m_rings.m_links.tryPush(JobCommand{ticket, deadline, std::move(*command)})) {
         m_metrics.noteRingFull(RingName::Links);
         complete(ticket);
-        refuse(exchange, {ErrorCode::Overloaded, "this entry host has too many job commands in progress"});
-    }
-}
-
-auto CallerDuty::commandPlatform(ExchangeId exchange, PlatformCommand &&command, CallerTicket ticket) -> void
-{
-    if (!m_rings.m_platform.tryPush(std::move(command))) {
-        m_metrics.noteRingFull(RingName::Platform);
-        complete(ticket);
-        refuse(exchange, {ErrorCode::Overloaded, "this entry host has too many configuration changes in progress"});
+        refuse(call.m_exchange, {ErrorCode::Overloaded, "this entry host has too many job commands in progress"});
     }
 }
 
--- a/src/shard/workerduty.cpp
+++ b/src/shard/workerduty.cpp
@@ -61,44 +61,30 @@
         });
 }
 
+template<auto Call, typename Answered, typename Outcome, typename Command>
+auto WorkerDuty::carryOut(Outcome Answered::*outcome, const Command &command) -> void
+{
+    Answered answered{command.m_order.m_shard, command.m_order.m_epoch, command.m_worker, command.m_order.m_attempt, {}};
+    (m_port.get()->*Call)(
+        command.m_endpoint, command.m_order, m_settings.m_callTimeout, [this, outcome, answered = std::move(answered)](Outcome &&result) mutable {
+            answered.*outcome = std::move(result);
+            answer(std::move(answered));
+        });
+}
+
 auto WorkerDuty::run(const StartAttempt &command) -> void
 {
-    StartAnswered answered{.m_shard = command.m_order.m_shard,
-                           .m_epoch = command.m_order.m_epoch,
-                           .m_worker = command.m_worker,
-                           .m_attempt = command.m_order.m_attempt,
-                           .m_result = {}};
-    m_port->start(command.m_endpoint, command.m_order, m_settings.m_callTimeout, [this, answered = std::move(answered)](StartResult &&result) mutable {
-        answered.m_result = std::move(result);
-        answer(std::move(answered));
-    });
+    carryOut<&WorkerPort::start>(&StartAnswered::m_result, command);
 }
 
 auto WorkerDuty::run(const StopAttempt &command) -> void
 {
-    StopAnswered answered{.m_shard = command.m_order.m_shard,
-                          .m_epoch = command.m_order.m_epoch,
-                          .m_worker = command.m_worker,
-                          .m_attempt = command.m_order.m_attempt,
-                          .m_report = {}};
-    m_port->stop(command.m_endpoint, command.m_order, m_settings.m_callTimeout, [this, answered = std::move(answered)](Result<AttemptReport> &&report) mutable {
-        answered.m_report = std::move(report);
-        answer(std::move(answered));
-    });
+    carryOut<&WorkerPort::stop>(&StopAnswered::m_report, command);
 }
 
 auto WorkerDuty::run(const CheckpointAttempt &command) -> void
 {
-    CheckpointAnswered answered{.m_shard = command.m_order.m_shard,
-                                .m_epoch = command.m_order.m_epoch,
-                                .m_worker = command.m_worker,
-                                .m_attempt = command.m_order.m_attempt,
-                                .m_report = {}};
-    m_port->checkpoint(
-        command.m_endpoint, command.m_order, m_settings.m_callTimeout, [this, answered = std::move(answered)](Result<AttemptReport> &&report) mutable {
-            answered.m_report = std::move(report);
-            answer(std::move(answered));
-        });
+    carryOut<&WorkerPort::checkpoint>(&CheckpointAnswered::m_report, command);
 }
 
 auto WorkerDuty::answer(ShardInput &&input) -> void
