Report the burn of service levels

Cause: operators could not see how much of a service's error budget was used, nor what used it. Ruled out: deriving it from the histogram of request times, which knows neither services nor workers; a store of its own (an hour of counts in each entry daemon is enough, and daemons keep nothing). Change: each entry daemon counts requests, slow and failed ones of each service over 5 and 60 minutes with their causes (worker, zone, preset, error code); GET /v1/burn; burdockspurctl burn adds up hosts and prints tables, JSON or an HTML page with plots; services have objective_percent. Conclusion: causes name no batch class that ran beside the service yet.

--- a/include/burdockspur/contract/configuration.hpp
+++ b/include/burdockspur/contract/configuration.hpp
@@ -14,7 +14,8 @@
 struct ServiceDefinition {
     std::string m_name;
     Resources m_reservation; ///< kept free on each worker for the service's slots
-    std::int64_t m_latencyTargetMs = 0;
+    std::int64_t m_latencyTargetMs = 0; ///< 0: no target
+    double m_objectivePercent = 99.9; ///< share of requests that are answered within the target
 
     [[nodiscard]] auto operator==(const ServiceDefinition &) const -> bool = default;
 };
--- a/include/burdockspur/host/callerduty.hpp
+++ b/include/burdockspur/host/callerduty.hpp
@@ -5,6 +5,7 @@
 #include "burdockspur/host/entryrings.hpp"
 #include "burdockspur/link/httplimits.hpp"
 #include "burdockspur/link/httpserver.hpp"
+#include "burdockspur/operations/burnmeter.hpp"
 
 #include <future>
 #include <memory>
@@ -76,6 +77,7 @@
         ExchangeId m_exchange;
         TimePoint m_arrived;
         AnswerKind m_kind = AnswerKind::Request;
+        std::string m_service; ///< of a request
     };
 
     [[nodiscard]] static auto routes() -> std::span<const Route>;
@@ -91,6 +93,7 @@
     auto switchPreset(Call &call) -> void;
     auto replaceConfiguration(Call &call) -> void;
     auto showStatus(Call &call) -> void;
+    auto showBurn(Call &call) -> void;
 
     template<typename Command>
     auto commandJobs(const Call &call, AnswerKind kind, Result<Command> &&command) -> void;
@@ -120,6 +123,7 @@
     std::unordered_map<CallerTicket, Pending> m_pending;
     std::vector<CallerMessage> m_messages;
     std::optional<Configuration> m_configuration;
+    BurnMeter m_burn;
     std::unique_ptr<HttpServer> m_server;
     std::unique_ptr<QTimer> m_drainTimer;
     bool m_draining = false;
--- a/include/burdockspur/host/entrystatus.hpp
+++ b/include/burdockspur/host/entrystatus.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Burdockspur
@@ -51,6 +52,9 @@
     /// @brief The report as JSON text.
     [[nodiscard]] auto text() const -> std::string;
 
+    /// @brief Zone of a worker of the report, or an empty text.
+    [[nodiscard]] auto zoneOf(std::string_view worker) const -> std::string;
+
 private:
     mutable std::mutex m_mutex;
     EntryReport m_report;
--- /dev/null
+++ b/include/burdockspur/operations/burnreport.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "burdockspur/operations/burnwindow.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Burdockspur
+{
+/// @brief What a share of the error budget was lost to.
+struct BurnCause {
+    std::string m_kind; ///< `worker`, `zone`, `preset` or `code`
+    std::string m_name;
+    BurnCount m_count; ///< over the long window
+};
+
+/// @brief Service level of one service over a short and a long window.
+///
+/// The burn rate is the share of bad requests divided by the share that the objective allows: 1 uses up the
+/// budget exactly.
+struct ServiceBurn {
+    std::string m_service;
+    std::int64_t m_latencyTargetMs = 0; ///< 0: no target
+    double m_objectivePercent = 0.0;
+    BurnCount m_short;
+    BurnCount m_long;
+    std::vector<BurnCount> m_periods; ///< of the long window, the oldest first
+    std::vector<BurnCause> m_causes; ///< the largest first
+
+    /// @brief Burn rate of a count; 0 without requests.
+    [[nodiscard]] auto rate(const BurnCount &count) const noexcept -> double;
+
+    /// @brief Part of the budget of the long window that is left, in percent; negative when overspent.
+    [[nodiscard]] auto budgetLeftPercent() const noexcept -> double;
+
+    /// @brief Adds what another entry host counted for the same service.
+    auto merge(const ServiceBurn &other) -> void;
+};
+
+/// @brief Service levels of all services that got requests.
+struct BurnReport {
+    Milliseconds m_shortWindow{0};
+    Milliseconds m_longWindow{0};
+    std::vector<ServiceBurn> m_services;
+
+    /// @brief Adds the report of another entry host.
+    auto merge(const BurnReport &other) -> void;
+};
+}
--- a/include/burdockspur/operations/configurationdocument.hpp
+++ b/include/burdockspur/operations/configurationdocument.hpp
@@ -18,7 +18,7 @@
 /// @code
 /// {"shards": 16, "preset_in_force": "ordinary",
 ///  "presets": [{"name": "ordinary", "tail_weight": 1, "batch_weight": 1, "eviction_weight": 1, "accept_batch": true}],
-///  "services": [{"name": "routes", "cpu_millis": 500, "memory_mb": 256, "accelerators": 0, "latency_target_ms": 50}],
+///  "services": [{"name": "routes", "cpu_millis": 500, "memory_mb": 256, "accelerators": 0, "latency_target_ms": 50, "objective_percent": 99.9}],
 ///  "teams": [{"team": "renders", "cpu_millis": 64000, "memory_mb": 100000, "accelerators": 4, "weight": 1}]}
 /// @endcode
 struct ConfigurationDocument {
--- a/include/burdockspur/operations/controloptions.hpp
+++ b/include/burdockspur/operations/controloptions.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Burdockspur
 {
@@ -19,6 +20,8 @@
     std::string m_body;
     std::string m_bodyFile;
     std::uint64_t m_expectedVersion = 0;
+    std::vector<HttpEndpoint> m_moreEntries; ///< burn: further entry daemons
+    std::string m_html; ///< burn: file for the page
     std::string m_after; ///< last job of the previous page
     std::uint32_t m_limit = 0;
     std::uint32_t m_deadlineMs = 0;
--- a/include/burdockspur/operations/controlprogram.hpp
+++ b/include/burdockspur/operations/controlprogram.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "burdockspur/operations/burnreport.hpp"
 #include "burdockspur/operations/controloptions.hpp"
 
 #include <expected>
@@ -66,6 +67,8 @@
     [[nodiscard]] auto followJob(std::string_view id) -> ControlExit;
     [[nodiscard]] auto sendRequest(std::string_view service) -> ControlExit;
     [[nodiscard]] auto showStatus(std::string_view argument) -> ControlExit;
+    [[nodiscard]] auto showBurn(std::string_view argument) -> ControlExit;
+    [[nodiscard]] auto fetchBurn(const HttpEndpoint &entry) -> std::expected<BurnReport, ControlExit>;
 
     [[nodiscard]] auto checkUsage(const Command &command, std::span<const std::string_view> arguments, const ProgramOptions &commandLine) -> ControlExit;
     [[nodiscard]] auto changeConfiguration(std::string_view file, std::uint64_t expectedVersion) -> ControlExit;
--- a/src/host/callerduty.cpp
+++ b/src/host/callerduty.cpp
@@ -3,6 +3,8 @@
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/host/entrymetrics.hpp"
 #include "burdockspur/host/entrystatus.hpp"
+#include "burdockspur/impl/burncodec.hpp"
+#include "burdockspur/impl/jsonreader.hpp"
 #include "burdockspur/operations/log.hpp"
 
 #include <QTimer>
@@ -44,7 +46,7 @@
 
 auto CallerDuty::routes() -> std::span<const Route>
 {
-    static constexpr std::array<Route, 9> table{{
+    static constexpr std::array<Route, 10> table{{
         {"POST", "/v1/services/*/requests", &CallerDuty::forwardRequest},
         {"POST", "/v1/jobs", &CallerDuty::submitJob},
         {"GET", "/v1/jobs", &CallerDuty::listJobs},
@@ -54,6 +56,7 @@
         {"PUT", "/v1/config", &CallerDuty::replaceConfiguration},
         {"PUT", "/v1/config/preset", &CallerDuty::switchPreset},
         {"GET", "/v1/status", &CallerDuty::showStatus},
+        {"GET", "/v1/burn", &CallerDuty::showBurn},
     }};
     return table;
 }
@@ -133,6 +136,7 @@
     }
     const CallerTicket ticket = remember(call.m_exchange, AnswerKind::Request);
     request->m_id = m_idPrefix + std::to_string(ticket);
+    m_pending.at(ticket).m_service = request->m_service;
     if (!m_rings.m_router.tryPush(RequestArrived{ticket, std::move(*request)})) {
         m_metrics.noteRingFull(RingName::Router);
         on(AnswerCaller{ticket, {Outcome::Refused, ErrorCode::Overloaded, m_idPrefix + std::to_string(ticket), {}, {}}});
@@ -199,6 +203,14 @@
     send(call.m_exchange, jsonResponse(statusOk, m_status.text()));
 }
 
+auto CallerDuty::showBurn(Call &call) -> void
+{
+    const auto report = m_burn.report(Clock::now(), [this](std::string_view worker) {
+        return m_status.zoneOf(worker);
+    });
+    send(call.m_exchange, jsonResponse(statusOk, jsonText(burnToJson(report))));
+}
+
 template<typename Command>
 auto CallerDuty::commandJobs(const Call &call, AnswerKind kind, Result<Command> &&command) -> void
 {
@@ -222,7 +234,7 @@
 
 auto CallerDuty::remember(ExchangeId exchange, AnswerKind kind) -> CallerTicket
 {
-    m_pending.emplace(++m_lastTicket, Pending{exchange, Clock::now(), kind});
+    m_pending.emplace(++m_lastTicket, Pending{exchange, Clock::now(), kind, {}});
     return m_lastTicket;
 }
 
@@ -251,7 +263,9 @@
         return;
     }
     auto &answer = message.m_answer;
-    m_metrics.noteAnswer(answer.m_outcome, Clock::now() - pending->m_arrived);
+    const TimePoint now = Clock::now();
+    m_metrics.noteAnswer(answer.m_outcome, now - pending->m_arrived);
+    m_burn.note(pending->m_service, answer, now - pending->m_arrived, now);
     if (answer.m_outcome != Outcome::Answered) {
         logEvent(
             LogLevel::Warning,
@@ -303,6 +317,7 @@
 
 auto CallerDuty::on(ConfigurationChanged &&message) -> void
 {
+    m_burn.setConfiguration(message.m_configuration);
     m_configuration = std::move(message.m_configuration);
 }
 
@@ -326,7 +341,7 @@
     if (found == m_pending.end()) {
         return std::nullopt;
     }
-    const Pending pending = found->second;
+    Pending pending = std::move(found->second);
     m_pending.erase(found);
     return pending;
 }
--- a/src/host/entrystatus.cpp
+++ b/src/host/entrystatus.cpp
@@ -4,6 +4,8 @@
 
 #include <QJsonArray>
 
+#include <algorithm>
+
 namespace Burdockspur
 {
 namespace
@@ -42,6 +44,13 @@
 }
 }
 
+auto EntryStatus::zoneOf(std::string_view worker) const -> std::string
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto found = std::ranges::find(m_report.m_targets, worker, &TargetStatus::m_name);
+    return found == m_report.m_targets.end() ? std::string() : found->m_zone;
+}
+
 auto EntryStatus::text() const -> std::string
 {
     const std::scoped_lock lock(m_mutex);
--- a/src/operations/configurationdocument.cpp
+++ b/src/operations/configurationdocument.cpp
@@ -19,6 +19,8 @@
 // Bounds that keep sums over all teams and workers far below the range of 64 bits.
 constexpr SettingRange amountRange{0, 1e12};
 constexpr SettingRange latencyRange{0, 3'600'000};
+// An objective of 100% leaves no budget that could burn.
+constexpr SettingRange objectiveRange{50, 99.999};
 constexpr auto optional = SettingPresence::Optional;
 
 constexpr std::array<JsonField<Configuration>, 2> documentFields{{
@@ -34,12 +36,13 @@
     {"accept_batch", &memberOf<Preset, &Preset::m_acceptBatch>, {}, optional},
 }};
 
-constexpr std::array<JsonField<ServiceDefinition>, 5> serviceFields{{
+constexpr std::array<JsonField<ServiceDefinition>, 6> serviceFields{{
     {"name", &memberOf<ServiceDefinition, &ServiceDefinition::m_name>, nameLength},
     {"cpu_millis", &memberOf<ServiceDefinition, &ServiceDefinition::m_reservation, &Resources::m_cpuMillis>, amountRange, optional},
     {"memory_mb", &memberOf<ServiceDefinition, &ServiceDefinition::m_reservation, &Resources::m_memoryMb>, amountRange, optional},
     {"accelerators", &memberOf<ServiceDefinition, &ServiceDefinition::m_reservation, &Resources::m_accelerators>, amountRange, optional},
     {"latency_target_ms", &memberOf<ServiceDefinition, &ServiceDefinition::m_latencyTargetMs>, latencyRange, optional},
+    {"objective_percent", &memberOf<ServiceDefinition, &ServiceDefinition::m_objectivePercent>, objectiveRange, optional},
 }};
 
 constexpr std::array<JsonField<TeamQuota>, 5> teamFields{{
--- a/src/operations/controloptions.cpp
+++ b/src/operations/controloptions.cpp
@@ -10,11 +10,14 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <ranges>
 
 DEFINE_string(entry, "", "address and port of an entry daemon");
 DEFINE_string(caller, "operator", "name of the caller");
 DEFINE_string(state, "", "state of the jobs listed");
 DEFINE_string(after, "", "last job of the previous page");
+DEFINE_string(more_entries, "", "further entry daemons");
+DEFINE_string(html, "", "file for an HTML page");
 DEFINE_string(key, "", "idempotency key");
 DEFINE_string(body, "", "body of the request");
 DEFINE_string(body_file, "", "file with the body of the request");
@@ -29,7 +32,7 @@
 {
 namespace
 {
-constexpr std::array<ProgramFlag, 14> flagTable{{
+constexpr std::array<ProgramFlag, 16> flagTable{{
     {"check", "", "check the command and its files, send nothing (0 valid, 2 not)"},
     {"entry", "ADDRESS:PORT", "callers' port of any entry daemon; required"},
     {"json", "", "print the answer as JSON instead of tables"},
@@ -38,6 +41,8 @@
     {"state", "STATE", "jobs list: only jobs in this state"},
     {"limit", "N", "jobs list: most jobs, 1 to 500 (default 50)"},
     {"after", "ID", "jobs list: only jobs after this id, the last one of the previous page"},
+    {"more_entries", "LIST", "burn: ADDRESS:PORT,... of further entry daemons whose counts are added"},
+    {"html", "FILE", "burn: write an HTML page with plots"},
     {"key", "KEY", "idempotency key of a job or request"},
     {"caller", "NAME", "caller of a job or request (default operator)"},
     {"body", "TEXT", "request: body"},
@@ -97,6 +102,14 @@
         }
     }
     ControlOptions options;
+    for (const auto part : std::views::split(FLAGS_more_entries, ',')) {
+        auto more = parseEndpoint(std::string_view(part));
+        if (!more) {
+            return wrongFlag("more_entries", std::string_view(part), more.error().m_message);
+        }
+        options.m_moreEntries.push_back(std::move(*more));
+    }
+    options.m_html = FLAGS_html;
     options.m_entry = std::move(*entry);
     options.m_caller = FLAGS_caller;
     options.m_state = FLAGS_state;
--- a/src/operations/controlprogram.cpp
+++ b/src/operations/controlprogram.cpp
@@ -1,9 +1,11 @@
 #include "burdockspur/operations/controlprogram.hpp"
 
 #include "burdockspur/contract/job.hpp"
+#include "burdockspur/impl/burncodec.hpp"
 #include "burdockspur/impl/jsonreader.hpp"
 #include "burdockspur/impl/jsontable.hpp"
 #include "burdockspur/impl/tomljson.hpp"
+#include "burdockspur/operations/burnpage.hpp"
 #include "burdockspur/operations/configurationdocument.hpp"
 #include "burdockspur/operations/settingstable.hpp"
 
@@ -14,6 +16,7 @@
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 #include <optional>
 
 namespace Burdockspur
@@ -27,6 +30,7 @@
 constexpr std::array<std::string_view, 1> tomlFlag{"toml"};
 constexpr std::array<std::string_view, 1> callerFlag{"caller"};
 constexpr std::array<std::string_view, 3> listFlags{"state", "limit", "after"};
+constexpr std::array<std::string_view, 2> burnFlags{"more_entries", "html"};
 constexpr std::array<std::string_view, 6> requestFlags{"body", "body_file", "key", "caller", "idempotent", "deadline_ms"};
 // Flags that every command takes.
 constexpr std::array<std::string_view, 5> generalFlags{"check", "entry", "json", "help", "version"};
@@ -140,7 +144,9 @@
     std::string m_target;
     std::string m_body;
     std::vector<HttpField> m_fields;
-    Milliseconds m_timeout{15'000}; ///< longer than the daemons follow up a change
+    static constexpr Milliseconds defaultTimeout{15'000}; ///< longer than the daemons follow up a change
+    Milliseconds m_timeout = defaultTimeout;
+    std::optional<HttpEndpoint> m_entry = std::nullopt; ///< instead of the entry daemon of --entry
 };
 
 ControlProgram::ControlProgram(ControlOptions options, std::ostream &out, std::ostream &err)
@@ -152,7 +158,7 @@
 
 auto ControlProgram::commands() -> std::span<const Command>
 {
-    static constexpr std::array<Command, 13> table{{
+    static constexpr std::array<Command, 14> table{{
         {"config", "show", "", {}, tomlFlag, "the configuration in force", &ControlProgram::showConfiguration},
         {"config", "init", "FILE", {}, {}, "store the first configuration", &ControlProgram::initConfiguration},
         {"config", "apply", "FILE", versionFlag, {}, "replace the configuration", &ControlProgram::applyConfiguration},
@@ -165,6 +171,7 @@
         {"jobs", "cancel", "ID", {}, {}, "cancel a job", &ControlProgram::cancelJob},
         {"jobs", "follow", "ID", {}, {}, "print each change of a job until it ends", &ControlProgram::followJob},
         {"request", "", "SERVICE", {}, requestFlags, "send a request to a service", &ControlProgram::sendRequest},
+        {"burn", "", "", {}, burnFlags, "service levels of the last hour and what they were lost to", &ControlProgram::showBurn},
         {"status", "", "", {}, {}, "shards, owners and targets", &ControlProgram::showStatus},
     }};
     return table;
@@ -397,6 +404,48 @@
     return ControlExit::Success;
 }
 
+auto ControlProgram::showBurn(std::string_view) -> ControlExit
+{
+    // Opened for appending, so that a page that exists is kept until a new one can be written.
+    if (!m_options.m_html.empty() && !std::ofstream(m_options.m_html, std::ios::app)) {
+        return fail(ControlExit::BadInput, "flag --html: cannot write '" + m_options.m_html + "'");
+    }
+    auto report = fetchBurn(m_options.m_entry);
+    for (const auto &entry : m_options.m_moreEntries) {
+        const auto other = report ? fetchBurn(entry) : std::unexpected(report.error());
+        if (!other) {
+            return other.error();
+        }
+        report->merge(*other);
+    }
+    if (!report) {
+        return report.error();
+    }
+    if (m_options.m_html.empty()) {
+        return show(m_options.m_json ? burnToJson(*report) : burnTables(*report));
+    }
+    std::ofstream file(m_options.m_html, std::ios::binary | std::ios::trunc);
+    file << burnPage(*report, std::to_string(1 + m_options.m_moreEntries.size()) + " entry hosts");
+    if (!file.flush()) {
+        return fail(ControlExit::Refused, "the page could not be written to '" + m_options.m_html + "'");
+    }
+    *m_out << "written to " << m_options.m_html << '\n';
+    return ControlExit::Success;
+}
+
+auto ControlProgram::fetchBurn(const HttpEndpoint &entry) -> std::expected<BurnReport, ControlExit>
+{
+    const auto answer = send({"GET", "/v1/burn", "", {}, Call::defaultTimeout, entry});
+    if (!answer) {
+        return std::unexpected(answer.error());
+    }
+    auto report = burnFromJson(*answer);
+    if (!report) {
+        return std::unexpected(fail(ControlExit::Refused, report.error().m_message));
+    }
+    return std::move(*report);
+}
+
 auto ControlProgram::showStatus(std::string_view) -> ControlExit
 {
     return show(send({"GET", "/v1/status", "", {}}));
@@ -428,7 +477,7 @@
     QEventLoop loop;
     std::optional<HttpReply> reply;
     HttpRequest request{call.m_method, call.m_target, call.m_fields, call.m_body};
-    client.call(m_options.m_entry, std::move(request), call.m_timeout, [&](HttpReply &&given) {
+    client.call(call.m_entry.value_or(m_options.m_entry), std::move(request), call.m_timeout, [&](HttpReply &&given) {
         reply = std::move(given);
         loop.quit();
     });
@@ -438,7 +487,8 @@
 
 auto ControlProgram::takeFailure(const Call &call, const HttpFailure &failure) -> ControlExit
 {
-    std::string message = "no answer from " + m_options.m_entry.m_address + ":" + std::to_string(m_options.m_entry.m_port) + ": " + failure.m_error.m_message;
+    const auto &entry = call.m_entry ? *call.m_entry : m_options.m_entry;
+    std::string message = "no answer from " + entry.m_address + ":" + std::to_string(entry.m_port) + ": " + failure.m_error.m_message;
     if (failure.m_sent && call.m_method != "GET") {
         message += "; the command may have taken effect";
     }
--- a/tests/ctltest.cpp
+++ b/tests/ctltest.cpp
@@ -181,6 +181,25 @@
                    "kind: found 'cron', expected 'batch' or 'watcher'");
 }
 
+// Guards against a burn report that cannot be read by people, and against flags and answers that are not checked.
+TEST_F(CtlTest, BurnIsShownAsTablesAndPage)
+{
+    m_stub.respondWith(200, R"({"short_window_ms":300000,"long_window_ms":3600000,"services":[{"name":"check","latency_target_ms":50,
+        "objective_percent":99,"short":{"requests":10,"slow":1,"failed":0},"long":{"requests":100,"slow":1,"failed":1},
+        "periods":[{"requests":100,"slow":1,"failed":1}],"causes":[{"kind":"worker","name":"w1","requests":2,"slow":1,"failed":1}]}]})");
+    EXPECT_EQ(run({"burn"}), 0);
+    EXPECT_EQ(lastRequest(), "GET /v1/burn ");
+    EXPECT_NE(m_out.str().find("w1"), std::string::npos);
+    EXPECT_NE(m_out.str().find("-100.00"), std::string::npos);
+    const auto page = file("burn.html", "");
+    EXPECT_EQ(run({"burn", "--html", page}), 0);
+    EXPECT_NE(m_out.str().find("written to"), std::string::npos);
+    expectBadInput({"burn", "--html", "/nowhere/burn.html"}, "flag --html: cannot write");
+    expectBadInput({"burn", "--more_entries", "10.0.0.1"}, "flag --more_entries: found '10.0.0.1', expected an IP address and a port");
+    m_stub.respondWith(200, R"({"services":1})");
+    EXPECT_EQ(run({"burn"}), 1);
+}
+
 // Guards against filters that are not sent, and ids that end up in another path.
 TEST_F(CtlTest, JobsAreListedShownAndCancelled)
 {
