Count a worker lease from the report that the renewal answers

A worker that was paused read held renewals and starts when it resumed. Delayed renewals of a former owner could do the same on a restarted worker, which forgets epochs.

Ruled out: a longer wait of the owner for each lost renewal (the previous rule) bounds the lease of running tasks only, not starts that arrive with the renewal.

A worker numbers its reports of a shard, at most 16 of them stay answerable, and a renewal names the report that it answers; the lease counts from when that report was sent. Without a known report of the same incarnation and epoch it grants nothing, and the owner renews again at once. A lease counts as expired 1.05 times the lease time and 500 ms after the last report that a sent renewal answers; lost renewals no longer lengthen this. A new owner expires nothing on a listed worker that has not answered its epoch. The probe of silent workers by checkpoints is gone, because a repeated renewal extends nothing. A worker with attempts ended by expiry is kept while unlisted, so that their tombstones are not lost. worker.renewal_ms is 4000 (was 5000), because a lease now starts one period earlier: 7 s are left when a renewal is sent. It must be less than half of worker.lease_ms.

--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -152,6 +152,7 @@
 struct LeaseAnswered;
 struct LeaseRenewal;
 struct LeaseReport;
+struct ReportId;
 struct LinkStateChanged;
 struct ListJobs;
 struct LogField;
--- a/include/burdockspur/shard/shardscheduler.hpp
+++ b/include/burdockspur/shard/shardscheduler.hpp
@@ -132,7 +132,7 @@
     auto onEvent(const StartAnswered &event, const Turn &turn) -> void;
     auto onEvent(const StopAnswered &event, const Turn &turn) -> void;
     auto onEvent(const CheckpointAnswered &event, const Turn &turn) -> void;
-    auto renewalFailed(Worker &worker, bool closed, const Turn &turn) -> void;
+    auto renewalFailed(Worker &worker, const Turn &turn) -> void;
     auto takeReport(Worker &worker, const LeaseReport &report, const Turn &turn) -> void;
     auto takeAttempt(Worker &worker, const AttemptReport &report, const Turn &turn) -> void;
     auto takeStray(Worker &worker, const AttemptReport &report, const Turn &turn) -> void;
@@ -167,7 +167,6 @@
     auto placeJob(JobEntry &entry, std::vector<Resources> &tooLarge, const Turn &turn) -> void;
     auto assign(JobEntry &entry, Worker &worker, const Turn &turn) -> void;
     auto tickWorker(Worker &worker, const Turn &turn) -> void;
-    auto probe(Worker &worker, const Turn &turn) -> void;
     auto expireLease(Worker &worker, const Turn &turn) -> void;
     auto renew(Worker &worker, const Turn &turn) -> void;
     auto sendTombstones(Worker &worker, const Turn &turn) -> void;
--- a/include/burdockspur/shard/shardsettings.hpp
+++ b/include/burdockspur/shard/shardsettings.hpp
@@ -12,12 +12,12 @@
     Milliseconds m_takeover{3'000}; ///< an unchanged heartbeat for so long allows a takeover
     Milliseconds m_heartbeat{1'000}; ///< period of the owner's heartbeat
     Milliseconds m_ownerLease{2'500}; ///< an owner without a confirmed heartbeat for so long holds back until the store answers or fails
-    Milliseconds m_workerLease{15'000}; ///< a worker stops the tasks of a shard so long after the last renewal
-    Milliseconds m_renewal{5'000}; ///< period of lease renewals
+    Milliseconds m_workerLease{15'000}; ///< a worker stops the tasks of a shard so long after the last report that a renewal answered
+    Milliseconds m_renewal{4'000}; ///< period of lease renewals; a renewal answers a report of the one before, so the lease must outlast two and some lost ones
     Milliseconds m_tick{50}; ///< changes of one tick go into one journal row
     Milliseconds m_callTimeout{2'000}; ///< for answers of workers
     Milliseconds m_storeTimeout{4'000}; ///< for answers of the table service and the object store
-    Milliseconds m_unfencedWait{60'000}; ///< extra wait before a listed worker that the new owner never reached counts as stopped
+    Milliseconds m_unfencedWait{60'000}; ///< extra wait before a worker that the new owner never reached and that is not listed any more counts as stopped
     Milliseconds m_quarantine{60'000}; ///< a worker that failed several times in a row gets no task for so long
     std::uint32_t m_quarantineFailures = 3; ///< consecutive failures that lead to quarantine
     std::uint32_t m_quarantineZonePercent = 25; ///< most workers of a zone in quarantine; at least one is allowed
--- a/include/burdockspur/shard/worker.hpp
+++ b/include/burdockspur/shard/worker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockspur/contract/attempt.hpp"
+#include "burdockspur/contract/workerlease.hpp"
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/link/httpclient.hpp"
 #include "burdockspur/machine/hostrecord.hpp"
@@ -8,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -27,10 +29,10 @@
     Worker(std::string_view name, TimePoint ownedSince, const ShardSettings &settings);
 
     /// @brief Takes the record of the host list.
-    auto setHost(const HostRecord &host) -> void;
+    auto setHost(const HostRecord &host, TimePoint now) -> void;
 
-    /// @brief The host list no longer has the worker.
-    auto setUnlisted() noexcept -> void;
+    /// @brief The host list does not have the worker.
+    auto setUnlisted(TimePoint now) noexcept -> void;
 
     /// @brief Reserves the demand of an attempt; the demand must fit.
     auto reserve(std::string_view job, const JobSpec &spec, const Resources &serviceReservation) -> void;
@@ -72,18 +74,30 @@
     [[nodiscard]] auto jobsOfClass(std::string_view jobClass) const -> std::uint32_t;
 
     /// @brief Time at which every task of the shard has stopped on the worker, by the lease rule.
+    /// @returns TimePoint::max() while a former owner may still renew the lease there
     [[nodiscard]] auto leaseEnd() const noexcept -> TimePoint;
 
-    /// @brief A renewal is sent now.
+    /// @brief Last report that was received; a renewal answers it.
+    [[nodiscard]] auto answers() const noexcept -> const std::optional<ReportId> &
+    {
+        return m_report;
+    }
+
+    /// @brief A renewal that answers the last report is sent now.
     auto renewalSent(TimePoint now) noexcept -> void;
 
-    /// @brief The worker answered the renewal in progress, so it took effect by now.
-    auto renewalAnswered(TimePoint now) noexcept -> void;
+    /// @brief The worker answered the renewal in progress.
+    auto renewalAnswered(const LeaseReport &report, TimePoint now) -> void;
+
+    /// @brief True when a renewal that answers the report just taken is sent without delay, because none is in force.
+    [[nodiscard]] auto renewsAtOnce() const noexcept -> bool
+    {
+        // A worker that grants nothing for its latest report either is not asked in a loop.
+        return m_ungranted == 1;
+    }
 
     /// @brief The renewal in progress has no answer.
-    /// @param now current time
-    /// @param closed the connection was refused or closed, so the renewal takes no effect after now
-    auto renewalLost(TimePoint now, bool closed) noexcept -> void;
+    auto renewalLost() noexcept -> void;
 
     /// @brief True when so many renewals were lost that the lease is left to expire.
     [[nodiscard]] auto isSilent() const noexcept -> bool;
@@ -94,12 +108,14 @@
     bool m_listed = false;
     bool m_reportedLeaving = false; ///< the worker itself says that it leaves
     bool m_fenced = false; ///< has answered a renewal of this epoch, so it refuses lower epochs
+    bool m_leased = false; ///< its last answer granted a lease of this epoch
     bool m_suspect = false; ///< does not answer; its lease is left to expire
     bool m_awaiting = false; ///< a renewal has no answer yet
     bool m_wasUsable = false; ///< at the last tick
     std::uint32_t m_failedRenewals = 0; ///< since the last answer
+    std::uint32_t m_ungranted = 0; ///< consecutive answers that granted no lease
     std::uint32_t m_failures = 0; ///< consecutive start or task failures
-    TimePoint m_lastSent; ///< last renewal that may have reached the worker
+    TimePoint m_lastSent; ///< last renewal
     TimePoint m_nextRenewal;
     TimePoint m_answerDue; ///< an awaited answer counts as lost then
     TimePoint m_quarantinedUntil;
@@ -110,8 +126,13 @@
     std::vector<AttemptId> m_expired; ///< ended by expiry; each gets a tombstone before the lease is renewed
 
 private:
+    [[nodiscard]] auto unfencedEnd() const noexcept -> TimePoint;
+
     const ShardSettings *m_settings;
-    TimePoint m_leaseBound; ///< the lease ends on the worker by this time of the owner's clock
+    std::optional<ReportId> m_report; ///< last report that was received
+    TimePoint m_reportReceived;
+    TimePoint m_leaseBound; ///< the lease ends on the worker by this time of the owner's clock, but for a margin
+    TimePoint m_missingSince = TimePoint::max(); ///< first listing without the worker
     Resources m_reserved;
     std::map<std::string, std::uint32_t, std::less<>> m_classes;
 };
--- a/include/burdockspur/shard/workertable.hpp
+++ b/include/burdockspur/shard/workertable.hpp
@@ -24,7 +24,7 @@
     WorkerTable(const ShardSettings &settings, TimePoint ownedSince) noexcept;
 
     /// @brief Takes the workers of the host list; those that are missing keep their reservations until they end.
-    auto update(std::span<const HostRecord> hosts) -> void;
+    auto update(std::span<const HostRecord> hosts, TimePoint now) -> void;
 
     /// @brief The worker of a name; an unknown one is added without an address.
     [[nodiscard]] auto at(std::string_view name) -> Worker &;
--- a/src/platform/httpworkerport.cpp
+++ b/src/platform/httpworkerport.cpp
@@ -17,6 +17,7 @@
 // Codes of a worker that will not start an attempt on this order.
 constexpr std::array<std::string_view, 5> refusals{"no_capacity", "leaving", "superseded", "tombstoned", "no_lease"};
 constexpr std::string_view staleEpoch = "stale_epoch";
+constexpr std::string_view incarnationField = "Burdockspur-Incarnation";
 constexpr SettingRange nameLength{1, 256};
 constexpr SettingRange amountRange{0, 1e12};
 
@@ -40,8 +41,10 @@
     {"memory_mb", &memberOf<LeaseReport, &LeaseReport::m_usage, &Resources::m_memoryMb>, amountRange},
 }};
 
-constexpr std::array<JsonField<LeaseReport>, 2> leaseFields{{
+constexpr std::array<JsonField<LeaseReport>, 4> leaseFields{{
     {"epoch", &memberOf<LeaseReport, &LeaseReport::m_epoch>, {}},
+    {"report", &memberOf<LeaseReport, &LeaseReport::m_report, &ReportId::m_number>, {1}},
+    {"granted", &memberOf<LeaseReport, &LeaseReport::m_granted>, {}},
     {"leaving", &memberOf<LeaseReport, &LeaseReport::m_leaving>, {}},
 }};
 
@@ -83,10 +86,15 @@
     for (const auto &attempt : renewal.m_acknowledged) {
         acknowledged.append(QJsonObject{{"task", jsonString(attempt.m_job)}, {"attempt", static_cast<qint64>(attempt.m_number)}});
     }
-    return jsonText(QJsonObject{{"epoch", static_cast<qint64>(renewal.m_epoch)},
-                                {"owner", jsonString(renewal.m_owner)},
-                                {"ttl_ms", static_cast<qint64>(renewal.m_ttl.count())},
-                                {"acknowledged", acknowledged}});
+    QJsonObject body{{"epoch", static_cast<qint64>(renewal.m_epoch)},
+                     {"owner", jsonString(renewal.m_owner)},
+                     {"ttl_ms", static_cast<qint64>(renewal.m_ttl.count())},
+                     {"acknowledged", acknowledged}};
+    if (renewal.m_answers) {
+        body.insert("answers",
+                    QJsonObject{{"incarnation", jsonString(renewal.m_answers->m_incarnation)}, {"report", static_cast<qint64>(renewal.m_answers->m_number)}});
+    }
+    return jsonText(body);
 }
 
 auto readState(JsonReader &reader, AttemptReport &report) -> void
@@ -170,7 +178,9 @@
 {
     const ServicePort port(*m_client, worker, timeout);
     port.call("PUT", "/v1/leases/" + std::to_string(renewal.m_shard), encodeRenewal(renewal), [callback = std::move(callback)](HttpReply &&reply) {
-        callback(decoded<LeaseReport>(reply, "renewal of a lease", {}, &readLease));
+        LeaseReport report;
+        report.m_report.m_incarnation = reply ? reply->field(incarnationField) : std::string_view();
+        callback(decoded<LeaseReport>(reply, "renewal of a lease", std::move(report), &readLease));
     });
 }
 
--- a/src/shard/schedulersettings.cpp
+++ b/src/shard/schedulersettings.cpp
@@ -42,10 +42,16 @@
     {"shard.tick_ms", &S::m_tick, duration, optional, {1, 1'000}, "ms", "Changes of one tick go into one journal row"},
     {"shard.store_timeout_ms", &S::m_storeTimeout, duration, optional, time, "ms", "For answers of the table service and the object store"},
     {"shard.drain_ms", &S::m_drain, duration, optional, time, "ms", "Longest graceful shutdown"},
-    {"worker.lease_ms", &S::m_workerLease, duration, optional, time, "ms", "A worker stops its tasks so long after the last renewal"},
+    {"worker.lease_ms", &S::m_workerLease, duration, optional, time, "ms", "A worker stops its tasks so long after the last report that a renewal answered"},
     {"worker.renewal_ms", &S::m_renewal, duration, optional, time, "ms", "Period of lease renewals"},
     {"worker.call_timeout_ms", &S::m_callTimeout, duration, optional, time, "ms", "For answers of workers"},
-    {"worker.unfenced_wait_ms", &S::m_unfencedWait, duration, optional, {0, 600'000}, "ms", "Extra wait for a listed worker that a new owner never reached"},
+    {"worker.unfenced_wait_ms",
+     &S::m_unfencedWait,
+     duration,
+     optional,
+     {0, 600'000},
+     "ms",
+     "Extra wait for a worker that a new owner never reached and that is not listed any more"},
 }};
 }
 
@@ -74,9 +80,10 @@
          "less than shard.takeover_ms"},
         {"worker.renewal_ms",
          [](const SchedulerSettings &settings) {
-             return settings.m_renewal < settings.m_workerLease;
+             // A renewal grants the lease from the report of the renewal before.
+             return 2 * settings.m_renewal < settings.m_workerLease;
          },
-         "less than worker.lease_ms"},
+         "less than half of worker.lease_ms"},
     }};
     return checks;
 }
--- a/src/shard/shardscheduler.cpp
+++ b/src/shard/shardscheduler.cpp
@@ -223,7 +223,7 @@
 
 auto ShardScheduler::onEvent(const WorkersListed &event, const Turn &turn) -> void
 {
-    m_workers.update(event.m_workers);
+    m_workers.update(event.m_workers, turn.m_now);
     for (auto &[name, worker] : m_workers.workers()) {
         if (worker.isLeaving()) {
             evictAll(worker, turn);
--- a/src/shard/shardschedulerworkers.cpp
+++ b/src/shard/shardschedulerworkers.cpp
@@ -2,7 +2,6 @@
 #include "burdockspur/shard/shardscheduler.hpp"
 
 #include <algorithm>
-#include <array>
 
 namespace Burdockspur
 {
@@ -11,13 +10,6 @@
 constexpr Milliseconds renewalRetry{1'000};
 constexpr Milliseconds startRetry{200};
 constexpr std::size_t tombstonesAtOnce = 32;
-
-/// @brief True when the worker itself answered, whatever it said.
-[[nodiscard]] auto isAnswer(const Result<AttemptReport> &report) noexcept -> bool
-{
-    constexpr std::array silent{ErrorCode::Timeout, ErrorCode::ConnectionClosed, ErrorCode::Overloaded, ErrorCode::Unavailable, ErrorCode::StaleEpoch};
-    return report || std::ranges::find(silent, report.error().m_code) == silent.end();
-}
 }
 
 auto ShardScheduler::concerns(ShardId shard, Epoch epoch) const noexcept -> bool
@@ -48,13 +40,13 @@
     if (event.m_report.error().m_code == ErrorCode::StaleEpoch) {
         turn.m_commands.emplace_back(DoubtOwnership{.m_shard = m_tenure.m_shard});
     }
-    renewalFailed(*worker, event.m_report.error().m_code == ErrorCode::ConnectionClosed, turn);
+    renewalFailed(*worker, turn);
 }
 
-auto ShardScheduler::renewalFailed(Worker &worker, bool closed, const Turn &turn) -> void
+auto ShardScheduler::renewalFailed(Worker &worker, const Turn &turn) -> void
 {
     const bool wasSuspect = worker.m_suspect;
-    worker.renewalLost(turn.m_now, closed);
+    worker.renewalLost();
     worker.m_nextRenewal = turn.m_now + (worker.m_suspect && worker.m_jobs.empty() ? m_settings.m_renewal : renewalRetry);
     if (worker.m_suspect && !wasSuspect) {
         logEvent(LogLevel::Warning, "worker_silent", {{"worker", worker.m_name}, {"shard", m_tenure.m_shard}, {"epoch", m_tenure.m_epoch}});
@@ -63,7 +55,10 @@
 
 auto ShardScheduler::takeReport(Worker &worker, const LeaseReport &report, const Turn &turn) -> void
 {
-    worker.renewalAnswered(turn.m_now);
+    worker.renewalAnswered(report, turn.m_now);
+    if (!report.m_granted) {
+        worker.m_nextRenewal = turn.m_now + (worker.renewsAtOnce() ? Milliseconds(0) : renewalRetry);
+    }
     std::set<std::string_view> reported;
     for (const auto &attempt : report.m_attempts) {
         reported.insert(attempt.m_attempt.m_job);
@@ -223,11 +218,6 @@
 
 auto ShardScheduler::onEvent(const CheckpointAnswered &event, const Turn &turn) -> void
 {
-    Worker *const worker = m_workers.find(event.m_worker);
-    if (worker != nullptr && concerns(event.m_shard, event.m_epoch) && worker->awaitsExpiry() && isAnswer(event.m_report)) {
-        worker->m_suspect = false;
-        worker->m_nextRenewal = turn.m_now;
-    }
     JobEntry *const entry = current(event.m_worker, event.m_attempt);
     if (entry == nullptr || entry->m_phase != AttemptPhase::Checkpointing || !concerns(event.m_shard, event.m_epoch)) {
         return;
@@ -241,15 +231,12 @@
 auto ShardScheduler::tickWorker(Worker &worker, const Turn &turn) -> void
 {
     if (worker.m_awaiting && turn.m_now >= worker.m_answerDue) {
-        renewalFailed(worker, false, turn);
+        renewalFailed(worker, turn);
     }
-    if (worker.awaitsExpiry()) {
-        if (turn.m_now >= worker.leaseEnd()) {
-            expireLease(worker, turn);
-        } else if (turn.m_now >= worker.m_nextRenewal) {
-            probe(worker, turn);
-        }
-    } else if (!worker.m_awaiting && worker.hasAddress() && turn.m_now >= worker.m_nextRenewal) {
+    if (worker.awaitsExpiry() && turn.m_now >= worker.leaseEnd()) {
+        expireLease(worker, turn);
+    }
+    if (!worker.m_awaiting && worker.hasAddress() && turn.m_now >= worker.m_nextRenewal) {
         if (worker.m_expired.empty()) {
             renew(worker, turn);
         } else {
@@ -263,16 +250,6 @@
     worker.m_wasUsable = usable;
 }
 
-auto ShardScheduler::probe(Worker &worker, const Turn &turn) -> void
-{
-    // Unlike a renewal, a checkpoint tells whether the worker answers without extending its lease.
-    worker.m_nextRenewal = turn.m_now + m_settings.m_callTimeout;
-    if (worker.hasAddress()) {
-        const Job &job = m_jobs.find(*worker.m_jobs.begin())->m_record.m_job;
-        checkpointAttempt(worker, {.m_job = job.m_id, .m_number = job.m_attempt}, turn);
-    }
-}
-
 auto ShardScheduler::expireLease(Worker &worker, const Turn &turn) -> void
 {
     logEvent(LogLevel::Warning,
@@ -293,7 +270,7 @@
 auto ShardScheduler::sendTombstones(Worker &worker, const Turn &turn) -> void
 {
     // A delayed copy of a start must not run once the lease is renewed.
-    worker.m_nextRenewal = turn.m_now + m_settings.m_renewal;
+    worker.m_nextRenewal = turn.m_now + (worker.m_listed ? m_settings.m_renewal : m_settings.m_unfencedWait);
     const std::size_t count = std::min(worker.m_expired.size(), tombstonesAtOnce);
     for (std::size_t i = 0; i < count; ++i) {
         stopAttempt(worker, worker.m_expired[i], turn);
@@ -312,6 +289,7 @@
                                                           .m_epoch = m_tenure.m_epoch,
                                                           .m_owner = m_tenure.m_host,
                                                           .m_ttl = m_settings.m_workerLease,
-                                                          .m_acknowledged = worker.m_ended}});
+                                                          .m_acknowledged = worker.m_ended,
+                                                          .m_answers = worker.answers()}});
 }
 }
--- a/src/shard/worker.cpp
+++ b/src/shard/worker.cpp
@@ -11,7 +11,7 @@
 {
 constexpr std::int64_t driftPercent = 105; // clocks of two hosts differ by at most 5%
 constexpr Milliseconds leaseMargin{500};
-// Each lost renewal makes the wait for expiry longer by one lease, so no more than two are risked.
+// With the default times the lease outlasts two lost renewals.
 constexpr std::uint32_t renewalsUntilSilent = 2;
 
 [[nodiscard]] auto leaseTime(const ShardSettings &settings) noexcept -> Duration
@@ -26,20 +26,23 @@
     , m_lastSent(ownedSince)
     , m_nextRenewal(ownedSince)
     , m_settings(&settings)
-    // The previous owner may have renewed just before and have lost as many renewals as it risks.
-    , m_leaseBound(ownedSince + (1 + renewalsUntilSilent) * leaseTime(settings))
+    // The previous owner may have received a report just before and answered it.
+    , m_leaseBound(ownedSince + leaseTime(settings))
 {
 }
 
-auto Worker::setHost(const HostRecord &host) -> void
+auto Worker::setHost(const HostRecord &host, TimePoint now) -> void
 {
+    m_nextRenewal = m_listed ? m_nextRenewal : std::min(m_nextRenewal, now);
     m_host = host;
     m_listed = true;
+    m_missingSince = TimePoint::max();
 }
 
-auto Worker::setUnlisted() noexcept -> void
+auto Worker::setUnlisted(TimePoint now) noexcept -> void
 {
     m_listed = false;
+    m_missingSince = std::min(m_missingSince, now);
 }
 
 auto Worker::reserve(std::string_view job, const JobSpec &spec, const Resources &serviceReservation) -> void
@@ -78,7 +81,7 @@
 
 auto Worker::isUsable(TimePoint now) const noexcept -> bool
 {
-    return m_listed && m_fenced && !isLeaving() && !m_suspect && m_failedRenewals == 0 && now >= m_quarantinedUntil && now >= m_fullUntil;
+    return m_listed && m_leased && !isLeaving() && !m_suspect && m_failedRenewals == 0 && now >= m_quarantinedUntil && now >= m_fullUntil;
 }
 
 auto Worker::jobsOfClass(std::string_view jobClass) const -> std::uint32_t
@@ -89,10 +92,17 @@
 
 auto Worker::leaseEnd() const noexcept -> TimePoint
 {
-    // Without an answer to this epoch the worker may still accept renewals of a former owner that does not
-    // know of the takeover, so a worker that is still listed gets more time.
-    const auto extra = m_listed && !m_fenced ? m_settings->m_unfencedWait : Milliseconds(0);
-    return m_leaseBound + leaseMargin + extra;
+    return m_fenced ? m_leaseBound + leaseMargin : unfencedEnd();
+}
+
+auto Worker::unfencedEnd() const noexcept -> TimePoint
+{
+    // Without an answer to this epoch the worker accepts renewals of a former owner that has lost only the table.
+    // Such an owner uses a host list too, so it stops some time after the worker is missing there.
+    if (m_missingSince == TimePoint::max()) {
+        return TimePoint::max();
+    }
+    return std::max(m_leaseBound, m_missingSince + leaseTime(*m_settings) + m_settings->m_unfencedWait) + leaseMargin;
 }
 
 auto Worker::renewalSent(TimePoint now) noexcept -> void
@@ -100,28 +110,35 @@
     m_awaiting = true;
     m_lastSent = now;
     m_sentEnded = m_ended;
+    // The worker counts from when it sent the report, which was earlier. A renewal that answers the same report
+    // again grants no more, so lost renewals do not lengthen the lease.
+    if (m_report) {
+        m_leaseBound = std::max(m_leaseBound, m_reportReceived + leaseTime(*m_settings));
+    }
 }
 
-auto Worker::renewalAnswered(TimePoint now) noexcept -> void
+auto Worker::renewalAnswered(const LeaseReport &report, TimePoint now) -> void
 {
+    // Until this answer a former owner may have received reports and answered them.
+    m_leaseBound = m_fenced ? m_leaseBound : now + leaseTime(*m_settings);
     m_awaiting = false;
     m_fenced = true;
     m_suspect = false;
     m_failedRenewals = 0;
-    m_leaseBound = now + leaseTime(*m_settings);
+    m_leased = report.m_granted;
+    m_ungranted = report.m_granted ? 0 : m_ungranted + 1;
+    m_report = report.m_report;
+    m_reportReceived = now;
     std::erase_if(m_ended, [this](const AttemptId &ended) {
         return std::ranges::find(m_sentEnded, ended) != m_sentEnded.end();
     });
     m_sentEnded.clear();
 }
 
-auto Worker::renewalLost(TimePoint now, bool closed) noexcept -> void
+auto Worker::renewalLost() noexcept -> void
 {
     m_awaiting = false;
     ++m_failedRenewals;
-    // A worker that was paused reads the renewal when it resumes. Its tasks run until then only if the
-    // lease has not ended, so each lost renewal extends the bound by one lease.
-    m_leaseBound = closed ? std::max(m_leaseBound, now + leaseTime(*m_settings)) : std::max(m_leaseBound, now) + leaseTime(*m_settings);
     m_suspect = m_suspect || isSilent();
 }
 
--- a/src/shard/workertable.cpp
+++ b/src/shard/workertable.cpp
@@ -11,17 +11,17 @@
 {
 }
 
-auto WorkerTable::update(std::span<const HostRecord> hosts) -> void
+auto WorkerTable::update(std::span<const HostRecord> hosts, TimePoint now) -> void
 {
     std::set<std::string_view> listed;
     for (const auto &host : hosts) {
         listed.insert(host.m_name);
-        at(host.m_name).setHost(host);
+        at(host.m_name).setHost(host, now);
     }
     std::vector<std::string> missing;
     for (auto &[name, worker] : m_workers) {
         if (!listed.contains(name)) {
-            worker.setUnlisted();
+            worker.setUnlisted(now);
             missing.push_back(name);
         }
     }
@@ -51,6 +51,10 @@
     if (found == m_workers.end() || found->second.m_listed || !found->second.m_jobs.empty()) {
         return;
     }
+    // If the worker is listed again, a start of an expired attempt may still be on its way to it.
+    if (!found->second.m_expired.empty()) {
+        return;
+    }
     const bool silent = found->second.m_suspect || found->second.m_host.m_port == 0;
     if (silent || found->second.m_ended.empty()) {
         m_workers.erase(found);
--- a/standins/workercodec.cpp
+++ b/standins/workercodec.cpp
@@ -128,6 +128,12 @@
         readNumber(value.toObject(), QLatin1String("attempt"), attempt.m_number, error);
         renewal.m_acknowledged.push_back(std::move(attempt));
     }
+    if (const auto answers = object->value(QLatin1String("answers")); answers.isObject()) {
+        ReportId report;
+        report.m_incarnation = textMember(answers.toObject(), QLatin1String("incarnation"));
+        readNumber(answers.toObject(), QLatin1String("report"), report.m_number, error);
+        renewal.m_answers = std::move(report);
+    }
     if (!error.m_message.empty()) {
         return std::unexpected(error);
     }
@@ -150,6 +156,8 @@
                             {QStringLiteral("lag_ms"), static_cast<qint64>(answer->m_usageLag.count())}};
     return objectResponse(200,
                           {{QStringLiteral("epoch"), static_cast<qint64>(answer->m_epoch)},
+                           {QStringLiteral("report"), static_cast<qint64>(answer->m_report.m_number)},
+                           {QStringLiteral("granted"), answer->m_granted},
                            {QStringLiteral("tasks"), tasks},
                            {QStringLiteral("usage"), usage},
                            {QStringLiteral("leaving"), answer->m_leaving}});
--- a/standins/workerserver.cpp
+++ b/standins/workerserver.cpp
@@ -116,6 +116,7 @@
     , m_lifetime(std::make_unique<QObject>())
     , m_delayedAnswers(std::make_unique<QObject>())
 {
+    m_model.tasks().setIncarnation(m_incarnation);
 }
 
 WorkerServer::~WorkerServer() = default;
@@ -276,6 +277,7 @@
     ++m_audit.counts().m_crashes;
     m_model.crash(now());
     m_incarnation = newIncarnation();
+    m_model.tasks().setIncarnation(m_incarnation);
     m_audit.workerEvent(now(), "crashed");
     m_timer.arm(std::nullopt);
     // The answer to the call that switched the fault leaves first.
--- a/standins/workertasks.hpp
+++ b/standins/workertasks.hpp
@@ -50,7 +50,10 @@
     /// @brief Time at which advance() has something to do, if nothing else happens.
     [[nodiscard]] auto nextEvent() const -> std::optional<TimePoint>;
 
-    /// @brief Takes a lease or renews it.
+    /// @brief Names the running process in reports; a later start has another name.
+    auto setIncarnation(std::string_view incarnation) -> void;
+
+    /// @brief Raises the epoch, takes or renews the lease if the renewal answers a recent report, and reports.
     /// @returns the report, or the highest epoch seen when the renewal's is lower
     [[nodiscard]] auto renewLease(TimePoint now, const LeaseRenewal &renewal) -> std::expected<LeaseReport, Epoch>;
 
@@ -95,9 +98,18 @@
     }
 
 private:
+    struct SentReport {
+        std::uint64_t m_number = 0;
+        Epoch m_epoch = 0;
+        TimePoint m_sent;
+    };
+
     struct ShardLease {
         Epoch m_epoch = 0;
+        Epoch m_granted = 0; ///< epoch of the latest renewal that granted a lease
         TimePoint m_expiry;
+        std::uint64_t m_lastReport = 0;
+        std::deque<SentReport> m_reports; ///< those that a renewal can answer, oldest first
     };
 
     struct RunningTask {
@@ -137,6 +149,9 @@
     [[nodiscard]] auto doneAt(const RunningTask &task, TimePoint now) const -> Duration;
     [[nodiscard]] auto percentAt(const RunningTask &task, TimePoint now) const -> std::int64_t;
     [[nodiscard]] auto fence(ShardId shard, Epoch epoch) -> bool;
+    [[nodiscard]] auto answeredReport(const ShardLease &lease, const LeaseRenewal &renewal) const -> const SentReport *;
+    [[nodiscard]] auto grant(ShardLease &lease, const LeaseRenewal &renewal, TimePoint now) const -> bool;
+    [[nodiscard]] auto nextReport(ShardLease &lease, TimePoint now) const -> ReportId;
     [[nodiscard]] auto findRunning(const AttemptId &attempt) -> Running::iterator;
     [[nodiscard]] auto latestEnded(std::string_view task) const -> const EndedAttempt *;
     [[nodiscard]] auto reportOf(std::string_view name, const RunningTask &task, TimePoint now) const -> AttemptReport;
@@ -148,6 +163,7 @@
     const WorkerSpec &m_spec;
     const WorkerFaults &m_faults;
     WorkerAudit &m_audit;
+    std::string m_incarnation;
     std::map<ShardId, ShardLease> m_leases;
     Running m_running;
     std::map<AttemptKey, EndedAttempt> m_ended;
--- a/tests/faultmatrix/simulatedworker.cpp
+++ b/tests/faultmatrix/simulatedworker.cpp
@@ -43,6 +43,7 @@
     , m_model(m_spec, m_faults, m_audit, m_random)
     , m_simulation(simulation)
 {
+    m_model.tasks().setIncarnation(incarnation());
 }
 
 auto SimulatedWorker::kill() -> void
@@ -51,6 +52,7 @@
     m_audit.setTime(m_simulation.m_now, virtualMs(m_simulation.m_now));
     m_model.crash(m_simulation.m_now);
     ++m_restarts;
+    m_model.tasks().setIncarnation(incarnation());
     m_waiting.clear();
     m_pausedSince = TimePoint::max();
     Process::kill();
--- a/tests/shardworld.hpp
+++ b/tests/shardworld.hpp
@@ -70,7 +70,10 @@
     struct Machine {
         HostRecord m_host;
         Epoch m_epoch = 0;
+        Epoch m_granted = 0; ///< epoch that has the lease
         TimePoint m_leaseEnd;
+        std::uint64_t m_starts = 0; ///< of the process
+        std::map<std::uint64_t, std::pair<Epoch, TimePoint>> m_reports; ///< since the last start
         std::map<std::string, Task> m_tasks;
         std::map<std::string, AttemptNumber> m_tombstones; ///< this and lower attempts never start
         TimePoint m_pausedUntil;
