Survive an hour of store outage without takeovers, lapses or a flood

What did not fit into a row went into the next one at once; it now waits for the next tick. - Silent store: another scheduler claimed the shard when the store came back and read everything again. Its reads had no answer yet, which counted as an unchanged heartbeat, and an owner needs a lost call and a retry before its first heartbeat. A claim now needs an answer within 1.5 heartbeats, and after reads failed for takeover_ms the owner has the store timeout and one heartbeat more. - A submission beyond 10,000 waiting changes was refused as `unavailable`, which entry daemons repeat until its outcome is `unknown`. It is now refused as `overloaded`, at once and with the outcome `refused`.

Ruled out: takeovers were the only cause of the lapses (owner changes traced in a trial).

--- a/include/burdockspur/shard/conditionalwrite.hpp
+++ b/include/burdockspur/shard/conditionalwrite.hpp
@@ -32,8 +32,10 @@
     };
 
     /// @param timeout after which an answer counts as lost
-    explicit ConditionalWrite(Duration timeout) noexcept
+    /// @param longestRetry bound of the wait before a write or its read-back is repeated
+    explicit ConditionalWrite(Duration timeout, Duration longestRetry = Duration::max()) noexcept
         : m_timeout(timeout)
+        , m_longestRetry(longestRetry)
     {
     }
 
@@ -80,6 +82,7 @@
     auto finish(Verdict verdict) noexcept -> Verdict;
 
     Duration m_timeout;
+    Duration m_longestRetry;
     Step m_step = Step::Idle;
     std::string m_operation;
     std::uint64_t m_version = 0;
--- a/include/burdockspur/shard/journal.hpp
+++ b/include/burdockspur/shard/journal.hpp
@@ -96,7 +96,7 @@
     [[nodiscard]] auto deadline() const noexcept -> TimePoint;
 
 private:
-    auto cutRow(const RecordOf &recordOf, RandomSource &random) -> void;
+    auto cutRow(const RecordOf &recordOf, TimePoint now, RandomSource &random) -> void;
     auto settle(ConditionalWrite::Verdict verdict) -> ConditionalWrite::Verdict;
 
     ShardId m_shard;
--- a/include/burdockspur/shard/shardclaim.hpp
+++ b/include/burdockspur/shard/shardclaim.hpp
@@ -72,6 +72,12 @@
     /// sends no lease renewal. A store that fails does not end ownership.
     [[nodiscard]] auto mayAct(TimePoint now) const noexcept -> bool;
 
+    /// @brief True while an owner's heartbeat was refused or lost and has not been confirmed since.
+    [[nodiscard]] auto isHeartbeatLate() const noexcept -> bool
+    {
+        return isOwner() && m_storeFailed;
+    }
+
     /// @brief Version of the epoch row, the condition of journal writes.
     [[nodiscard]] auto epochVersion() const noexcept -> std::uint64_t
     {
@@ -126,6 +132,9 @@
     bool m_storeFailed = false; ///< the store failed since the last confirmation
     Duration m_jitter{0};
     TimePoint m_unchangedSince;
+    TimePoint m_observedAt; ///< last successful read of the watched row
+    TimePoint m_failingSince = TimePoint::max(); ///< reads of the watched row fail
+    Duration m_grace{0}; ///< extra time for the owner's first heartbeat after a long failure
     TimePoint m_confirmedAt; ///< when the last confirmed write was begun
     TimePoint m_begunAt;
     TimePoint m_nextRead = TimePoint::min();
--- a/include/burdockspur/shard/shardscheduler.hpp
+++ b/include/burdockspur/shard/shardscheduler.hpp
@@ -63,6 +63,14 @@
     /// @brief Stops the assignment of attempts, before the shard is released.
     auto beginDrain() noexcept -> void;
 
+    /// @brief Holds journal rows and snapshots back while the owner's heartbeat waits for the store.
+    ///
+    /// A store that limits the rate of writes then serves heartbeats first, so that the ownership lasts.
+    auto holdWrites(bool held) noexcept -> void
+    {
+        m_writesHeld = held;
+    }
+
     /// @brief Time of the next tick that has something to do.
     [[nodiscard]] auto deadline() const noexcept -> TimePoint;
 
@@ -78,6 +86,12 @@
         return m_journal.waiting() == 0;
     }
 
+    /// @brief Number of changed jobs that wait for the store.
+    [[nodiscard]] auto waitingChanges() const noexcept -> std::size_t
+    {
+        return m_journal.waiting();
+    }
+
     [[nodiscard]] auto jobs() const noexcept -> const JobTable &
     {
         return m_jobs;
@@ -201,6 +215,7 @@
     bool m_acceptBatch = true;
     bool m_draining = false;
     bool m_fenced = false;
+    bool m_writesHeld = false;
     TimePoint m_lastTick;
 };
 }
--- a/src/shard/conditionalwrite.cpp
+++ b/src/shard/conditionalwrite.cpp
@@ -88,7 +88,7 @@
 auto ConditionalWrite::retryLater(Step step, TimePoint now, RandomSource &random) -> Verdict
 {
     m_step = step;
-    const auto longest = firstRetry * (1U << std::min(m_retries, maxDoublings));
+    const auto longest = std::min<Duration>(firstRetry * (1U << std::min(m_retries, maxDoublings)), m_longestRetry);
     ++m_retries;
     // The jitter keeps schedulers apart that were refused at the same moment.
     m_at = now + std::chrono::duration_cast<Duration>(longest * (0.5 + 0.5 * random.unit()));
--- a/src/shard/journal.cpp
+++ b/src/shard/journal.cpp
@@ -63,7 +63,7 @@
 auto Journal::tick(const RecordOf &recordOf, TimePoint now, RandomSource &random, ShardCommands &commands) -> void
 {
     if (!m_write.inProgress() && now >= m_cutAt) {
-        cutRow(recordOf, random);
+        cutRow(recordOf, now, random);
     }
     const auto need = m_write.next(now, random);
     if (need == ConditionalWrite::Need::Write) {
@@ -78,7 +78,7 @@
     }
 }
 
-auto Journal::cutRow(const RecordOf &recordOf, RandomSource &random) -> void
+auto Journal::cutRow(const RecordOf &recordOf, TimePoint now, RandomSource &random) -> void
 {
     std::size_t bytes = 0;
     m_row.clear();
@@ -90,8 +90,8 @@
         m_row.push_back(record);
         m_inFlight.emplace(open.key(), JobChange{.m_job = open.key(), .m_attempt = record.m_job.m_attempt, .m_effects = std::move(open.mapped())});
     }
-    // What did not fit goes into the next row at once.
-    m_cutAt = m_order.empty() ? TimePoint::max() : TimePoint::min();
+    // What did not fit waits for the next tick, so that a backlog does not flood a table that has just returned.
+    m_cutAt = m_order.empty() ? TimePoint::max() : now + m_settings.m_tick;
     m_write.begin(m_host + "-" + hexOf(random.next64()), 0);
 }
 
--- a/src/shard/shardclaim.cpp
+++ b/src/shard/shardclaim.cpp
@@ -15,7 +15,7 @@
     : m_shard(shard)
     , m_host(host)
     , m_settings(settings)
-    , m_write(settings.m_storeTimeout)
+    , m_write(settings.m_storeTimeout, settings.m_heartbeat)
 {
     m_ownership.m_shard = shard;
 }
@@ -32,7 +32,9 @@
 
 auto ShardClaim::watch(const ClaimBalance &balance, TimePoint now, RandomSource &random) -> void
 {
-    m_claimAt = m_seen && balance.m_mayClaim ? m_unchangedSince + claimDelay(balance) : TimePoint::max();
+    // Without recent answers, the unchanged count says nothing about the owner.
+    const bool recent = now - m_observedAt < m_settings.m_heartbeat * 3 / 2;
+    m_claimAt = m_seen && recent && balance.m_mayClaim ? m_unchangedSince + claimDelay(balance) : TimePoint::max();
     if (now < m_claimAt) {
         return;
     }
@@ -177,8 +179,17 @@
     if (!answer.m_succeeded) {
         // The owner cannot write its heartbeat either, so the time without a store does not count.
         m_seen = false;
+        m_failingSince = std::min(m_failingSince, now);
         return Change::None;
     }
+    if (m_failingSince != TimePoint::max()) {
+        // After an outage the owner's heartbeat may first wait for the loss of a call and for the longest retry.
+        const bool wasLong = now - m_failingSince >= m_settings.m_takeover;
+        m_grace = wasLong ? Duration(m_settings.m_storeTimeout + m_settings.m_heartbeat) : m_grace;
+        m_failingSince = TimePoint::max();
+    } else if (m_seen && answer.m_stamp.m_version != m_version) {
+        m_grace = Duration(0);
+    }
     if (!m_seen || answer.m_stamp.m_version != m_version) {
         m_unchangedSince = now;
     }
@@ -187,6 +198,7 @@
         m_epochVersion = answer.m_ownership.m_epoch;
     }
     m_seen = true;
+    m_observedAt = now;
     m_version = answer.m_stamp.m_version;
     m_ownership = answer.m_ownership;
     m_ownership.m_shard = m_shard;
@@ -214,6 +226,8 @@
     m_write.abandon();
     m_state = State::Watching;
     m_seen = false;
+    m_failingSince = TimePoint::max();
+    m_grace = Duration(0);
     m_releaseRequested = false;
     m_nextRead = now;
     m_claimAt = TimePoint::max();
@@ -226,7 +240,7 @@
 
 auto ShardClaim::claimDelay(const ClaimBalance &balance) const noexcept -> Duration
 {
-    const Duration base = m_ownership.m_owner.empty() ? Duration(0) : Duration(m_settings.m_takeover);
+    const Duration base = m_ownership.m_owner.empty() ? Duration(0) : m_grace + m_settings.m_takeover;
     // Each shard above the share waits longer, so that schedulers with fewer shards claim first.
     const auto excess = balance.m_owned < balance.m_share ? 0 : balance.m_owned - balance.m_share + 1;
     return base + m_jitter + m_settings.m_heartbeat * static_cast<std::int64_t>(excess);
--- a/src/shard/shardduty.cpp
+++ b/src/shard/shardduty.cpp
@@ -96,6 +96,9 @@
         const ShardOwnership &ownership = shard.m_claim.ownership();
         m_commands.emplace_back(RecoverShard{.m_shard = ownership.m_shard, .m_epoch = ownership.m_epoch});
     }
+    if (shard.m_scheduler) {
+        shard.m_scheduler->holdWrites(shard.m_claim.isHeartbeatLate());
+    }
     if (shard.m_scheduler && shard.m_claim.mayAct(m_now) && m_now >= shard.m_scheduler->deadline()) {
         shard.m_scheduler->tick(m_now, m_random, m_commands);
     }
--- a/src/shard/shardscheduler.cpp
+++ b/src/shard/shardscheduler.cpp
@@ -77,6 +77,9 @@
     m_jobs.trimEnded(m_settings.m_maxEndedJobs, [this](std::string_view id) {
         return m_journal.isWaiting(id);
     });
+    if (m_writesHeld) {
+        return;
+    }
     m_journal.tick(
         [this](std::string_view id) -> const JobRecord & {
             return m_jobs.at(id).m_record;
@@ -116,7 +119,10 @@
     if (m_fenced) {
         return TimePoint::max();
     }
-    TimePoint earliest = std::min({m_jobs.deadline(), m_journal.deadline(), m_snapshots.deadline(m_journal.lastSequence())});
+    TimePoint earliest = m_jobs.deadline();
+    if (!m_writesHeld) {
+        earliest = std::min({earliest, m_journal.deadline(), m_snapshots.deadline(m_journal.lastSequence())});
+    }
     for (const auto &[name, worker] : m_workers.workers()) {
         earliest = std::min(earliest, worker.deadline());
     }
@@ -146,7 +152,7 @@
     }
     if (m_journal.waiting() >= m_settings.m_maxWaitingChanges) {
         ++m_counters.m_refusals;
-        answerError(event.m_ticket, ErrorCode::Unavailable, "too many changes wait for the table service", turn);
+        answerError(event.m_ticket, ErrorCode::Overloaded, "too many changes wait for the table service", turn);
         return;
     }
     ++m_counters.m_submissions;
--- a/tests/faultmatrix/schedulerhost.cpp
+++ b/tests/faultmatrix/schedulerhost.cpp
@@ -414,6 +414,9 @@
         self.m_shard.m_recoverAt = now + recoveryRetry;
         self.m_commands.emplace_back(RecoverShard{.m_shard = 0, .m_epoch = self.m_shard.m_claim.ownership().m_epoch});
     }
+    if (self.m_shard.m_scheduler) {
+        self.m_shard.m_scheduler->holdWrites(self.m_shard.m_claim.isHeartbeatLate());
+    }
     if (self.m_shard.m_scheduler && self.m_shard.m_claim.mayAct(now) && now >= self.m_shard.m_scheduler->deadline()) {
         self.m_shard.m_scheduler->tick(now, self.m_random, self.m_commands);
     }
@@ -444,6 +447,12 @@
     return m_private->m_configVersion;
 }
 
+auto SchedulerHost::waitingChanges() const -> std::size_t
+{
+    const auto &scheduler = m_private->m_shard.m_scheduler;
+    return scheduler ? scheduler->waitingChanges() : 0;
+}
+
 auto SchedulerHost::describe() const -> std::string
 {
     const auto &claim = m_private->m_shard.m_claim;
--- a/tests/faultmatrix/schedulerhost.hpp
+++ b/tests/faultmatrix/schedulerhost.hpp
@@ -39,6 +39,9 @@
     [[nodiscard]] auto isOwner() const -> bool;
     [[nodiscard]] auto configVersion() const -> std::uint64_t;
 
+    /// @brief Changed jobs that wait for the table.
+    [[nodiscard]] auto waitingChanges() const -> std::size_t;
+
     /// @brief One line for each job that has not ended, for reports of failures only.
     [[nodiscard]] auto describe() const -> std::string;
 
--- a/tests/faultmatrix/simulatedplatform.hpp
+++ b/tests/faultmatrix/simulatedplatform.hpp
@@ -15,6 +15,14 @@
 
 namespace Burdockspur::FaultMatrix
 {
+/// @brief Calls that hosts sent to the stores, whether or not they were served.
+struct StoreCalls {
+    int m_journalRows = 0; ///< transactions with a journal row
+    int m_otherWrites = 0; ///< further transactions and objects
+    int m_rowReads = 0;
+    int m_contentReads = 0; ///< scans and objects, as a recovery reads them
+};
+
 /// @brief The platform's models with their outages, and what became durable in them.
 class SimulatedPlatform
 {
@@ -44,6 +52,7 @@
     int m_slowdowns = 0;
     int m_rateLimits = 0;
     int m_staleLists = 0;
+    StoreCalls m_calls;
     std::map<std::string, Job> m_jobs; ///< latest durable state of each job
     std::vector<std::string> m_violations;
 
--- a/tests/faultmatrix/storelinks.cpp
+++ b/tests/faultmatrix/storelinks.cpp
@@ -56,6 +56,10 @@
             callback(std::move(result));
         };
     };
+    const bool isJournal = std::ranges::any_of(transaction.m_puts, [](const auto &put) {
+        return put.m_key.contains("/journal/");
+    });
+    ++(isJournal ? m_platform.m_calls.m_journalRows : m_platform.m_calls.m_otherWrites);
     m_platform.m_simulation.call(
         {stepsOf(transaction), &m_host, nullptr},
         storeTimeout,
@@ -100,6 +104,7 @@
 
 auto TableLink::read(std::string_view key, RowsCallback callback) -> void
 {
+    ++m_platform.m_calls.m_rowReads;
     query(
         [this, name = std::string(key)] {
             const auto row = m_platform.m_table.read(name);
@@ -110,6 +115,7 @@
 
 auto TableLink::scan(std::string_view prefix, std::string_view after, std::uint32_t limit, RowsCallback callback) -> void
 {
+    ++m_platform.m_calls.m_contentReads;
     query(
         [this, start = std::string(prefix), last = std::string(after), limit] {
             return m_platform.m_table.scan(start, last, limit);
@@ -119,6 +125,7 @@
 
 auto ObjectLink::put(std::string_view name, std::string bytes, DoneCallback callback) -> void
 {
+    ++m_platform.m_calls.m_otherWrites;
     m_platform.m_simulation.call(
         {{}, &m_host, nullptr},
         storeTimeout,
@@ -144,6 +151,7 @@
 
 auto ObjectLink::get(std::string_view name, BytesCallback callback) -> void
 {
+    ++m_platform.m_calls.m_contentReads;
     m_platform.m_simulation.call(
         {{}, &m_host, nullptr},
         storeTimeout,
