--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -13,6 +13,13 @@
 scheduler_admins=()
 worker_names=()
 worker_endpoints=()
+# By process name, both optional: the address of a process, and the network namespace in which it starts as the id of a
+# process in that namespace.
+declare -A addresses=()
+declare -A namespaces=()
+
+# address_of NAME
+address_of() { echo "${addresses[$1]:-127.0.0.1}"; }
 
 # deployment_begin BUILD_DIRECTORY: prepares the working directory and the clean-up.
 deployment_begin() {
@@ -61,9 +68,10 @@
 
 # start NAME PATTERN PROGRAM [ARGUMENT...]: starts a program and waits until its output has PATTERN.
 start() {
-    local name=$1 pattern=$2
+    local name=$1 pattern=$2 enter=()
     shift 2
-    "$@" >"$work/$name.out" 2>"$work/$name.log" </dev/null &
+    [ -z "${namespaces[$name]:-}" ] || enter=(nsenter "--net=/proc/${namespaces[$name]}/ns/net")
+    "${enter[@]}" "$@" >"$work/$name.out" 2>"$work/$name.log" </dev/null &
     pids[$name]=$!
     wait_for_line "$work/$name.out" "$pattern" "$name" "${pids[$name]}"
 }
@@ -92,20 +100,20 @@
 }
 
 start_platform() {
-    start platform 'port=' "$build/standins/standin-platform" --address 127.0.0.1 --port 0 "$@"
+    start platform 'port=' "$build/standins/standin-platform" --address "$(address_of platform)" --port 0 "$@"
     platform_port=$(value_of "$work/platform.out" port)
-    platform=127.0.0.1:$platform_port
+    platform=$(address_of platform):$platform_port
 }
 
 # start_workers PROCESS_NAME COUNT [FLAG...]: starts worker stand-ins in one process.
 start_workers() {
     local process=$1 count=$2
     shift 2
-    start "$process" 'control port=' "$build/standins/standin-worker" --workers "$count" --name_prefix "$process-" --first_port 0 "$@"
+    start "$process" 'control port=' "$build/standins/standin-worker" --address "$(address_of "$process")" --workers "$count" --name_prefix "$process-" --first_port 0 "$@"
     local line
     while read -r line; do
         worker_names+=("$(sed 's/.*worker=\([^ ]*\).*/\1/' <<<"$line")")
-        worker_endpoints+=("127.0.0.1:$(sed 's/.*port=\([0-9]*\).*/\1/' <<<"$line")")
+        worker_endpoints+=("$(address_of "$process"):$(sed 's/.*port=\([0-9]*\).*/\1/' <<<"$line")")
     done < <(grep '^worker=' "$work/$process.out")
 }
 
@@ -115,19 +123,21 @@
 
 # settings_of PROGRAM HOST_NUMBER: writes the settings file of a daemon.
 settings_of() {
-    local program=$1 number=$2
+    local program=$1 number=$2 own store
+    own=$(address_of "$1-$2")
+    store=$(address_of platform)
     {
         printf '[host]\nname = "host-%s"\nzone = "%s"\nregion = "north"\n' "$number" "$(zone_of "$number")"
         printf '[log]\nlevel = "%s"\n' "${BURDOCKSPUR_LOG_LEVEL:-info}"
-        printf '[admin]\naddress = "127.0.0.1"\nport = 0\n'
-        printf '[table]\naddress = "127.0.0.1"\nport = %s\n' "$platform_port"
-        printf '[hostlist]\naddress = "127.0.0.1"\nport = %s\n' "$platform_port"
+        printf '[admin]\naddress = "%s"\nport = 0\n' "$own"
+        printf '[table]\naddress = "%s"\nport = %s\n' "$store" "$platform_port"
+        printf '[hostlist]\naddress = "%s"\nport = %s\n' "$store" "$platform_port"
         if [ "$program" = entry ]; then
-            printf '[callers]\naddress = "127.0.0.1"\nport = 0\n%s\n' "${caller_settings:-}"
+            printf '[callers]\naddress = "%s"\nport = 0\n%s\n' "$own" "${caller_settings:-}"
             printf '%s\n' "${entry_settings:-}"
         else
-            printf '[objects]\naddress = "127.0.0.1"\nport = %s\n' "$platform_port"
-            printf '[frames]\naddress = "127.0.0.1"\nport = 0\n'
+            printf '[objects]\naddress = "%s"\nport = %s\n' "$store" "$platform_port"
+            printf '[frames]\naddress = "%s"\nport = 0\n' "$own"
             printf '%s\n' "${scheduler_settings:-}"
         fi
     } >"$work/$program-$number.toml"
@@ -136,15 +146,15 @@
 start_scheduler() {
     settings_of scheduler "$1"
     start "scheduler-$1" '^ready' "$build/daemons/burdockspur-scheduler" --settings "$work/scheduler-$1.toml"
-    schedulers[$1]=127.0.0.1:$(value_of "$work/scheduler-$1.out" frame_port)
-    scheduler_admins[$1]=127.0.0.1:$(value_of "$work/scheduler-$1.out" admin_port)
+    schedulers[$1]=$(address_of "scheduler-$1"):$(value_of "$work/scheduler-$1.out" frame_port)
+    scheduler_admins[$1]=$(address_of "scheduler-$1"):$(value_of "$work/scheduler-$1.out" admin_port)
 }
 
 start_entry() {
     settings_of entry "$1"
     start "entry-$1" '^ready' "$build/daemons/burdockspur-entry" --settings "$work/entry-$1.toml"
-    entries[$1]=127.0.0.1:$(value_of "$work/entry-$1.out" callers_port)
-    entry_admins[$1]=127.0.0.1:$(value_of "$work/entry-$1.out" admin_port)
+    entries[$1]=$(address_of "entry-$1"):$(value_of "$work/entry-$1.out" callers_port)
+    entry_admins[$1]=$(address_of "entry-$1"):$(value_of "$work/entry-$1.out" admin_port)
 }
 
 # publish_hosts HOSTS: gives the host list to the platform stand-in.
@@ -153,14 +163,14 @@
     {
         printf '{"generation":1,"hosts":['
         for index in "${!worker_names[@]}"; do
-            printf '%s{"name":"%s","role":"worker","address":"127.0.0.1","port":%s,"zone":"%s","rack":"rack-%s","region":"north","state":"live",' \
-                "$separator" "${worker_names[$index]}" "${worker_endpoints[$index]#*:}" "$(zone_of "$index")" $((index / 8))
+            printf '%s{"name":"%s","role":"worker","address":"%s","port":%s,"zone":"%s","rack":"rack-%s","region":"north","state":"live",' \
+                "$separator" "${worker_names[$index]}" "${worker_endpoints[$index]%:*}" "${worker_endpoints[$index]#*:}" "$(zone_of "$index")" $((index / 8))
             printf '"cpu_millis":16000,"memory_mb":60000,"accelerators":0,"slots":8,"connections":64}'
             separator=,
         done
         for number in $(seq 1 "$1"); do
-            printf '%s{"name":"host-%s","role":"entry","address":"127.0.0.1","port":%s,"frame_port":%s,"zone":"%s","rack":"rack-h%s","region":"north","state":"live"}' \
-                "$separator" "$number" "${entries[$number]#*:}" "${schedulers[$number]#*:}" "$(zone_of "$number")" "$number"
+            printf '%s{"name":"host-%s","role":"entry","address":"%s","port":%s,"frame_port":%s,"zone":"%s","rack":"rack-h%s","region":"north","state":"live"}' \
+                "$separator" "$number" "${entries[$number]%:*}" "${entries[$number]#*:}" "${schedulers[$number]#*:}" "$(zone_of "$number")" "$number"
         done
         printf ']}'
     } >"$work/hosts.json"
@@ -356,6 +366,20 @@
     [ "$owner" -gt 0 ]
 }
 
+# owned_by NUMBER...: how many shards the schedulers of these hosts own together.
+owned_by() {
+    local number sum=0
+    for number in "$@"; do
+        sum=$((sum + $(owned_shards "$number")))
+    done
+    echo "$sum"
+}
+
+# all_owned COUNT NUMBER...: whether the schedulers of these hosts own so many shards.
+all_owned() {
+    [ "$(owned_by "${@:2}")" -eq "$1" ]
+}
+
 # owner_of_shards: prints the owner of most shards. The status of a scheduler is refreshed once a second, so
 # it may not show a shard yet that already runs tasks.
 owner_of_shards() {
@@ -370,7 +394,7 @@
 
 # pause_workers true|false: while paused, workers hold every call, and their tasks and leases stand still.
 pause_workers() {
-    set_fault "127.0.0.1:$(sed -n 's/^control port=\([0-9]*\).*/\1/p' "$work/worker.out")" pause "$1"
+    set_fault "$(address_of worker):$(sed -n 's/^control port=\([0-9]*\).*/\1/p' "$work/worker.out")" pause "$1"
 }
 
 # in_flight NUMBER COUNT: whether an entry daemon has at least so many requests in progress.
