Try a refused drain again at the next request

Cause: AdminServer remembered the first POST /v1/drain as begun, although the ring of the shards thread could be full; a second one was answered 202 and did nothing. Change: the drain callback tells whether the drain has begun; a refused one is answered 503 ring_full and tried again. Test: AdminServerTest.DrainThatCouldNotBeginIsRefusedAndTriedAgain.

--- a/examples/adminexample.cpp
+++ b/examples/adminexample.cpp
@@ -54,7 +54,7 @@
             return std::string(R"({"state":"running"})");
         };
         auto drain = [this] {
-            static_cast<void>(m_events.tryPush({0, true}));
+            return m_events.tryPush({0, true});
         };
         m_server = std::make_unique<AdminServer>(m_metrics, status, drain);
         static_cast<void>(m_events.tryPush({m_server->listen("127.0.0.1", 0), false}));
--- a/include/burdockspur/operations/adminserver.hpp
+++ b/include/burdockspur/operations/adminserver.hpp
@@ -19,7 +19,7 @@
 /// use from that thread, e.g. a ring or a status text under a mutex.
 ///
 /// @code
-/// AdminServer admin(metrics, [&] { return status.text(); }, [&] { drainRing.tryPush(Drain{}); });
+/// AdminServer admin(metrics, [&] { return status.text(); }, [&] { return drainRing.tryPush(Drain{}); });
 /// admin.addRoute("GET", "/v1/queue", [&](const HttpRequest &) { return jsonResponse(200, queue.text()); });
 /// const auto port = admin.listen(settings.m_adminAddress, settings.m_adminPort);
 /// @endcode
@@ -27,12 +27,12 @@
 {
 public:
     using StatusCallback = std::function<std::string()>; ///< JSON text
-    using DrainCallback = std::function<void()>;
+    using DrainCallback = std::function<bool()>; ///< false when the drain could not begin
     using RouteHandler = std::function<HttpResponse(const HttpRequest &)>;
 
     /// @param metrics outlive the server
     /// @param status gives the body of `GET /v1/status`
-    /// @param drain begins a graceful shutdown; called once, at the first `POST /v1/drain`
+    /// @param drain begins a graceful shutdown; called at each `POST /v1/drain` until it has begun one
     AdminServer(const Metrics &metrics, StatusCallback status, DrainCallback drain);
 
     /// @brief Adds a route with an exact path.
--- a/src/host/adminduty.cpp
+++ b/src/host/adminduty.cpp
@@ -32,7 +32,10 @@
         [this] {
             return m_status.text();
         },
-        m_drain);
+        [this] {
+            m_drain();
+            return true;
+        });
     m_port.set_value(m_server->listen(m_address, m_requestedPort));
 }
 
--- a/src/operations/adminserver.cpp
+++ b/src/operations/adminserver.cpp
@@ -93,9 +93,11 @@
 auto AdminServer::beginDrain(const HttpRequest &) -> HttpResponse
 {
     if (!m_isDraining) {
-        m_isDraining = true;
         logEvent(LogLevel::Info, "drain_requested", {});
-        m_drain();
+        m_isDraining = m_drain();
+    }
+    if (!m_isDraining) {
+        return errorAnswer(ErrorCode::RingFull, "the drain could not begin; repeat the request");
     }
     return jsonResponse(202, R"({"state":"draining"})");
 }
--- a/src/shard/scheduleradminduty.cpp
+++ b/src/shard/scheduleradminduty.cpp
@@ -32,9 +32,11 @@
             return m_status.get();
         },
         [this] {
-            if (!m_rings.m_shards.tryPush(SchedulerDrainRequested())) {
+            const bool begun = m_rings.m_shards.tryPush(SchedulerDrainRequested());
+            if (!begun) {
                 logEvent(LogLevel::Error, "drain_not_begun", {{"reason", "the ring of the shards thread is full"}});
             }
+            return begun;
         });
     m_port.set_value(m_server->listen(m_settings.m_adminAddress, m_settings.m_adminPort));
 }
--- a/tests/adminservertest.cpp
+++ b/tests/adminservertest.cpp
@@ -30,12 +30,14 @@
 
     Metrics m_metrics;
     int m_drains = 0;
+    bool m_canDrain = true;
     AdminServer m_admin{m_metrics,
                         [] {
                             return R"({"shards":[]})";
                         },
                         [this] {
                             ++m_drains;
+                            return m_canDrain;
                         }};
     std::uint16_t m_port = 0;
 };
@@ -53,6 +55,17 @@
     EXPECT_EQ(m_drains, 1);
 }
 
+// Guards against a drain that is answered as begun, and never tried again, after it could not begin.
+TEST_F(AdminServerTest, DrainThatCouldNotBeginIsRefusedAndTriedAgain)
+{
+    m_canDrain = false;
+    EXPECT_TRUE(call("POST", "/v1/drain").starts_with("HTTP/1.1 503 "));
+    m_canDrain = true;
+    EXPECT_TRUE(call("POST", "/v1/drain").starts_with("HTTP/1.1 202 "));
+    EXPECT_TRUE(call("POST", "/v1/drain").starts_with("HTTP/1.1 202 "));
+    EXPECT_EQ(m_drains, 2);
+}
+
 // Guards against a drain by GET, e.g. of a crawler, and against routes that shadow each other.
 TEST_F(AdminServerTest, OtherRoutesAndMethodsAreErrorsWithACode)
 {
