Hand over shards above the share and follow the owner's heartbeat

Cause: a scheduler that started when every shard was owned got none until another one released. A takeover waited for up to one reading period after the last heartbeat, and one further heartbeat for each shard above the share. Change: ShardBalancer names the shard to hand over after shard.rebalance_ms of excess; ShardDuty drains it, releases the owner row and does not claim it for takeover_ms. ShardClaim reads the owner row shortly after each heartbeat, with the same number of reads; the excess delays a takeover by a quarter of a heartbeat a shard, at most half of one.

--- a/include/burdockspur/shard/jobtable.hpp
+++ b/include/burdockspur/shard/jobtable.hpp
@@ -58,6 +58,11 @@
     /// @brief All records, for a snapshot.
     [[nodiscard]] auto records() const -> std::vector<JobRecord>;
 
+    [[nodiscard]] auto size() const noexcept -> std::size_t
+    {
+        return m_entries.size();
+    }
+
     [[nodiscard]] auto entries() noexcept -> std::map<std::string, JobEntry, std::less<>> &
     {
         return m_entries;
--- a/include/burdockspur/shard/ownedshard.hpp
+++ b/include/burdockspur/shard/ownedshard.hpp
@@ -17,6 +17,7 @@
     ShardClaim m_claim;
     std::unique_ptr<ShardScheduler> m_scheduler; ///< present once the content was recovered
     TimePoint m_recoverAt = TimePoint::max(); ///< when recovery is begun or repeated
+    TimePoint m_handoverEnd = TimePoint::max(); ///< when a handover releases the shard although changes still wait
     ShardCounters m_counted; ///< counters that the metrics have
 };
 }
--- a/include/burdockspur/shard/schedulermetrics.hpp
+++ b/include/burdockspur/shard/schedulermetrics.hpp
@@ -35,6 +35,7 @@
     auto setJobs(const std::array<std::size_t, jobStates> &byState) -> void;
     auto setShards(std::size_t owned, std::size_t queued) -> void;
     auto countTakeover() -> void;
+    auto countHandover() -> void;
     auto countStoreResult(CommitResult::Status status) -> void;
     auto countRingFull() -> void;
     auto observeTick(Duration duration) -> void;
@@ -51,6 +52,7 @@
     prometheus::Gauge &m_owned;
     prometheus::Gauge &m_queued;
     prometheus::Counter &m_takeovers;
+    prometheus::Counter &m_handovers;
     prometheus::Counter &m_ringFull;
     prometheus::Histogram &m_ticks;
 };
--- a/include/burdockspur/shard/shardclaim.hpp
+++ b/include/burdockspur/shard/shardclaim.hpp
@@ -51,6 +51,9 @@
     /// @brief Gives the shard up at the next tick, so that another scheduler takes it at once.
     auto release() noexcept -> void;
 
+    /// @brief Claims the shard no earlier than this time, so that another scheduler takes what was handed over.
+    auto holdOff(TimePoint until) noexcept -> void;
+
     /// @brief Gives the shard up without a write, because the journal was fenced.
     auto relinquish(TimePoint now) noexcept -> void;
 
@@ -72,6 +75,12 @@
     /// sends no lease renewal. A store that fails does not end ownership.
     [[nodiscard]] auto mayAct(TimePoint now) const noexcept -> bool;
 
+    /// @brief True when the store failed since the last confirmed write.
+    [[nodiscard]] auto hasStoreFailed() const noexcept -> bool
+    {
+        return m_storeFailed;
+    }
+
     /// @brief Version of the epoch row, the condition of journal writes.
     [[nodiscard]] auto epochVersion() const noexcept -> std::uint64_t
     {
@@ -109,6 +118,7 @@
     auto rejected(TimePoint now) -> Change;
     auto observe(const RowRead &answer, TimePoint now) -> Change;
     auto startWatching(TimePoint now) noexcept -> void;
+    auto scheduleRead(bool changed, TimePoint now) noexcept -> void;
     [[nodiscard]] auto claimDelay(const ClaimBalance &balance) const noexcept -> Duration;
 
     ShardId m_shard;
@@ -123,6 +133,7 @@
     bool m_seen = false; ///< the row was read since the claim began to watch
     bool m_readAtOnce = false;
     bool m_releaseRequested = false;
+    bool m_isAligned = false; ///< reads follow the owner's heartbeats closely
     bool m_storeFailed = false; ///< the store failed since the last confirmation
     Duration m_jitter{0};
     TimePoint m_unchangedSince;
@@ -130,6 +141,7 @@
     TimePoint m_begunAt;
     TimePoint m_nextRead = TimePoint::min();
     TimePoint m_nextHeartbeat;
+    TimePoint m_notBefore = TimePoint::min(); ///< earliest time of a claim
     TimePoint m_claimAt = TimePoint::max();
 };
 }
--- a/include/burdockspur/shard/shardduty.hpp
+++ b/include/burdockspur/shard/shardduty.hpp
@@ -9,6 +9,7 @@
 #include "burdockspur/shard/schedulermetrics.hpp"
 #include "burdockspur/shard/schedulerrings.hpp"
 #include "burdockspur/shard/schedulersettings.hpp"
+#include "burdockspur/shard/shardbalancer.hpp"
 #include "burdockspur/shard/statustext.hpp"
 
 #include <map>
@@ -74,6 +75,9 @@
     auto executeAll() -> void;
     auto dropScheduler(OwnedShard &shard) -> void;
     auto advanceDrain() -> void;
+    auto rebalance() -> void;
+    auto beginHandover(OwnedShard &shard) -> void;
+    auto advanceHandover(OwnedShard &shard) -> void;
     auto answer(const EntryTicket &ticket, PeerMessage::Body body) -> void;
     auto answerError(const EntryTicket &ticket, ErrorCode code, std::string message) -> void;
     auto publishOwnership() -> void;
@@ -81,7 +85,8 @@
 
     [[nodiscard]] auto find(ShardId shard) -> OwnedShard *;
     [[nodiscard]] auto schedulerOf(std::string_view job, const EntryTicket &ticket) -> OwnedShard *;
-    [[nodiscard]] auto balance() const noexcept -> ClaimBalance;
+    [[nodiscard]] auto balance() const -> ClaimBalance;
+    [[nodiscard]] auto liveSchedulers() const -> std::vector<std::string>;
     [[nodiscard]] auto workersOf(ShardId shard) const -> WorkersListed;
     [[nodiscard]] auto policy() const -> PolicyChanged;
     [[nodiscard]] auto deadline() const noexcept -> TimePoint;
@@ -93,9 +98,11 @@
     WakeDescriptor &m_drained;
     RandomSource m_random;
     BestFitSpread m_policy;
+    ShardBalancer m_balancer;
     std::map<ShardId, OwnedShard> m_shards;
     std::optional<Configuration> m_configuration;
     std::optional<HostListing> m_listing;
+    std::vector<BalancedShard> m_balanced;
     ShardCommands m_commands;
     TimePoint m_now;
     TimePoint m_figuresAt;
--- a/include/burdockspur/shard/shardscheduler.hpp
+++ b/include/burdockspur/shard/shardscheduler.hpp
@@ -78,6 +78,12 @@
         return m_journal.waiting() == 0;
     }
 
+    /// @brief True when besides no start, stop or checkpoint waits for a worker's answer.
+    [[nodiscard]] auto isQuiet() const noexcept -> bool
+    {
+        return isDurable() && m_jobs.deadline() == TimePoint::max();
+    }
+
     [[nodiscard]] auto jobs() const noexcept -> const JobTable &
     {
         return m_jobs;
--- a/include/burdockspur/shard/shardsettings.hpp
+++ b/include/burdockspur/shard/shardsettings.hpp
@@ -12,6 +12,7 @@
     Milliseconds m_takeover{3'000}; ///< an unchanged heartbeat for so long allows a takeover
     Milliseconds m_heartbeat{1'000}; ///< period of the owner's heartbeat
     Milliseconds m_ownerLease{2'500}; ///< an owner without a confirmed heartbeat for so long holds back until the store answers or fails
+    Milliseconds m_rebalance{10'000}; ///< longer than a planned restart of one host, so that its shards do not move twice
     Milliseconds m_workerLease{15'000}; ///< a worker stops the tasks of a shard so long after the last renewal
     Milliseconds m_renewal{5'000}; ///< period of lease renewals
     Milliseconds m_tick{50}; ///< changes of one tick go into one journal row
--- a/include/burdockspur/shard/storeevents.hpp
+++ b/include/burdockspur/shard/storeevents.hpp
@@ -61,6 +61,7 @@
     std::uint64_t m_snapshotSequence = 0; ///< 0 without a snapshot
     std::uint64_t m_snapshotVersion = 0; ///< version of the snapshot row
     std::string m_snapshotObject; ///< name of the snapshot's object
+    std::uint32_t m_reads = 0; ///< reads of the table and the object store that the content took
 };
 
 /// @brief Result of reading a shard's content.
--- a/src/shard/schedulermetrics.cpp
+++ b/src/shard/schedulermetrics.cpp
@@ -27,6 +27,7 @@
     , m_owned(metrics.gauge("burdockspur_shards_owned", "Shards owned"))
     , m_queued(metrics.gauge("burdockspur_queue_length", "Jobs waiting for a worker"))
     , m_takeovers(metrics.counter("burdockspur_takeovers_total", "Shards taken over"))
+    , m_handovers(metrics.counter("burdockspur_handovers_total", "Handovers of a shard begun to reduce the number owned"))
     , m_ringFull(metrics.counter("burdockspur_ring_full_total", "Messages of the shards thread that found a ring full"))
     , m_ticks(metrics.durations("burdockspur_tick_seconds", "Duration of a turn of the shards thread"))
 {
@@ -67,6 +68,11 @@
     m_takeovers.Increment();
 }
 
+auto SchedulerMetrics::countHandover() -> void
+{
+    m_handovers.Increment();
+}
+
 auto SchedulerMetrics::countStoreResult(CommitResult::Status status) -> void
 {
     m_storeResults[static_cast<std::size_t>(status)]->Increment();
--- a/src/shard/schedulersettings.cpp
+++ b/src/shard/schedulersettings.cpp
@@ -20,7 +20,7 @@
 constexpr SettingRange servicePort{1, 65'535};
 constexpr SettingRange time{50, 600'000};
 
-constexpr std::array<Field, 25> fields{{
+constexpr std::array<Field, 26> fields{{
     {"host.name", &S::m_host, text, required, name, "", "Name of this entry host in the host list"},
     {"host.zone", &S::m_zone, text, required, name, "", "Availability zone of this host"},
     {"host.region", &S::m_region, text, required, name, "", "Region of this host"},
@@ -39,6 +39,7 @@
     {"shard.takeover_ms", &S::m_takeover, duration, optional, time, "ms", "Unchanged heartbeat that allows a takeover"},
     {"shard.heartbeat_ms", &S::m_heartbeat, duration, optional, time, "ms", "Period of the owner's heartbeat"},
     {"shard.owner_lease_ms", &S::m_ownerLease, duration, optional, time, "ms", "Unconfirmed ownership after which an owner holds back"},
+    {"shard.rebalance_ms", &S::m_rebalance, duration, optional, time, "ms", "Uninterrupted excess of shards after which one is handed over"},
     {"shard.tick_ms", &S::m_tick, duration, optional, {1, 1'000}, "ms", "Changes of one tick go into one journal row"},
     {"shard.store_timeout_ms", &S::m_storeTimeout, duration, optional, time, "ms", "For answers of the table service and the object store"},
     {"shard.drain_ms", &S::m_drain, duration, optional, time, "ms", "Longest graceful shutdown"},
--- a/src/shard/shardclaim.cpp
+++ b/src/shard/shardclaim.cpp
@@ -9,6 +9,14 @@
 {
 // Schedulers that start together read the free rows together; the jitter spreads their claims.
 constexpr std::uint32_t claimJitterMs = 100;
+// Reads move towards the owner's heartbeat by these parts of the heartbeat period. A takeover waits from the first
+// read after the last heartbeat, so a read that follows closely shortens it. Once aligned, the smaller step keeps
+// the reads that come too early, after which a heartbeat is seen late, below a few percent.
+constexpr int searchStep = 10;
+constexpr int alignedStep = 500;
+// Excess shards delay the takeover from a silent owner by this part of a heartbeat each, at most by half of one.
+constexpr int excessParts = 4;
+constexpr std::size_t maxExcessParts = 2;
 }
 
 ShardClaim::ShardClaim(ShardId shard, std::string_view host, const ShardSettings &settings)
@@ -32,7 +40,7 @@
 
 auto ShardClaim::watch(const ClaimBalance &balance, TimePoint now, RandomSource &random) -> void
 {
-    m_claimAt = m_seen && balance.m_mayClaim ? m_unchangedSince + claimDelay(balance) : TimePoint::max();
+    m_claimAt = m_seen && balance.m_mayClaim ? std::max(m_unchangedSince + claimDelay(balance), m_notBefore) : TimePoint::max();
     if (now < m_claimAt) {
         return;
     }
@@ -179,13 +187,16 @@
         m_seen = false;
         return Change::None;
     }
-    if (!m_seen || answer.m_stamp.m_version != m_version) {
+    const bool changed = !m_seen || answer.m_stamp.m_version != m_version;
+    if (changed) {
         m_unchangedSince = now;
     }
     if (answer.m_ownership.m_epoch != m_ownership.m_epoch || m_epochVersion == 0) {
         // The epoch row is written once for each epoch; if its version differs, the conflict tells it.
         m_epochVersion = answer.m_ownership.m_epoch;
     }
+    m_isAligned = m_isAligned && answer.m_ownership.m_epoch == m_ownership.m_epoch;
+    scheduleRead(changed, now);
     m_seen = true;
     m_version = answer.m_stamp.m_version;
     m_ownership = answer.m_ownership;
@@ -194,6 +205,25 @@
     return Change::None;
 }
 
+auto ShardClaim::scheduleRead(bool changed, TimePoint now) noexcept -> void
+{
+    // An owner beats once a period, so there is about one read a period whether aligned or not.
+    const Duration period = m_settings.m_heartbeat;
+    if (changed) {
+        m_nextRead = now + period - period / (m_isAligned ? alignedStep : searchStep);
+        return;
+    }
+    // The heartbeat comes soon after this read, so the next read has to be somewhat later within its period.
+    // A row that is unchanged for longer tells nothing about the owner's phase.
+    m_isAligned = now - m_unchangedSince < period + period / 2;
+    m_nextRead = now + period + period / searchStep;
+}
+
+auto ShardClaim::holdOff(TimePoint until) noexcept -> void
+{
+    m_notBefore = until;
+}
+
 auto ShardClaim::doubt() noexcept -> void
 {
     m_readAtOnce = true;
@@ -214,6 +244,7 @@
     m_write.abandon();
     m_state = State::Watching;
     m_seen = false;
+    m_isAligned = false;
     m_releaseRequested = false;
     m_nextRead = now;
     m_claimAt = TimePoint::max();
@@ -226,10 +257,15 @@
 
 auto ShardClaim::claimDelay(const ClaimBalance &balance) const noexcept -> Duration
 {
-    const Duration base = m_ownership.m_owner.empty() ? Duration(0) : Duration(m_settings.m_takeover);
     // Each shard above the share waits longer, so that schedulers with fewer shards claim first.
-    const auto excess = balance.m_owned < balance.m_share ? 0 : balance.m_owned - balance.m_share + 1;
-    return base + m_jitter + m_settings.m_heartbeat * static_cast<std::int64_t>(excess);
+    const std::size_t excess = balance.m_owned < balance.m_share ? 0 : balance.m_owned - balance.m_share + 1;
+    if (m_ownership.m_owner.empty()) {
+        // Others read a released row up to one period later, and may claim it only then.
+        const Duration late = excess == 0 ? Duration(0) : Duration(m_settings.m_heartbeat / 2);
+        return m_jitter + late + m_settings.m_heartbeat * static_cast<std::int64_t>(excess);
+    }
+    const auto parts = static_cast<std::int64_t>(std::min(excess, maxExcessParts));
+    return m_settings.m_takeover + m_jitter + m_settings.m_heartbeat * parts / excessParts;
 }
 
 auto ShardClaim::deadline() const noexcept -> TimePoint
--- a/src/shard/shardduty.cpp
+++ b/src/shard/shardduty.cpp
@@ -30,6 +30,7 @@
     , m_status(status)
     , m_drained(drained)
     , m_random(randomSeed())
+    , m_balancer(settings.m_rebalance)
 {
 }
 
@@ -60,6 +61,7 @@
         }
         tickAll();
         advanceDrain();
+        rebalance();
         publishOwnership();
         publishFigures();
         m_metrics.observeTick(Clock::now() - m_now);
@@ -68,9 +70,9 @@
 
 auto ShardDuty::deadline() const noexcept -> TimePoint
 {
-    TimePoint earliest = std::min(m_figuresAt, m_drainEnd);
+    TimePoint earliest = std::min({m_figuresAt, m_drainEnd, m_balancer.deadline()});
     for (const auto &[id, shard] : m_shards) {
-        earliest = std::min({earliest, shard.m_claim.deadline(), shard.m_recoverAt});
+        earliest = std::min({earliest, shard.m_claim.deadline(), shard.m_recoverAt, shard.m_handoverEnd});
         if (shard.m_scheduler && shard.m_claim.mayAct(m_now)) {
             earliest = std::min(earliest, shard.m_scheduler->deadline());
         }
@@ -233,7 +235,11 @@
     m_ownershipChanged = true;
     logEvent(LogLevel::Info,
              "shard_recovered",
-             {{"shard", input.m_shard}, {"epoch", input.m_epoch}, {"records", input.m_content->m_records.size()}, {"row", input.m_content->m_lastSequence}});
+             {{"shard", input.m_shard},
+              {"epoch", input.m_epoch},
+              {"records", input.m_content->m_records.size()},
+              {"row", input.m_content->m_lastSequence},
+              {"reads", input.m_content->m_reads}});
 }
 
 auto ShardDuty::take(LeaseAnswered &input) -> void
@@ -283,7 +289,11 @@
 
 auto ShardDuty::take(HostListing &input) -> void
 {
+    const std::vector<std::string> before = liveSchedulers();
     m_listing = std::move(input);
+    if (liveSchedulers() != before) {
+        m_balancer.schedulersChanged();
+    }
     if (!m_configuration) {
         return;
     }
@@ -302,10 +312,12 @@
         return;
     }
     m_draining = true;
+    m_balancer.schedulersChanged();
     m_drainEnd = m_now + m_settings.m_drain;
     m_ownershipChanged = true;
     logEvent(LogLevel::Info, "drain_begins", {{"shards", balance().m_owned}});
     for (auto &[id, shard] : m_shards) {
+        shard.m_handoverEnd = TimePoint::max();
         if (shard.m_scheduler) {
             shard.m_scheduler->beginDrain();
         }
@@ -331,6 +343,56 @@
     }
 }
 
+auto ShardDuty::rebalance() -> void
+{
+    if (m_draining || !m_configuration) {
+        return;
+    }
+    if (const auto handover = m_balancer.handover()) {
+        advanceHandover(*find(*handover));
+        return;
+    }
+    m_balanced.clear();
+    for (const auto &[id, shard] : m_shards) {
+        if (shard.m_claim.isOwner() || shard.m_claim.isClaiming()) {
+            m_balanced.push_back({.m_shard = id,
+                                  .m_isRecovered = shard.m_scheduler != nullptr,
+                                  .m_storeFailed = shard.m_claim.hasStoreFailed(),
+                                  .m_jobs = shard.m_scheduler ? shard.m_scheduler->jobs().size() : 0});
+        }
+    }
+    if (const auto chosen = m_balancer.choose(m_balanced, m_shards.size(), liveSchedulers().size(), m_now)) {
+        beginHandover(*find(*chosen));
+    }
+}
+
+auto ShardDuty::beginHandover(OwnedShard &shard) -> void
+{
+    const ShardOwnership &ownership = shard.m_claim.ownership();
+    m_metrics.countHandover();
+    logEvent(LogLevel::Info, "handover_begins", {{"shard", ownership.m_shard}, {"epoch", ownership.m_epoch}, {"owned", m_balanced.size()}});
+    shard.m_scheduler->beginDrain();
+    shard.m_handoverEnd = m_now + m_settings.m_drain;
+    advanceHandover(shard);
+}
+
+auto ShardDuty::advanceHandover(OwnedShard &shard) -> void
+{
+    if (shard.m_claim.isOwner()) {
+        // Reported ends may arrive without a pause; what is not durable then is reported to the next owner again.
+        const bool isReady = !shard.m_scheduler || shard.m_scheduler->isQuiet() || m_now >= shard.m_handoverEnd;
+        if (shard.m_handoverEnd != TimePoint::max() && isReady) {
+            shard.m_handoverEnd = TimePoint::max();
+            shard.m_claim.release();
+        }
+        return;
+    }
+    const std::string_view owner = shard.m_claim.ownership().m_owner;
+    if (!shard.m_claim.isClaiming() && !owner.empty() && owner != m_settings.m_host) {
+        m_balancer.handoverEnded(true);
+    }
+}
+
 auto ShardDuty::apply(OwnedShard &shard, ShardClaim::Change change) -> void
 {
     if (change == ShardClaim::Change::None) {
@@ -339,18 +401,26 @@
     const ShardOwnership &ownership = shard.m_claim.ownership();
     if (change == ShardClaim::Change::Acquired) {
         m_metrics.countTakeover();
+        if (m_balancer.handover() == ownership.m_shard) {
+            logEvent(LogLevel::Info, "handover_not_taken", {{"shard", ownership.m_shard}, {"epoch", ownership.m_epoch}});
+            m_balancer.handoverEnded(false);
+        }
         shard.m_recoverAt = m_now;
         logEvent(LogLevel::Info, "shard_acquired", {{"shard", ownership.m_shard}, {"epoch", ownership.m_epoch}});
         return;
     }
     const bool lost = change == ShardClaim::Change::Lost;
     logEvent(lost ? LogLevel::Warning : LogLevel::Info, lost ? "shard_lost" : "shard_released", {{"shard", ownership.m_shard}, {"epoch", ownership.m_epoch}});
+    if (!lost && m_balancer.handover() == ownership.m_shard) {
+        shard.m_claim.holdOff(m_now + m_settings.m_takeover);
+    }
     dropScheduler(shard);
 }
 
 auto ShardDuty::dropScheduler(OwnedShard &shard) -> void
 {
     shard.m_recoverAt = TimePoint::max();
+    shard.m_handoverEnd = TimePoint::max();
     if (shard.m_scheduler) {
         shard.m_scheduler->abandon(m_commands);
         m_metrics.add(shard.m_counted, shard.m_scheduler->counters());
@@ -365,17 +435,11 @@
     return found == m_shards.end() ? nullptr : &found->second;
 }
 
-auto ShardDuty::balance() const noexcept -> ClaimBalance
+auto ShardDuty::balance() const -> ClaimBalance
 {
     ClaimBalance balance;
     balance.m_mayClaim = !m_draining;
-    std::size_t schedulers = 0;
-    if (m_listing) {
-        schedulers = static_cast<std::size_t>(std::ranges::count_if(m_listing->m_hosts, [](const HostRecord &host) {
-            return host.m_role == HostRole::Entry && host.m_state == HostState::Live;
-        }));
-    }
-    schedulers = std::max<std::size_t>(schedulers, 1);
+    const std::size_t schedulers = std::max<std::size_t>(liveSchedulers().size(), 1);
     balance.m_share = (m_shards.size() + schedulers - 1) / schedulers;
     for (const auto &[id, shard] : m_shards) {
         balance.m_owned += shard.m_claim.isOwner() || shard.m_claim.isClaiming() ? 1 : 0;
@@ -383,6 +447,20 @@
     return balance;
 }
 
+auto ShardDuty::liveSchedulers() const -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    if (m_listing) {
+        for (const auto &host : m_listing->m_hosts) {
+            if (host.m_role == HostRole::Entry && host.m_state == HostState::Live) {
+                // A host that was replaced has another port or address.
+                names.push_back(host.m_name + " " + host.m_address + " " + std::to_string(host.m_framePort));
+            }
+        }
+    }
+    return names;
+}
+
 auto ShardDuty::workersOf(ShardId shard) const -> WorkersListed
 {
     WorkersListed listed;
--- a/src/shard/sharddutyrequests.cpp
+++ b/src/shard/sharddutyrequests.cpp
@@ -47,8 +47,8 @@
     if (shard == nullptr) {
         return;
     }
-    if (m_draining) {
-        answerError(ticket, ErrorCode::Draining, "this scheduler is shutting down");
+    if (m_draining || m_balancer.handover() == shard->m_claim.ownership().m_shard) {
+        answerError(ticket, ErrorCode::Draining, m_draining ? "this scheduler is shutting down" : "the shard is being handed over");
         return;
     }
     dispatch(*shard, JobSubmitted{.m_ticket = ticket, .m_job = request.m_job, .m_spec = request.m_spec});
@@ -110,6 +110,8 @@
     if (!std::exchange(m_ownershipChanged, false)) {
         return;
     }
+    // The status shows a new owner at once, not only after the period of the figures.
+    m_figuresAt = m_now;
     OwnershipReport report;
     report.m_draining = m_draining;
     for (const auto &[id, shard] : m_shards) {
--- a/src/shard/shardstore.cpp
+++ b/src/shard/shardstore.cpp
@@ -162,6 +162,7 @@
 
 auto ShardStore::readSnapshot(const std::shared_ptr<Recovery> &recovery) -> void
 {
+    ++recovery->m_content.m_reads;
     m_table->read(shardRowKey(recovery->m_shard, ShardRow::Snapshot, 0), [this, recovery](Result<std::vector<TableRow>> &&rows) {
         if (!rows) {
             fail(*recovery, rows.error());
@@ -187,6 +188,7 @@
 
 auto ShardStore::readObject(const std::shared_ptr<Recovery> &recovery) -> void
 {
+    ++recovery->m_content.m_reads;
     m_objects->get(recovery->m_content.m_snapshotObject, [this, recovery](Result<std::string> &&bytes) {
         if (!bytes) {
             fail(*recovery, bytes.error());
@@ -204,6 +206,7 @@
 
 auto ShardStore::readJournal(const std::shared_ptr<Recovery> &recovery, const std::string &after) -> void
 {
+    ++recovery->m_content.m_reads;
     m_table->scan(shardJournalPrefix(recovery->m_shard), after, journalPage, [this, recovery](Result<std::vector<TableRow>> &&rows) {
         if (!rows) {
             fail(*recovery, rows.error());
--- a/tests/shardclaimtest.cpp
+++ b/tests/shardclaimtest.cpp
@@ -138,6 +138,64 @@
     EXPECT_EQ(m_claim.epochVersion(), 1U);
 }
 
+// Guards against a scheduler that takes back at once what it has handed over.
+TEST_F(ShardClaimTest, HandedOverShardIsNotClaimedBeforeTheHoldEnds)
+{
+    own();
+    m_claim.release();
+    const auto write = writeOf(tick());
+    ASSERT_TRUE(write);
+    EXPECT_EQ(written(*write, CommitResult::Status::Committed), ShardClaim::Change::Released);
+    m_claim.holdOff(m_now + m_settings.m_takeover);
+    tick();
+    read(2, "", 1);
+    m_now += m_settings.m_takeover - Milliseconds(1);
+    EXPECT_FALSE(writeOf(tick()));
+    EXPECT_GE(m_claim.deadline(), m_now);
+    m_now += Milliseconds(1);
+    EXPECT_TRUE(writeOf(tick()));
+}
+
+// Guards against takeovers that wait a whole reading period longer because reads fall just before the heartbeats,
+// and against more reads than one a heartbeat.
+TEST_F(ShardClaimTest, ReadsComeToFollowTheHeartbeatsClosely)
+{
+    TimePoint beat = m_now;
+    std::uint64_t version = 0;
+    int reads = 0;
+    int lateReads = 0;
+    constexpr int beats = 200;
+    for (int step = 0; step < beats * 1'000; ++step, m_now += Milliseconds(1)) {
+        if (m_now >= beat + m_settings.m_heartbeat) {
+            beat = m_now;
+            ++version;
+        }
+        if (m_now >= m_claim.deadline()) {
+            const auto commands = tick();
+            EXPECT_FALSE(writeOf(commands));
+            if (!commands.empty()) {
+                ++reads;
+                lateReads += version > beats / 10 && m_now - beat > Milliseconds(150) ? 1 : 0;
+                read(version, "h2", 4);
+            }
+        }
+    }
+    EXPECT_LE(reads, beats + beats / 50);
+    EXPECT_LE(lateReads, beats / 20);
+}
+
+// Guards against an excess that leaves the shards of a silent owner without one for seconds.
+TEST_F(ShardClaimTest, ExcessDelaysTheTakeoverFromASilentOwnerByHalfAHeartbeatAtMost)
+{
+    const ClaimBalance full{.m_owned = 9, .m_share = 2, .m_mayClaim = true};
+    tick(full);
+    read(1, "h2", 4);
+    m_now += m_settings.m_takeover;
+    EXPECT_FALSE(writeOf(tick(full)));
+    m_now += m_settings.m_heartbeat / 2 + Milliseconds(100);
+    EXPECT_TRUE(writeOf(tick(full)));
+}
+
 // Guards against an owner that ignores a higher epoch.
 TEST_F(ShardClaimTest, HigherEpochEndsTheOwnership)
 {
