Refuse what an overloaded owner did not accept, and keep listings that find the ring full

Cause: a submission beyond max_waiting_changes was answered Unavailable, which the entry daemon cannot tell from a lost answer, so it ended unknown. A host listing or configuration that found the shards ring full was dropped. Change: the owner answers Overloaded; the entry daemon repeats the submission until its deadline and then answers refused, unless a later send was left unanswered. The platform duty pushes the latest listing and configuration again. OutageBoundsSubmissionsAndKeepsLeases now expects the code Overloaded; the check is as strict as before.

--- a/include/burdockspur/shard/schedulerplatformduty.hpp
+++ b/include/burdockspur/shard/schedulerplatformduty.hpp
@@ -5,8 +5,11 @@
 #include "burdockspur/shard/schedulersettings.hpp"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
+class QTimer;
+
 namespace Burdockspur
 {
 class ConfigurationWatcher;
@@ -36,6 +39,7 @@
     auto take() -> void;
     auto takeVersions() -> void;
     auto answer(ShardInput &&input) -> void;
+    auto pushPending() -> void;
 
     const SchedulerSettings &m_settings;
     SchedulerRings &m_rings;
@@ -46,6 +50,10 @@
     std::unique_ptr<ShardStore> m_store;
     std::unique_ptr<HostWatcher> m_hostWatcher;
     std::unique_ptr<ConfigurationWatcher> m_configurationWatcher;
+    // The latest of each kind that found the ring full. No deadline repeats them, so they are pushed again.
+    std::optional<HostListing> m_pendingListing;
+    std::optional<Configuration> m_pendingConfiguration;
+    std::unique_ptr<QTimer> m_pushTimer;
     std::vector<StoreCommand> m_taken;
     std::vector<ConfigVersion> m_takenVersions;
 };
--- a/src/host/jobrouter.cpp
+++ b/src/host/jobrouter.cpp
@@ -194,7 +194,11 @@
 auto JobRouter::take(CallerTicket ticket, ErrorReply &&reply, Turn &turn) -> void
 {
     auto &pending = m_pending.at(ticket);
-    if (std::ranges::find(passingCodes, reply.m_error.m_code) != passingCodes.end()) {
+    if (reply.m_error.m_code == ErrorCode::Overloaded) {
+        // The owner does not know the job and did not accept it, so no earlier send took effect either.
+        pending.m_wasSent = false;
+        retryLater(pending, turn);
+    } else if (std::ranges::find(passingCodes, reply.m_error.m_code) != passingCodes.end()) {
         retryLater(pending, turn);
     } else {
         // The scheduler refused the command, so no earlier send of it took effect either.
--- a/src/shard/schedulerplatformduty.cpp
+++ b/src/shard/schedulerplatformduty.cpp
@@ -8,6 +8,8 @@
 #include "burdockspur/platform/httptablestore.hpp"
 #include "burdockspur/shard/shardstore.hpp"
 
+#include <QTimer>
+
 #include <random>
 #include <utility>
 
@@ -17,6 +19,8 @@
 {
 // The shard's own deadline for an answer is later, so that the store's answer is usually the first to come.
 constexpr Milliseconds answerMargin{500};
+// The shards thread empties the ring in one turn, which takes a few milliseconds.
+constexpr Milliseconds pushRetry{50};
 }
 
 SchedulerPlatformDuty::SchedulerPlatformDuty(const SchedulerSettings &settings, SchedulerRings &rings)
@@ -43,12 +47,19 @@
         answer(std::move(input));
     });
     m_hostWatcher = std::make_unique<HostWatcher>(*m_hosts, m_settings.m_hostsPoll, seed, [this](const HostListing &listing) {
-        answer(HostListing(listing));
+        m_pendingListing = listing;
+        pushPending();
     });
     ConfigurationWatcherOptions options;
     options.m_seed = seed;
     m_configurationWatcher = std::make_unique<ConfigurationWatcher>(*m_table, options, [this](const Configuration &configuration) {
-        answer(Configuration(configuration));
+        m_pendingConfiguration = configuration;
+        pushPending();
+    });
+    m_pushTimer = std::make_unique<QTimer>();
+    m_pushTimer->setSingleShot(true);
+    QObject::connect(m_pushTimer.get(), &QTimer::timeout, m_pushTimer.get(), [this] {
+        pushPending();
     });
     m_hostWatcher->start();
     m_configurationWatcher->start();
@@ -62,6 +73,7 @@
 
 auto SchedulerPlatformDuty::tearDown() -> void
 {
+    m_pushTimer.reset();
     m_configurationWatcher.reset();
     m_hostWatcher.reset();
     m_store.reset();
@@ -89,6 +101,22 @@
     }
 }
 
+auto SchedulerPlatformDuty::pushPending() -> void
+{
+    const auto push = [this](auto &pending) {
+        // The copy keeps the entry when the ring is full.
+        if (pending && m_rings.m_shards.tryPush(ShardInput(*pending))) {
+            pending.reset();
+        }
+    };
+    push(m_pendingConfiguration);
+    push(m_pendingListing);
+    if (m_pendingConfiguration || m_pendingListing) {
+        logEvent(LogLevel::Warning, "ring_full", {{"ring", "shards"}, {"from", "platform"}});
+        m_pushTimer->start(pushRetry);
+    }
+}
+
 auto SchedulerPlatformDuty::answer(ShardInput &&input) -> void
 {
     if (!m_rings.m_shards.tryPush(std::move(input))) {
--- a/src/shard/shardscheduler.cpp
+++ b/src/shard/shardscheduler.cpp
@@ -146,7 +146,7 @@
     }
     if (m_journal.waiting() >= m_settings.m_maxWaitingChanges) {
         ++m_counters.m_refusals;
-        answerError(event.m_ticket, ErrorCode::Unavailable, "too many changes wait for the table service", turn);
+        answerError(event.m_ticket, ErrorCode::Overloaded, "too many changes wait for the table service", turn);
         return;
     }
     ++m_counters.m_submissions;
--- a/tests/jobroutertest.cpp
+++ b/tests/jobroutertest.cpp
@@ -128,6 +128,21 @@
     EXPECT_EQ(answer.m_result.error().m_code, ErrorCode::Unavailable);
 }
 
+// Guards against "unknown" for a submission that its owner refused each time because too many changes wait.
+TEST_F(JobRouterTest, OverloadedOwnerLeavesTheSubmissionRefused)
+{
+    own("e1", {m_shard}, 1);
+    apply(JobCommand{1, m_now + 5s, SubmitJob{m_job, {}}});
+    reply("e1", first<SendToPeer>().m_message.m_correlation, ErrorReply{{.m_code = ErrorCode::Overloaded, .m_message = "full"}});
+    EXPECT_TRUE(m_orders.empty());
+    for (passTimer(); std::holds_alternative<SendToPeer>(m_orders.front()); passTimer()) {
+        reply("e1", first<SendToPeer>().m_message.m_correlation, ErrorReply{{.m_code = ErrorCode::Overloaded, .m_message = "full"}});
+    }
+    const auto answer = first<AnswerJob>();
+    EXPECT_FALSE(answer.m_mayHaveTakenEffect);
+    EXPECT_FALSE(answer.m_result);
+}
+
 // Guards against a list that looks complete although a shard's owner did not contribute.
 TEST_F(JobRouterTest, ListNeedsEveryShardAndKeepsIdOrderAndLimit)
 {
--- a/tests/schedulerdaemontest.cpp
+++ b/tests/schedulerdaemontest.cpp
@@ -5,6 +5,7 @@
 #include "burdockspur/link/peermessage.hpp"
 #include "burdockspur/operations/configurationdocument.hpp"
 #include "burdockspur/platform/httptablestore.hpp"
+#include "burdockspur/shard/schedulerplatformduty.hpp"
 
 #include "standins/platformduty.hpp"
 #include "standins/workersduty.hpp"
@@ -122,14 +123,19 @@
         ASSERT_EQ(result->m_status, CommitResult::Status::Committed);
     }
 
-    auto listHosts() -> void
+    auto listHosts(int entryHosts = 1) -> void
     {
-        std::string body = R"({"generation":1,"hosts":[)";
+        std::string body = R"({"generation":)" + std::to_string(entryHosts) + R"(,"hosts":[)";
         for (const auto &[name, port] : m_workerPorts) {
             body += R"({"name":")" + name + R"(","role":"worker","address":"127.0.0.1","port":)" + std::to_string(port)
                 + R"(,"zone":"a","rack":"r1","region":"r","state":"live","cpu_millis":16000,"memory_mb":60000,"accelerators":0,"slots":8,"connections":64},)";
         }
-        body += R"({"name":"h1","role":"entry","address":"127.0.0.1","port":1,"frame_port":1,"zone":"a","rack":"r1","region":"r","state":"live"}]})";
+        for (int i = 1; i <= entryHosts; ++i) {
+            body += R"({"name":"h)" + std::to_string(i)
+                + R"(","role":"entry","address":"127.0.0.1","port":1,"frame_port":1,"zone":"a","rack":"r1","region":"r","state":"live"},)";
+        }
+        body.back() = ']';
+        body += '}';
         ASSERT_EQ(call(m_platformPort, "PUT", "/standin/hosts", body).m_status, 200) << body;
     }
 
@@ -145,7 +151,18 @@
         ASSERT_EQ(call(m_controlPort, "PUT", "/standin/faults?worker=" + std::string(worker), body).m_status, 200) << body;
     }
 
-    auto startScheduler(std::string host) -> SchedulerPorts
+    /// @brief Sum of a count in the stand-ins' JSON, over all workers.
+    static auto countIn(std::string_view json, std::string_view name) -> std::int64_t
+    {
+        const std::string key = "\"" + std::string(name) + "\":";
+        std::int64_t sum = 0;
+        for (auto at = json.find(key); at != std::string_view::npos; at = json.find(key, at + 1)) {
+            sum += std::stoll(std::string(json.substr(at + key.size())));
+        }
+        return sum;
+    }
+
+    [[nodiscard]] auto settingsOf(std::string host) const -> SchedulerSettings
     {
         SchedulerSettings settings;
         settings.m_host = std::move(host);
@@ -155,7 +172,13 @@
         settings.m_heartbeat = Milliseconds(200);
         settings.m_renewal = Milliseconds(200);
         settings.m_hostsPoll = Milliseconds(200);
-        m_daemons.push_back(std::make_unique<SchedulerDaemon>(settings));
+        settings.m_rebalance = Milliseconds(1'000);
+        return settings;
+    }
+
+    auto startScheduler(std::string host) -> SchedulerPorts
+    {
+        m_daemons.push_back(std::make_unique<SchedulerDaemon>(settingsOf(std::move(host))));
         const auto ports = m_daemons.back()->start();
         EXPECT_TRUE(ports);
         return ports.value_or(SchedulerPorts());
@@ -318,6 +341,80 @@
     EXPECT_EQ(counts.find("\"attempts_repeated\":1"), std::string::npos) << counts;
 }
 
+// Guards against a configuration or host listing that is missing until the next change when the ring was full.
+TEST_F(SchedulerDaemonTest, ListingAndConfigurationOutlastAFullRing)
+{
+    const SchedulerSettings settings = settingsOf("h1");
+    SchedulerRings rings;
+    for (std::size_t i = 0; i < SchedulerRings::capacity; ++i) {
+        ASSERT_TRUE(rings.m_shards.tryPush(SchedulerDrainRequested()));
+    }
+    SchedulerPlatformDuty platform(settings, rings);
+    const auto reads = [&] {
+        return call(m_platformPort, "GET", "/standin/counts", "").m_body;
+    };
+    const auto readsBefore = countIn(reads(), "host_list_reads");
+    platform.start();
+    // The second read tells that the first listing was delivered to the duty.
+    ASSERT_TRUE(waitFor([&] {
+        return countIn(reads(), "host_list_reads") >= readsBefore + 3;
+    }));
+    std::vector<ShardInput> inputs;
+    rings.m_shards.drain(inputs);
+    ASSERT_EQ(inputs.size(), SchedulerRings::capacity);
+    inputs.clear();
+    const auto received = [&]<typename Input>() {
+        return std::ranges::any_of(inputs, [](const ShardInput &input) {
+            return std::holds_alternative<Input>(input);
+        });
+    };
+    EXPECT_TRUE(waitFor([&] {
+        rings.m_shards.drain(inputs);
+        return received.operator()<HostListing>() && received.operator()<Configuration>();
+    }));
+}
+
+// Guards against shards that stay with one scheduler when another starts, and against a running task that a handover
+// stops, starts again or loses.
+TEST_F(SchedulerDaemonTest, SchedulerThatStartsLaterGetsItsShare)
+{
+    const auto first = startScheduler("h1");
+    connectTo(first.m_frames);
+    ASSERT_TRUE(waitFor([&] {
+        return m_owned.size() == 2;
+    }));
+    for (int i = 0; i < 8; ++i) {
+        submit("watch" + std::to_string(i), 0, JobKind::Watcher);
+    }
+    for (int i = 0; i < 8; ++i) {
+        ASSERT_TRUE(waitForState("watch" + std::to_string(i), JobState::Running)) << i;
+    }
+    const auto second = startScheduler("h2");
+    listHosts(2);
+    ASSERT_TRUE(waitFor([&] {
+        return m_owned.size() == 1;
+    }));
+    connectTo(second.m_frames);
+    ASSERT_TRUE(waitFor([&] {
+        return m_owned.size() == 1;
+    }));
+    m_jobs.clear();
+    std::size_t found = 0;
+    for (int i = 0; i < 8; ++i) {
+        const std::string id = "watch" + std::to_string(i);
+        if (shardOf(id, 2) == m_owned.front().m_shard) {
+            ++found;
+            EXPECT_TRUE(waitForState(id, JobState::Running)) << id;
+            EXPECT_EQ(m_jobs[id].m_attempt, 1U);
+        }
+    }
+    EXPECT_GT(found, 0U);
+    const std::string counts = call(m_controlPort, "GET", "/standin/counts", "").m_body;
+    EXPECT_EQ(countIn(counts, "starts"), 8) << counts;
+    EXPECT_EQ(countIn(counts, "stops"), 0) << counts;
+    EXPECT_NE(call(first.m_admin, "GET", "/metrics", "").m_body.find("burdockspur_handovers_total 1"), std::string::npos);
+}
+
 // Guards against tasks that stay on a leaving worker, restart without their checkpoint, or run twice.
 TEST_F(SchedulerDaemonTest, LeavingWorkerHandsOverItsTasks)
 {
--- a/tests/shardschedulertest.cpp
+++ b/tests/shardschedulertest.cpp
@@ -189,7 +189,7 @@
     }
     const auto answers = take<AnswerRequest>();
     ASSERT_EQ(answers.size(), 2U);
-    EXPECT_EQ(answers[0].m_result.error().m_code, ErrorCode::Unavailable);
+    EXPECT_EQ(answers[0].m_result.error().m_code, ErrorCode::Overloaded);
     tick(m_settings.m_renewal);
     EXPECT_EQ(take<RenewLease>().size(), 1U);
 }
