--- a/src/shard/shardclaim.cpp
+++ b/src/shard/shardclaim.cpp
@@ -23,7 +23,7 @@
     : m_shard(shard)
     , m_host(host)
     , m_settings(settings)
-    , m_write(settings.m_storeTimeout)
+    , m_write(settings.m_storeTimeout, settings.m_guards, settings.m_heartbeat)
 {
     m_ownership.m_shard = shard;
 }
@@ -40,7 +40,9 @@
 
 auto ShardClaim::watch(const ClaimBalance &balance, TimePoint now, RandomSource &random) -> void
 {
-    m_claimAt = m_seen && balance.m_mayClaim ? std::max(m_unchangedSince + claimDelay(balance), m_notBefore) : TimePoint::max();
+    // Without recent answers, the unchanged count says nothing about the owner.
+    const bool recent = now - m_observedAt < m_settings.m_heartbeat * 3 / 2;
+    m_claimAt = m_seen && recent && balance.m_mayClaim ? std::max(m_unchangedSince + claimDelay(balance), m_notBefore) : TimePoint::max();
     if (now < m_claimAt) {
         return;
     }
@@ -185,9 +187,18 @@
     if (!answer.m_succeeded) {
         // The owner cannot write its heartbeat either, so the time without a store does not count.
         m_seen = false;
+        m_failingSince = std::min(m_failingSince, now);
         return Change::None;
     }
     const bool changed = !m_seen || answer.m_stamp.m_version != m_version;
+    if (m_failingSince != TimePoint::max()) {
+        // After an outage the owner's heartbeat may first wait for the loss of a call and for the longest retry.
+        const bool wasLong = now - m_failingSince >= m_settings.m_takeover;
+        m_grace = wasLong ? Duration(m_settings.m_storeTimeout + m_settings.m_heartbeat) : m_grace;
+        m_failingSince = TimePoint::max();
+    } else if (m_seen && changed) {
+        m_grace = Duration(0);
+    }
     if (changed) {
         m_unchangedSince = now;
     }
@@ -198,6 +209,7 @@
     m_isAligned = m_isAligned && answer.m_ownership.m_epoch == m_ownership.m_epoch;
     scheduleRead(changed, now);
     m_seen = true;
+    m_observedAt = now;
     m_version = answer.m_stamp.m_version;
     m_ownership = answer.m_ownership;
     m_ownership.m_shard = m_shard;
@@ -244,6 +256,8 @@
     m_write.abandon();
     m_state = State::Watching;
     m_seen = false;
+    m_failingSince = TimePoint::max();
+    m_grace = Duration(0);
     m_isAligned = false;
     m_releaseRequested = false;
     m_nextRead = now;
@@ -265,7 +279,7 @@
         return m_jitter + late + m_settings.m_heartbeat * static_cast<std::int64_t>(excess);
     }
     const auto parts = static_cast<std::int64_t>(std::min(excess, maxExcessParts));
-    return m_settings.m_takeover + m_jitter + m_settings.m_heartbeat * parts / excessParts;
+    return m_grace + m_settings.m_takeover + m_jitter + m_settings.m_heartbeat * parts / excessParts;
 }
 
 auto ShardClaim::deadline() const noexcept -> TimePoint
--- a/tests/shardworld.hpp
+++ b/tests/shardworld.hpp
@@ -40,11 +40,13 @@
         int m_durationMs = 0;
     };
 
-    explicit ShardWorld(std::uint64_t seed, std::uint32_t lossPercent);
+    explicit ShardWorld(std::uint64_t seed, std::uint32_t lossPercent, const Guards &guards = {});
 
     /// @brief Submits jobs, applies the faults within a minute, heals everything and runs until the jobs have ended.
     auto run(int jobs, const std::vector<Fault> &faults) -> void;
 
+    std::size_t m_steps = 0; ///< events that the decision code handled
+    std::size_t m_strikes = 0; ///< faults that struck, lost messages included
     std::size_t m_starts = 0;
     std::size_t m_takeovers = 0;
     std::size_t m_resumed = 0; ///< starts with a checkpoint
@@ -70,7 +72,10 @@
     struct Machine {
         HostRecord m_host;
         Epoch m_epoch = 0;
+        Epoch m_granted = 0; ///< epoch that has the lease
         TimePoint m_leaseEnd;
+        std::uint64_t m_starts = 0; ///< of the process
+        std::map<std::uint64_t, std::pair<Epoch, TimePoint>> m_reports; ///< since the last start
         std::map<std::string, Task> m_tasks;
         std::map<std::string, AttemptNumber> m_tombstones; ///< this and lower attempts never start
         TimePoint m_pausedUntil;
