--- /dev/null
+++ b/include/burdockspur/placement/leastloaded.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "burdockspur/shard/placementpolicy.hpp"
+
+namespace Burdockspur
+{
+/// @brief Baseline: chooses the candidate with the largest share left of its scarcest resource.
+class LeastLoaded : public PlacementPolicy
+{
+public:
+    [[nodiscard]] auto choose(const JobSpec &spec, std::span<const PlacementCandidate> candidates, RandomSource &random) const
+        -> std::optional<std::size_t> override;
+};
+}
--- a/include/burdockspur/shard/workertable.hpp
+++ b/include/burdockspur/shard/workertable.hpp
@@ -5,6 +5,7 @@
 #include "burdockspur/shard/shardsettings.hpp"
 #include "burdockspur/shard/worker.hpp"
 
+#include <cstddef>
 #include <map>
 #include <span>
 #include <string>
@@ -13,6 +14,8 @@
 
 namespace Burdockspur
 {
+class RandomSource;
+
 /// @brief The workers of one shard.
 class WorkerTable
 {
@@ -37,6 +40,18 @@
     /// @brief Usable workers with room for a demand.
     auto candidatesFor(const Resources &demand, TimePoint now, std::vector<PlacementCandidate> &candidates) const -> void;
 
+    /// @brief Up to a number of usable workers with room for a demand, from a random part of the table.
+    ///
+    /// Looks at few workers when there is room on many, so that the time does not grow with their number; looks
+    /// at all of them before it finds none.
+    /// @param demand what has to fit
+    /// @param limit most candidates
+    /// @param random chooses the first worker that is looked at
+    /// @param now current time
+    /// @param candidates replaced
+    auto sampleCandidates(const Resources &demand, std::size_t limit, RandomSource &random, TimePoint now, std::vector<PlacementCandidate> &candidates) const
+        -> void;
+
     /// @brief True when a listed worker could ever hold the demand.
     [[nodiscard]] auto canEverHold(const Resources &demand) const noexcept -> bool;
 
@@ -74,5 +89,6 @@
     TimePoint m_ownedSince;
     Resources m_reservation;
     Workers m_workers;
+    mutable std::vector<const Worker *> m_order; ///< the workers by position; empty after a change
 };
 }
--- a/src/shard/workertable.cpp
+++ b/src/shard/workertable.cpp
@@ -1,5 +1,7 @@
 #include "burdockspur/shard/workertable.hpp"
 
+#include "burdockspur/core/randomsource.hpp"
+
 #include <algorithm>
 #include <set>
 
@@ -36,6 +38,7 @@
     if (found != m_workers.end()) {
         return found->second;
     }
+    m_order.clear();
     return m_workers.emplace(std::string(name), Worker(name, m_ownedSince, m_settings)).first->second;
 }
 
@@ -53,6 +56,7 @@
     }
     const bool silent = found->second.m_suspect || found->second.m_host.m_port == 0;
     if (silent || found->second.m_ended.empty()) {
+        m_order.clear();
         m_workers.erase(found);
     }
 }
@@ -71,6 +75,25 @@
     }
 }
 
+auto WorkerTable::sampleCandidates(
+    const Resources &demand, std::size_t limit, RandomSource &random, TimePoint now, std::vector<PlacementCandidate> &candidates) const -> void
+{
+    candidates.clear();
+    if (m_order.empty()) {
+        for (const auto &[name, worker] : m_workers) {
+            m_order.push_back(&worker);
+        }
+    }
+    const std::size_t first = random.below(static_cast<std::uint32_t>(m_order.size()));
+    for (std::size_t i = 0; i < m_order.size() && candidates.size() < limit; ++i) {
+        const Worker &worker = *m_order[(first + i) % m_order.size()];
+        const Resources free = worker.freeFor(m_reservation);
+        if (demand.fitsInto(free) && worker.isUsable(now)) {
+            candidates.push_back({.m_worker = &worker, .m_free = free});
+        }
+    }
+}
+
 auto WorkerTable::canEverHold(const Resources &demand) const noexcept -> bool
 {
     return std::ranges::any_of(m_workers, [&](const auto &entry) {
