--- a/src/host/callerduty.cpp
+++ b/src/host/callerduty.cpp
@@ -3,6 +3,8 @@
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/host/entrymetrics.hpp"
 #include "burdockspur/host/entrystatus.hpp"
+#include "burdockspur/impl/burncodec.hpp"
+#include "burdockspur/impl/jsonreader.hpp"
 #include "burdockspur/operations/log.hpp"
 
 #include <QTimer>
@@ -44,7 +46,7 @@
 
 auto CallerDuty::routes() -> std::span<const Route>
 {
-    static constexpr std::array<Route, 9> table{{
+    static constexpr std::array<Route, 10> table{{
         {"POST", "/v1/services/*/requests", &CallerDuty::forwardRequest},
         {"POST", "/v1/jobs", &CallerDuty::submitJob},
         {"GET", "/v1/jobs", &CallerDuty::listJobs},
@@ -54,6 +56,7 @@
         {"PUT", "/v1/config", &CallerDuty::replaceConfiguration},
         {"PUT", "/v1/config/preset", &CallerDuty::switchPreset},
         {"GET", "/v1/status", &CallerDuty::showStatus},
+        {"GET", "/v1/burn", &CallerDuty::showBurn},
     }};
     return table;
 }
@@ -133,6 +136,7 @@
     }
     const CallerTicket ticket = remember(call.m_exchange, AnswerKind::Request);
     request->m_id = m_idPrefix + std::to_string(ticket);
+    m_pending.at(ticket).m_service = request->m_service;
     if (!m_rings.m_router.tryPush(RequestArrived{ticket, std::move(*request)})) {
         m_metrics.noteRingFull(RingName::Router);
         on(AnswerCaller{ticket, {Outcome::Refused, ErrorCode::Overloaded, m_idPrefix + std::to_string(ticket), {}, {}}});
@@ -141,32 +145,22 @@
 
 auto CallerDuty::submitJob(Call &call) -> void
 {
-    auto command = decodeSubmission(call.m_request);
-    if (!command) {
-        refuse(call.m_exchange, command.error());
-        return;
-    }
-    commandJobs(call.m_exchange, AnswerKind::Submission, std::move(*command));
+    commandJobs(call, AnswerKind::Submission, decodeSubmission(call.m_request));
 }
 
 auto CallerDuty::showJob(Call &call) -> void
 {
-    commandJobs(call.m_exchange, AnswerKind::Job, QueryJob{std::move(call.m_segment)});
+    commandJobs(call, AnswerKind::Job, Result<QueryJob>(QueryJob{std::move(call.m_segment)}));
 }
 
 auto CallerDuty::listJobs(Call &call) -> void
 {
-    auto command = decodeJobQuery(call.m_request);
-    if (!command) {
-        refuse(call.m_exchange, command.error());
-        return;
-    }
-    commandJobs(call.m_exchange, AnswerKind::JobList, std::move(*command));
+    commandJobs(call, AnswerKind::JobList, decodeJobQuery(call.m_request));
 }
 
 auto CallerDuty::cancelJob(Call &call) -> void
 {
-    commandJobs(call.m_exchange, AnswerKind::Job, CancelJob{std::move(call.m_segment)});
+    commandJobs(call, AnswerKind::Job, Result<CancelJob>(CancelJob{std::move(call.m_segment)}));
 }
 
 auto CallerDuty::showConfiguration(Call &call) -> void
@@ -180,26 +174,28 @@
 
 auto CallerDuty::switchPreset(Call &call) -> void
 {
-    auto command = decodePresetChange(call.m_request.m_body);
-    if (!command) {
-        refuse(call.m_exchange, command.error());
-        return;
-    }
-    command->m_ticket = remember(call.m_exchange, AnswerKind::ConfigChange);
-    const CallerTicket ticket = command->m_ticket;
-    commandPlatform(call.m_exchange, std::move(*command), ticket);
+    changeConfiguration(call, decodePresetChange(call.m_request.m_body));
 }
 
 auto CallerDuty::replaceConfiguration(Call &call) -> void
 {
-    auto command = decodeConfigChange(call.m_request.m_body);
+    changeConfiguration(call, decodeConfigChange(call.m_request.m_body));
+}
+
+template<typename Command>
+auto CallerDuty::changeConfiguration(const Call &call, Result<Command> &&command) -> void
+{
     if (!command) {
         refuse(call.m_exchange, command.error());
         return;
     }
-    command->m_ticket = remember(call.m_exchange, AnswerKind::ConfigChange);
-    const CallerTicket ticket = command->m_ticket;
-    commandPlatform(call.m_exchange, std::move(*command), ticket);
+    const CallerTicket ticket = remember(call.m_exchange, AnswerKind::ConfigChange);
+    command->m_ticket = ticket;
+    if (!m_rings.m_platform.tryPush(std::move(*command))) {
+        m_metrics.noteRingFull(RingName::Platform);
+        complete(ticket);
+        refuse(call.m_exchange, {ErrorCode::Overloaded, "this entry host has too many configuration changes in progress"});
+    }
 }
 
 auto CallerDuty::showStatus(Call &call) -> void
@@ -207,34 +203,38 @@
     send(call.m_exchange, jsonResponse(statusOk, m_status.text()));
 }
 
-auto CallerDuty::commandJobs(ExchangeId exchange, AnswerKind kind, JobCommand::Body &&body) -> void
+auto CallerDuty::showBurn(Call &call) -> void
+{
+    const auto report = m_burn.report(Clock::now(), [this](std::string_view worker) {
+        return m_status.zoneOf(worker);
+    });
+    send(call.m_exchange, jsonResponse(statusOk, jsonText(burnToJson(report))));
+}
+
+template<typename Command>
+auto CallerDuty::commandJobs(const Call &call, AnswerKind kind, Result<Command> &&command) -> void
 {
+    if (!command) {
+        refuse(call.m_exchange, command.error());
+        return;
+    }
     m_metrics.noteJobCommand();
     if (m_draining) {
-        refuse(exchange, {ErrorCode::Draining, "this entry host is shutting down; use another one"});
+        refuse(call.m_exchange, {ErrorCode::Draining, "this entry host is shutting down; use another one"});
         return;
     }
-    const CallerTicket ticket = remember(exchange, kind);
+    const CallerTicket ticket = remember(call.m_exchange, kind);
     const TimePoint deadline = Clock::now() + m_options.m_callerLimits.m_jobDeadline;
-    if (!m_rings.m_links.tryPush(JobCommand{ticket, deadline, std::move(body)})) {
+    if (!m_rings.m_links.tryPush(JobCommand{ticket, deadline, std::move(*command)})) {
         m_metrics.noteRingFull(RingName::Links);
         complete(ticket);
-        refuse(exchange, {ErrorCode::Overloaded, "this entry host has too many job commands in progress"});
-    }
-}
-
-auto CallerDuty::commandPlatform(ExchangeId exchange, PlatformCommand &&command, CallerTicket ticket) -> void
-{
-    if (!m_rings.m_platform.tryPush(std::move(command))) {
-        m_metrics.noteRingFull(RingName::Platform);
-        complete(ticket);
-        refuse(exchange, {ErrorCode::Overloaded, "this entry host has too many configuration changes in progress"});
+        refuse(call.m_exchange, {ErrorCode::Overloaded, "this entry host has too many job commands in progress"});
     }
 }
 
 auto CallerDuty::remember(ExchangeId exchange, AnswerKind kind) -> CallerTicket
 {
-    m_pending.emplace(++m_lastTicket, Pending{exchange, Clock::now(), kind});
+    m_pending.emplace(++m_lastTicket, Pending{exchange, Clock::now(), kind, {}});
     return m_lastTicket;
 }
 
@@ -263,7 +263,9 @@
         return;
     }
     auto &answer = message.m_answer;
-    m_metrics.noteAnswer(answer.m_outcome, Clock::now() - pending->m_arrived);
+    const TimePoint now = Clock::now();
+    m_metrics.noteAnswer(answer.m_outcome, now - pending->m_arrived);
+    m_burn.note(pending->m_service, answer, now - pending->m_arrived, now);
     if (answer.m_outcome != Outcome::Answered) {
         logEvent(
             LogLevel::Warning,
@@ -315,6 +317,7 @@
 
 auto CallerDuty::on(ConfigurationChanged &&message) -> void
 {
+    m_burn.setConfiguration(message.m_configuration);
     m_configuration = std::move(message.m_configuration);
 }
 
@@ -338,7 +341,7 @@
     if (found == m_pending.end()) {
         return std::nullopt;
     }
-    const Pending pending = found->second;
+    Pending pending = std::move(found->second);
     m_pending.erase(found);
     return pending;
 }
