Reserve what job classes use, and make the reservation durable

Cause: an attempt reserved its declared size, however wrong it was. Change: ShardScheduler gives the usage of lease reports to SizeEstimator; the start order carries the reserved amounts, and JobRecord keeps them, so that a new owner reserves the same. Callers still see the declared size. Ruled out: learning from reports without usage (they would reduce reservations to nothing), run times of attempts that resumed from a checkpoint, and amounts that no single worker has.

--- a/bench/policysimulation.cpp
+++ b/bench/policysimulation.cpp
@@ -99,15 +99,17 @@
         host.m_capacity = {.m_cpuMillis = m_size.m_cpuMillis, .m_memoryMb = m_size.m_memoryMb, .m_accelerators = 0};
         hosts.push_back(std::move(host));
     }
-    m_table.update(hosts);
+    m_table.update(hosts, time());
     const auto part = [](std::int64_t amount) {
         return static_cast<std::int64_t>(serviceShare * static_cast<double>(amount));
     };
     m_table.setReservation({.m_cpuMillis = part(m_size.m_cpuMillis), .m_memoryMb = part(m_size.m_memoryMb), .m_accelerators = 0});
+    LeaseReport granted;
+    granted.m_granted = true;
     for (std::size_t i = 0; i < m_size.m_workers; ++i) {
         Machine machine;
         machine.m_worker = &m_table.at(hosts[i].m_name);
-        machine.m_worker->renewalAnswered(TimePoint());
+        machine.m_worker->renewalAnswered(granted, time());
         machine.m_zone = i % m_size.m_zones;
         machine.m_service = i / m_size.m_zones % services.size();
         machine.m_nextReport = reportPeriod * m_arrivals.unit();
@@ -213,7 +215,7 @@
         return false;
     }
     Worker &worker = m_table.at(m_candidates[*chosen].m_worker->m_name);
-    worker.reserve(task.m_id, task.m_reserved, m_table.reservation());
+    worker.reserve(task.m_id, task.m_reserved.m_class, task.m_reserved.m_demand, m_table.reservation());
     m_subject.m_spread.add(task.m_reserved.m_class, worker.m_host.m_place);
     Machine &machine = m_machines[std::stoul(worker.m_name.substr(1))];
     task.m_started = m_now;
@@ -284,7 +286,7 @@
 {
     Task task = std::move(machine.m_tasks[index]);
     machine.m_tasks.erase(machine.m_tasks.begin() + static_cast<std::ptrdiff_t>(index));
-    machine.m_worker->release(task.m_id, task.m_reserved);
+    machine.m_worker->release(task.m_id, task.m_reserved.m_class, task.m_reserved.m_demand);
     m_subject.m_spread.remove(task.m_reserved.m_class, machine.m_worker->m_host.m_place);
     updateShare(machine, task.m_class);
     return task;
@@ -431,7 +433,7 @@
             continue;
         }
         machine.m_lost = true;
-        machine.m_worker->setUnlisted();
+        machine.m_worker->setUnlisted(time());
         while (!machine.m_tasks.empty()) {
             Task task = removeTask(machine, machine.m_tasks.size() - 1);
             m_result.m_wastedWork += coreHours(task.m_done, task.m_use);
--- a/include/burdockspur/impl/messages_generated.h
+++ b/include/burdockspur/impl/messages_generated.h
@@ -1444,7 +1444,10 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SUBMISSION = 4,
     VT_FAILURES = 6,
-    VT_CANCEL_REQUESTED = 8
+    VT_CANCEL_REQUESTED = 8,
+    VT_RESERVED_CPU_MILLIS = 10,
+    VT_RESERVED_MEMORY_MB = 12,
+    VT_RESERVED_ACCELERATORS = 14
   };
   uint64_t submission() const {
     return GetField<uint64_t>(VT_SUBMISSION, 0);
@@ -1455,11 +1458,23 @@
   bool cancel_requested() const {
     return GetField<uint8_t>(VT_CANCEL_REQUESTED, 0) != 0;
   }
+  int64_t reserved_cpu_millis() const {
+    return GetField<int64_t>(VT_RESERVED_CPU_MILLIS, 0);
+  }
+  int64_t reserved_memory_mb() const {
+    return GetField<int64_t>(VT_RESERVED_MEMORY_MB, 0);
+  }
+  int64_t reserved_accelerators() const {
+    return GetField<int64_t>(VT_RESERVED_ACCELERATORS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SUBMISSION, 8) &&
            VerifyField<uint32_t>(verifier, VT_FAILURES, 4) &&
            VerifyField<uint8_t>(verifier, VT_CANCEL_REQUESTED, 1) &&
+           VerifyField<int64_t>(verifier, VT_RESERVED_CPU_MILLIS, 8) &&
+           VerifyField<int64_t>(verifier, VT_RESERVED_MEMORY_MB, 8) &&
+           VerifyField<int64_t>(verifier, VT_RESERVED_ACCELERATORS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1477,6 +1492,15 @@
   void add_cancel_requested(bool cancel_requested) {
     fbb_.AddElement<uint8_t>(JobProgress::VT_CANCEL_REQUESTED, static_cast<uint8_t>(cancel_requested), 0);
   }
+  void add_reserved_cpu_millis(int64_t reserved_cpu_millis) {
+    fbb_.AddElement<int64_t>(JobProgress::VT_RESERVED_CPU_MILLIS, reserved_cpu_millis, 0);
+  }
+  void add_reserved_memory_mb(int64_t reserved_memory_mb) {
+    fbb_.AddElement<int64_t>(JobProgress::VT_RESERVED_MEMORY_MB, reserved_memory_mb, 0);
+  }
+  void add_reserved_accelerators(int64_t reserved_accelerators) {
+    fbb_.AddElement<int64_t>(JobProgress::VT_RESERVED_ACCELERATORS, reserved_accelerators, 0);
+  }
   explicit JobProgressBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1492,8 +1516,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t submission = 0,
     uint32_t failures = 0,
-    bool cancel_requested = false) {
+    bool cancel_requested = false,
+    int64_t reserved_cpu_millis = 0,
+    int64_t reserved_memory_mb = 0,
+    int64_t reserved_accelerators = 0) {
   JobProgressBuilder builder_(_fbb);
+  builder_.add_reserved_accelerators(reserved_accelerators);
+  builder_.add_reserved_memory_mb(reserved_memory_mb);
+  builder_.add_reserved_cpu_millis(reserved_cpu_millis);
   builder_.add_submission(submission);
   builder_.add_failures(failures);
   builder_.add_cancel_requested(cancel_requested);
--- a/include/burdockspur/shard/jobentry.hpp
+++ b/include/burdockspur/shard/jobentry.hpp
@@ -24,6 +24,7 @@
     AttemptPhase m_phase = AttemptPhase::None;
     AttemptNumber m_durableAttempt = 0; ///< highest attempt whose assignment is durable
     std::uint32_t m_sends = 0; ///< starts sent of the latest attempt
+    Resources m_peak; ///< highest reported usage of the attempt
     TimePoint m_confirmedAt; ///< when the worker confirmed the attempt
     TimePoint m_due = TimePoint::max(); ///< when the order in progress is repeated
 };
--- a/include/burdockspur/shard/shardscheduler.hpp
+++ b/include/burdockspur/shard/shardscheduler.hpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/core/randomsource.hpp"
+#include "burdockspur/placement/sizeestimator.hpp"
 #include "burdockspur/shard/jobqueue.hpp"
 #include "burdockspur/shard/jobtable.hpp"
 #include "burdockspur/shard/journal.hpp"
@@ -152,6 +153,7 @@
     auto takeStray(Worker &worker, const AttemptReport &report, const Turn &turn) -> void;
     [[nodiscard]] static auto isLateCompletion(const JobEntry &entry, const Worker &worker, const AttemptReport &report) noexcept -> bool;
     auto confirmRunning(JobEntry &entry, const AttemptReport &report, const Turn &turn) -> void;
+    auto observeUsage(JobEntry &entry, const Resources &usage) -> void;
     auto stopMissing(Worker &worker, const std::set<std::string_view> &reported, const Turn &turn) -> void;
     auto startRefused(JobEntry &entry, Worker &worker, std::string_view reason, const Turn &turn) -> void;
 
@@ -178,8 +180,9 @@
 
     // Time.
     auto place(const Turn &turn) -> void;
-    auto placeJob(JobEntry &entry, std::vector<Resources> &tooLarge, const Turn &turn) -> void;
-    auto assign(JobEntry &entry, Worker &worker, const Turn &turn) -> void;
+    auto placeJob(JobEntry &entry, const Resources &largest, std::vector<Resources> &tooLarge, const Turn &turn) -> void;
+    [[nodiscard]] auto reservationFor(const JobSpec &spec, const Resources &largest) const -> Resources;
+    auto assign(JobEntry &entry, Worker &worker, const Resources &reserved, const Turn &turn) -> void;
     auto tickWorker(Worker &worker, const Turn &turn) -> void;
     auto expireLease(Worker &worker, const Turn &turn) -> void;
     auto renew(Worker &worker, const Turn &turn) -> void;
@@ -207,6 +210,7 @@
     WorkerTable m_workers;
     Journal m_journal;
     SnapshotKeeper m_snapshots;
+    SizeEstimator m_sizes;
     ShardCounters m_counters;
     std::set<std::string, std::less<>> m_unschedulable; ///< reviewed when the listed workers change
     std::vector<PlacementCandidate> m_candidates;
--- a/include/burdockspur/shard/worker.hpp
+++ b/include/burdockspur/shard/worker.hpp
@@ -34,14 +34,14 @@
     /// @brief The host list does not have the worker.
     auto setUnlisted(TimePoint now) noexcept -> void;
 
-    /// @brief Reserves the demand of an attempt; the demand must fit.
-    auto reserve(std::string_view job, const JobSpec &spec, const Resources &serviceReservation) -> void;
+    /// @brief Reserves an amount for an attempt; it must fit.
+    auto reserve(std::string_view job, std::string_view jobClass, const Resources &amount, const Resources &serviceReservation) -> void;
 
     /// @brief Reserves for an attempt that a previous owner assigned.
-    auto adopt(std::string_view job, const JobSpec &spec) -> void;
+    auto adopt(std::string_view job, std::string_view jobClass, const Resources &amount) -> void;
 
     /// @brief Frees the reservation of an attempt that is known to have ended.
-    auto release(std::string_view job, const JobSpec &spec) -> void;
+    auto release(std::string_view job, std::string_view jobClass, const Resources &amount) -> void;
 
     /// @brief Capacity that a new attempt may use.
     [[nodiscard]] auto freeFor(const Resources &serviceReservation) const noexcept -> Resources;
--- a/include/burdockspur/shard/workertable.hpp
+++ b/include/burdockspur/shard/workertable.hpp
@@ -55,6 +55,9 @@
     /// @brief True when a listed worker could ever hold the demand.
     [[nodiscard]] auto canEverHold(const Resources &demand) const noexcept -> bool;
 
+    /// @brief The most of each amount that a listed worker has for jobs.
+    [[nodiscard]] auto largestCapacity() const noexcept -> Resources;
+
     /// @brief True when the host list shows at least one worker of the shard.
     [[nodiscard]] auto hasListed() const noexcept -> bool;
 
--- a/src/shard/jobbatchcodec.cpp
+++ b/src/shard/jobbatchcodec.cpp
@@ -76,6 +76,8 @@
     record.m_submission = progress.submission();
     record.m_failures = progress.failures();
     record.m_cancelRequested = progress.cancel_requested();
+    record.m_reserved = {
+        .m_cpuMillis = progress.reserved_cpu_millis(), .m_memoryMb = progress.reserved_memory_mb(), .m_accelerators = progress.reserved_accelerators()};
     return record;
 }
 
@@ -93,7 +95,13 @@
     std::vector<flatbuffers::Offset<Wire::JobProgress>> progress;
     for (const auto &record : records) {
         jobs.push_back(encodeJob(builder, record.m_job));
-        progress.push_back(Wire::CreateJobProgress(builder, record.m_submission, record.m_failures, record.m_cancelRequested));
+        progress.push_back(Wire::CreateJobProgress(builder,
+                                                   record.m_submission,
+                                                   record.m_failures,
+                                                   record.m_cancelRequested,
+                                                   record.m_reserved.m_cpuMillis,
+                                                   record.m_reserved.m_memoryMb,
+                                                   record.m_reserved.m_accelerators));
     }
     const auto name = builder.CreateString(operation.data(), operation.size());
     builder.Finish(Wire::CreateJobBatch(builder, name, builder.CreateVector(jobs), builder.CreateVector(progress)));
--- a/src/shard/shardscheduler.cpp
+++ b/src/shard/shardscheduler.cpp
@@ -34,7 +34,11 @@
             m_unschedulable.insert(id);
         } else if (!isTerminal(job.m_state)) {
             entry.m_phase = AttemptPhase::Reconciling;
-            m_workers.at(job.m_worker).adopt(id, job.m_spec);
+            if (entry.m_record.m_reserved == Resources()) {
+                // Rows that were written before reservations became durable.
+                entry.m_record.m_reserved = job.m_spec.m_demand;
+            }
+            m_workers.at(job.m_worker).adopt(id, job.m_spec.m_class, entry.m_record.m_reserved);
         }
     }
 }
@@ -308,49 +312,60 @@
         return;
     }
     std::vector<Resources> tooLarge;
+    const Resources largest = m_workers.largestCapacity();
     for (const auto &id : m_queue.scan(m_settings.m_scanLimit)) {
-        placeJob(*m_jobs.find(id), tooLarge, turn);
+        placeJob(*m_jobs.find(id), largest, tooLarge, turn);
     }
 }
 
-auto ShardScheduler::placeJob(JobEntry &entry, std::vector<Resources> &tooLarge, const Turn &turn) -> void
+auto ShardScheduler::placeJob(JobEntry &entry, const Resources &largest, std::vector<Resources> &tooLarge, const Turn &turn) -> void
 {
     constexpr std::size_t rememberedDemands = 8;
     const JobSpec &spec = entry.m_record.m_job.m_spec;
     if (spec.m_kind == JobKind::Batch && !m_acceptBatch) {
         return;
     }
+    const Resources reserved = reservationFor(spec, largest);
     // A demand that contains one which fitted nowhere in this pass fits nowhere either.
     const bool known = std::ranges::any_of(tooLarge, [&](const Resources &demand) {
-        return demand.fitsInto(spec.m_demand);
+        return demand.fitsInto(reserved);
     });
     if (known) {
         return;
     }
-    m_workers.candidatesFor(spec.m_demand, turn.m_now, m_candidates);
+    m_workers.candidatesFor(reserved, turn.m_now, m_candidates);
     if (m_candidates.empty()) {
         if (tooLarge.size() < rememberedDemands) {
-            tooLarge.push_back(spec.m_demand);
+            tooLarge.push_back(reserved);
         }
         return;
     }
     if (const auto chosen = m_policy.choose(spec, m_candidates, turn.m_random)) {
-        assign(entry, m_workers.at(m_candidates[*chosen].m_worker->m_name), turn);
+        assign(entry, m_workers.at(m_candidates[*chosen].m_worker->m_name), reserved, turn);
     }
 }
 
-auto ShardScheduler::assign(JobEntry &entry, Worker &worker, const Turn &turn) -> void
+auto ShardScheduler::reservationFor(const JobSpec &spec, const Resources &largest) const -> Resources
+{
+    const Resources estimate = m_sizes.reservationFor(spec, largest);
+    // The largest amounts may be of different workers; then only the declared size is known to fit on one.
+    return estimate == spec.m_demand || m_workers.canEverHold(estimate) ? estimate : spec.m_demand;
+}
+
+auto ShardScheduler::assign(JobEntry &entry, Worker &worker, const Resources &reserved, const Turn &turn) -> void
 {
     Job &job = entry.m_record.m_job;
     requireInvariant(entry.m_phase == AttemptPhase::None && job.m_state == JobState::Queued, "one_current_attempt", job.m_id);
     requireInvariant(job.m_attempt >= entry.m_durableAttempt, "attempt_numbers_grow", job.m_id);
-    worker.reserve(job.m_id, job.m_spec, m_workers.reservation());
+    worker.reserve(job.m_id, job.m_spec.m_class, reserved, m_workers.reservation());
     m_queue.erase(entry.m_record);
     ++job.m_attempt;
     job.m_worker = worker.m_name;
     m_jobs.setState(entry, JobState::Assigned);
     entry.m_phase = AttemptPhase::Assigning;
     entry.m_sends = 0;
+    entry.m_record.m_reserved = reserved;
+    entry.m_peak = Resources();
     change(entry, {.m_kind = DurableEffect::Kind::Start, .m_ticket = {}, .m_attempt = job.m_attempt, .m_worker = {}}, turn);
 }
 
--- a/src/shard/shardschedulerattempts.cpp
+++ b/src/shard/shardschedulerattempts.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
+#include <utility>
 
 namespace Burdockspur
 {
@@ -43,7 +45,7 @@
 {
     const Job &job = entry.m_record.m_job;
     if (Worker *const worker = m_workers.find(job.m_worker)) {
-        worker->release(job.m_id, job.m_spec);
+        worker->release(job.m_id, job.m_spec.m_class, entry.m_record.m_reserved);
     }
     entry.m_phase = AttemptPhase::None;
     m_jobs.setDue(entry, TimePoint::max());
@@ -54,6 +56,12 @@
 auto ShardScheduler::complete(JobEntry &entry, const AttemptReport &report, const Turn &turn) -> void
 {
     ++m_counters.m_completions;
+    observeUsage(entry, report.m_usage);
+    const bool isWhole = entry.m_record.m_job.m_checkpoint.empty(); // otherwise the run time is only that of the rest
+    if (isWhole && entry.m_peak.m_cpuMillis > 0 && entry.m_peak.m_memoryMb > 0) {
+        const auto runTime = std::chrono::duration_cast<Milliseconds>(turn.m_now - entry.m_confirmedAt);
+        m_sizes.addAttempt(entry.m_record.m_job.m_spec, entry.m_peak, runTime, turn.m_now);
+    }
     entry.m_record.m_job.m_result = report.m_result;
     if (Worker *const worker = m_workers.find(entry.m_record.m_job.m_worker)) {
         worker->m_failures = 0;
@@ -161,13 +169,15 @@
     requireInvariant(entry.m_durableAttempt == job.m_attempt, "start_after_durable_assignment", job.m_id);
     const Worker &worker = m_workers.at(job.m_worker);
     ++entry.m_sends;
+    JobSpec spec = job.m_spec;
+    spec.m_demand = entry.m_record.m_reserved;
     m_jobs.setDue(entry, turn.m_now + m_settings.m_callTimeout);
     turn.m_commands.emplace_back(StartAttempt{.m_worker = worker.m_name,
                                               .m_endpoint = {.m_address = worker.m_host.m_address, .m_port = worker.m_host.m_port},
                                               .m_order = {.m_shard = m_tenure.m_shard,
                                                           .m_epoch = m_tenure.m_epoch,
                                                           .m_attempt = {.m_job = job.m_id, .m_number = job.m_attempt},
-                                                          .m_spec = job.m_spec,
+                                                          .m_spec = std::move(spec),
                                                           .m_checkpoint = job.m_checkpoint}});
 }
 
--- a/src/shard/shardschedulerworkers.cpp
+++ b/src/shard/shardschedulerworkers.cpp
@@ -112,6 +112,7 @@
 auto ShardScheduler::confirmRunning(JobEntry &entry, const AttemptReport &report, const Turn &turn) -> void
 {
     Job &job = entry.m_record.m_job;
+    observeUsage(entry, report.m_usage);
     if (!report.m_checkpoint.empty() && report.m_checkpoint != job.m_checkpoint) {
         job.m_checkpoint = report.m_checkpoint;
         change(entry, turn);
@@ -129,6 +130,16 @@
     }
 }
 
+auto ShardScheduler::observeUsage(JobEntry &entry, const Resources &usage) -> void
+{
+    // A worker that does not report usage sends zero.
+    entry.m_peak.m_cpuMillis = std::max(entry.m_peak.m_cpuMillis, usage.m_cpuMillis);
+    entry.m_peak.m_memoryMb = std::max(entry.m_peak.m_memoryMb, usage.m_memoryMb);
+    if (usage.m_cpuMillis > 0 || usage.m_memoryMb > 0) {
+        m_sizes.observe(entry.m_record.m_job.m_spec.m_class, usage);
+    }
+}
+
 auto ShardScheduler::stopMissing(Worker &worker, const std::set<std::string_view> &reported, const Turn &turn) -> void
 {
     const std::vector<std::string> jobs(worker.m_jobs.begin(), worker.m_jobs.end());
--- a/src/shard/worker.cpp
+++ b/src/shard/worker.cpp
@@ -45,27 +45,27 @@
     m_missingSince = std::min(m_missingSince, now);
 }
 
-auto Worker::reserve(std::string_view job, const JobSpec &spec, const Resources &serviceReservation) -> void
+auto Worker::reserve(std::string_view job, std::string_view jobClass, const Resources &amount, const Resources &serviceReservation) -> void
 {
-    requireInvariant(spec.m_demand.fitsInto(freeFor(serviceReservation)), "worker_capacity", m_name);
-    adopt(job, spec);
+    requireInvariant(amount.fitsInto(freeFor(serviceReservation)), "worker_capacity", m_name);
+    adopt(job, jobClass, amount);
 }
 
-auto Worker::adopt(std::string_view job, const JobSpec &spec) -> void
+auto Worker::adopt(std::string_view job, std::string_view jobClass, const Resources &amount) -> void
 {
     requireInvariant(m_jobs.emplace(job).second, "one_attempt_of_a_job", job);
-    m_reserved += spec.m_demand;
-    ++m_classes[spec.m_class];
+    m_reserved += amount;
+    ++m_classes[std::string(jobClass)];
 }
 
-auto Worker::release(std::string_view job, const JobSpec &spec) -> void
+auto Worker::release(std::string_view job, std::string_view jobClass, const Resources &amount) -> void
 {
     const auto found = m_jobs.find(job);
     requireInvariant(found != m_jobs.end(), "release_of_a_reservation", job);
     m_jobs.erase(found);
-    m_reserved -= spec.m_demand;
+    m_reserved -= amount;
     requireInvariant(m_reserved.isValid(), "reserved_not_negative", m_name);
-    const auto count = m_classes.find(spec.m_class);
+    const auto count = m_classes.find(jobClass);
     if (--count->second == 0) {
         m_classes.erase(count);
     }
--- a/src/shard/workertable.cpp
+++ b/src/shard/workertable.cpp
@@ -107,6 +107,21 @@
     });
 }
 
+auto WorkerTable::largestCapacity() const noexcept -> Resources
+{
+    Resources largest = m_reservation;
+    for (const auto &[name, worker] : m_workers) {
+        if (worker.m_listed) {
+            const Resources &capacity = worker.m_host.m_capacity;
+            largest.m_cpuMillis = std::max(largest.m_cpuMillis, capacity.m_cpuMillis);
+            largest.m_memoryMb = std::max(largest.m_memoryMb, capacity.m_memoryMb);
+            largest.m_accelerators = std::max(largest.m_accelerators, capacity.m_accelerators);
+        }
+    }
+    largest -= m_reservation;
+    return largest;
+}
+
 auto WorkerTable::hasListed() const noexcept -> bool
 {
     return std::ranges::any_of(m_workers, [](const auto &entry) {
--- a/tests/interferencetest.cpp
+++ b/tests/interferencetest.cpp
@@ -162,9 +162,11 @@
             host.m_capacity = {.m_cpuMillis = 10'000, .m_memoryMb = 10'000, .m_accelerators = 0};
             hosts.push_back(host);
         }
-        m_table.update(hosts);
+        m_table.update(hosts, at(0));
+        LeaseReport granted;
+        granted.m_granted = true;
         for (auto &[name, worker] : m_table.workers()) {
-            worker.renewalAnswered(at(0));
+            worker.renewalAnswered(granted, at(0));
         }
         m_job.m_class = "noisy";
         m_job.m_demand = {.m_cpuMillis = 1'000, .m_memoryMb = 100, .m_accelerators = 0};
--- a/tests/shardschedulertest.cpp
+++ b/tests/shardschedulertest.cpp
@@ -1,5 +1,6 @@
 #include "burdockspur/shard/shardscheduler.hpp"
 #include "burdockspur/shard/bestfitspread.hpp"
+#include "burdockspur/shard/jobbatchcodec.hpp"
 
 #include <gtest/gtest.h>
 
@@ -477,3 +478,60 @@
     run();
     EXPECT_EQ(take<AnswerRequest>().size(), 2U);
 }
+
+// Guards against attempts that overload a worker because their class uses more than declared, and against a
+// start order or a durable record that differs from what the scheduler reserved.
+TEST_F(ShardSchedulerTest, LearnedUsageIsReservedOrderedAndDurable)
+{
+    listWorkers(1);
+    submit("a");
+    run();
+    const auto first = take<StartAttempt>();
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(first[0].m_order.m_spec.m_demand.m_cpuMillis, 1'000);
+    answerStart(first[0], StartResult::Status::Started);
+    AttemptReport report;
+    report.m_attempt = first[0].m_order.m_attempt;
+    report.m_usage = {.m_cpuMillis = 2'000, .m_memoryMb = 200, .m_accelerators = 0};
+    tick(m_settings.m_renewal);
+    answerLeases({report});
+    // The highest usage of the class with a margin of 25%: 1,000 of the first job and 2,500 fit on the worker, no more.
+    submit("b");
+    submit("c");
+    run();
+    const auto second = take<StartAttempt>();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].m_order.m_spec.m_demand, (Resources{.m_cpuMillis = 2'500, .m_memoryMb = 250, .m_accelerators = 0}));
+    EXPECT_EQ(m_scheduler.jobs().at("b").m_record.m_job.m_spec.m_demand.m_cpuMillis, 1'000); // callers see what they declared
+    EXPECT_EQ(job("c").m_state, JobState::Queued);
+
+    // A new owner reserves the same amounts.
+    const auto decoded = decodeJobBatch(encodeJobBatch("operation", m_scheduler.jobs().records()));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->m_records, m_scheduler.jobs().records());
+    ShardScheduler next({.m_shard = 0, .m_epoch = 2, .m_epochVersion = 2, .m_host = "h2", .m_since = m_now}, m_settings, m_policy);
+    ShardContent content;
+    content.m_records = decoded->m_records;
+    next.recover(content);
+    EXPECT_EQ(next.workers().workers().at("w0").freeFor({}).m_cpuMillis, -3'500); // the host list is not known yet
+}
+
+// Guards against a worker without usage reports, which would make its classes reserve next to nothing.
+TEST_F(ShardSchedulerTest, AbsentUsageReportsLeaveTheDeclaredSize)
+{
+    listWorkers(1);
+    for (int i = 0; i < 25; ++i) {
+        submit("a" + std::to_string(i));
+        run();
+        const auto starts = take<StartAttempt>();
+        ASSERT_EQ(starts.size(), 1U);
+        EXPECT_EQ(starts[0].m_order.m_spec.m_demand.m_cpuMillis, 1'000);
+        answerStart(starts[0], StartResult::Status::Started);
+        AttemptReport report;
+        report.m_attempt = starts[0].m_order.m_attempt;
+        report.m_state = AttemptState::Completed;
+        tick(m_settings.m_renewal);
+        answerLeases({report});
+        run();
+    }
+}
