--- a/include/burdockspur/contract/targetorder.hpp
+++ b/include/burdockspur/contract/targetorder.hpp
@@ -29,6 +29,7 @@
     std::string m_requestId;
     std::string m_service;
     std::string m_idempotencyKey; ///< empty when there is none
+    std::string m_expectedIncarnation; ///< only this process of the worker may run it; empty for any
     std::string m_body;
     Milliseconds m_deadline{0}; ///< time the worker has
     Duration m_timeout{0}; ///< until the answer counts as lost
--- a/include/burdockspur/contract/targetreply.hpp
+++ b/include/burdockspur/contract/targetreply.hpp
@@ -16,6 +16,7 @@
         SlotsExhausted, ///< did not run
         Leaving, ///< did not run
         Tombstoned, ///< did not run and never will under this request id
+        OtherIncarnation, ///< did not run: the worker process is not the one that the order expects
         NotSent, ///< no byte reached the worker
         Lost, ///< sent, but there is no valid answer
     };
--- a/include/burdockspur/core/error.hpp
+++ b/include/burdockspur/core/error.hpp
@@ -34,6 +34,7 @@
     Unavailable,
     NotOwner,
     OutcomeUnknown,
+    KeysUnavailable,
     ExecutionFailed,
     AnswerCorrupt,
     ConnectionClosed,
--- a/include/burdockspur/host/callerduty.hpp
+++ b/include/burdockspur/host/callerduty.hpp
@@ -70,6 +70,7 @@
         Job,
         JobList,
         ConfigChange,
+        Peer,
     };
 
     struct Pending {
@@ -83,6 +84,7 @@
     auto answerUnmatched(ExchangeId exchange, const HttpRequest &request, std::string_view methods) -> void;
 
     auto forwardRequest(Call &call) -> void;
+    auto settleRequest(Call &call) -> void;
     auto submitJob(Call &call) -> void;
     auto showJob(Call &call) -> void;
     auto listJobs(Call &call) -> void;
@@ -102,6 +104,7 @@
     auto on(AnswerJob &&message) -> void;
     auto on(AnswerJobList &&message) -> void;
     auto on(AnswerConfigChange &&message) -> void;
+    auto on(AnswerPeer &&message) -> void;
     auto on(ConfigurationChanged &&message) -> void;
     auto on(DrainRequested &&message) -> void;
     auto complete(CallerTicket ticket) -> std::optional<Pending>;
--- a/include/burdockspur/host/callermessage.hpp
+++ b/include/burdockspur/host/callermessage.hpp
@@ -30,5 +30,5 @@
 };
 
 /// @brief Everything that the callers' duty takes from its ring.
-using CallerMessage = std::variant<AnswerCaller, AnswerJob, AnswerJobList, AnswerConfigChange, ConfigurationChanged, DrainRequested>;
+using CallerMessage = std::variant<AnswerCaller, AnswerJob, AnswerJobList, AnswerConfigChange, AnswerPeer, ConfigurationChanged, DrainRequested>;
 }
--- a/include/burdockspur/host/entrymetrics.hpp
+++ b/include/burdockspur/host/entrymetrics.hpp
@@ -17,6 +17,7 @@
 namespace Burdockspur
 {
 class Metrics;
+struct KeyMap;
 
 /// @brief Rings whose refusals are counted.
 enum class RingName : std::uint8_t {
@@ -42,10 +43,12 @@
 
     auto noteForward(bool isRetry) noexcept -> void;
     auto noteSettle() noexcept -> void;
+    auto notePeerQuestion() noexcept -> void;
     auto noteRingFull(RingName ring) noexcept -> void;
     auto noteJobCommand() noexcept -> void;
     auto setRequests(std::size_t inFlight, std::size_t queued) noexcept -> void;
     auto setOpenLinks(std::size_t links) noexcept -> void;
+    auto setKeyMap(const KeyMap &map) noexcept -> void;
     auto setConfigVersion(std::uint64_t version) noexcept -> void;
 
 private:
@@ -59,10 +62,13 @@
     prometheus::Counter *m_forwards;
     prometheus::Counter *m_retries;
     prometheus::Counter *m_settles;
+    prometheus::Counter *m_peerQuestions;
     prometheus::Counter *m_jobCommands;
     prometheus::Gauge *m_inFlight;
     prometheus::Gauge *m_queued;
     prometheus::Gauge *m_openLinks;
     prometheus::Gauge *m_configVersion;
+    prometheus::Gauge *m_keyMapGeneration;
+    prometheus::Gauge *m_keyMapChanges;
 };
 }
--- a/include/burdockspur/host/exchange.hpp
+++ b/include/burdockspur/host/exchange.hpp
@@ -19,6 +19,9 @@
     Forwarded, ///< the worker's answer
     Settling, ///< the worker's answer to a settle
     SettlePause, ///< the next settle
+    KeyMapWait, ///< a key map by which the request may be sent
+    AskingPeers, ///< the replies of the other entry daemons
+    AskPause, ///< the next question to them
 };
 
 /// @brief A caller that waits for the answer of an exchange.
@@ -41,6 +44,11 @@
     std::string m_wireId; ///< request id of the latest forward
     std::string m_incarnation; ///< of the worker as known before the latest forward; empty when not known
     std::vector<std::string> m_excluded; ///< workers that are not an option
+    std::uint64_t m_keyGeneration = 0; ///< of the key map to which m_excluded belongs
+    std::uint64_t m_askedGeneration = 0; ///< of the key map whose entry daemons all said that they never sent it
+    std::vector<std::string> m_peersLeft; ///< entry daemons that have not replied in this round
+    bool m_peerDoesNotKnow = false; ///< one replied `unknown` in this round
+    bool m_askAgain = false; ///< one replied `running`, or not at all
     std::string m_queue; ///< class or worker in whose queue it waits
     std::uint32_t m_sequence = 0; ///< of the latest message to a worker
     std::uint32_t m_forwards = 0;
--- a/include/burdockspur/host/idempotencytable.hpp
+++ b/include/burdockspur/host/idempotencytable.hpp
@@ -77,6 +77,9 @@
     /// @brief Removes a key whose request did not run.
     auto forget(std::string_view id) -> void;
 
+    /// @brief True while a key that is not known may have made room for others before it expired.
+    [[nodiscard]] auto mayHaveForgotten(TimePoint now) const noexcept -> bool;
+
     [[nodiscard]] auto size() const noexcept -> std::size_t;
     [[nodiscard]] auto bytes() const noexcept -> std::size_t;
 
@@ -88,11 +91,13 @@
 
     auto finish(std::string_view id, KeyEntry &entry, TimePoint now) -> void;
     auto removeExpired(TimePoint now) -> void;
-    auto removeOldest() -> void;
+    auto makeRoom() -> void;
+    auto removeOldest() -> TimePoint; ///< returns when the removed entry would have expired
 
     const RouterLimits &m_limits;
     std::unordered_map<std::string, KeyEntry> m_entries;
     std::deque<Age> m_finished; ///< in the order of expiry; may name entries that are gone or in use again
+    TimePoint m_forgottenUntil = TimePoint::min(); ///< latest expiry of the entries that made room
     std::size_t m_bytes = 0;
 };
 }
--- a/include/burdockspur/host/platformcommand.hpp
+++ b/include/burdockspur/host/platformcommand.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockspur/core/identifiers.hpp"
+#include "burdockspur/host/keymapcommand.hpp"
 #include "burdockspur/host/routerevent.hpp"
 
 #include <string>
@@ -28,5 +29,5 @@
 };
 
 /// @brief Everything that the platform duty takes from its ring.
-using PlatformCommand = std::variant<VersionSeen, SwitchPreset, ReplaceConfiguration>;
+using PlatformCommand = std::variant<VersionSeen, SwitchPreset, ReplaceConfiguration, ProposeKeyMap, ReadKeyMap>;
 }
--- a/include/burdockspur/host/platformduty.hpp
+++ b/include/burdockspur/host/platformduty.hpp
@@ -14,6 +14,8 @@
 class EntryMetrics;
 class EntryStatus;
 class HostList;
+class KeyMapStore;
+class PollTimer;
 class HostWatcher;
 class TableStore;
 template<typename T>
@@ -26,10 +28,11 @@
     Milliseconds m_timeout{2'000}; ///< of one call
     Milliseconds m_hostsInterval{1'000};
     Milliseconds m_configInterval{1'000};
+    Milliseconds m_keyMapInterval{1'000};
     std::uint64_t m_seed = 0;
 };
 
-/// @brief Thread that polls the host list and the configuration row, and changes the row.
+/// @brief Thread that polls the host list, the configuration row and the key map, and changes the rows.
 class PlatformDuty final : public EventLoopDuty
 {
 public:
@@ -51,6 +54,8 @@
     auto on(SwitchPreset &&command) -> void;
     auto on(ReplaceConfiguration &&command) -> void;
     auto on(VersionSeen &&command) -> void;
+    auto on(ProposeKeyMap &&command) -> void;
+    auto on(ReadKeyMap &&command) -> void;
 
     PlatformDutyOptions m_options;
     EntryRings &m_rings;
@@ -65,5 +70,7 @@
     std::unique_ptr<HostList> m_hostList;
     std::unique_ptr<ConfigurationWatcher> m_configuration;
     std::unique_ptr<HostWatcher> m_hosts;
+    std::unique_ptr<KeyMapStore> m_keyMap;
+    std::unique_ptr<PollTimer> m_keyMapTimer;
 };
 }
--- a/include/burdockspur/host/requestrouter.hpp
+++ b/include/burdockspur/host/requestrouter.hpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/host/exchangetable.hpp"
 #include "burdockspur/host/idempotencytable.hpp"
+#include "burdockspur/host/keymapkeeper.hpp"
 #include "burdockspur/host/leastloadedpicker.hpp"
 #include "burdockspur/host/rendezvouspicker.hpp"
 #include "burdockspur/host/retrybudget.hpp"
@@ -32,7 +33,9 @@
 /// before it forwarded the request: a worker that restarts forgets what it ran.
 ///
 /// A request with an idempotency key has the same request id on every entry host. It goes along the workers in
-/// rendezvous order, and moves on from a worker only after that worker has left a tombstone for the id.
+/// rendezvous order, and moves on from a worker only after that worker has left a tombstone for the id. One that is
+/// not idempotent goes only to the home that the key map gives, and only to the process that the key map names;
+/// after a recent change of the home every other entry daemon is asked first.
 ///
 /// @code
 /// RequestRouter router(limits, "zone-a");
@@ -45,7 +48,8 @@
 public:
     /// @param limits bounds and periods
     /// @param ownZone zone of this entry host
-    RequestRouter(const RouterLimits &limits, std::string_view ownZone);
+    /// @param self this entry daemon in the key map; without a name keys are protected only until a worker restarts
+    RequestRouter(const RouterLimits &limits, std::string_view ownZone, KeyMapIdentity self = {});
     ~RequestRouter() = default;
     RequestRouter(const RequestRouter &) = delete;
     RequestRouter(RequestRouter &&) = delete;
@@ -74,6 +78,9 @@
     /// @brief The workers.
     [[nodiscard]] auto targets() const noexcept -> const TargetTable &;
 
+    /// @brief The key map as last read.
+    [[nodiscard]] auto keyMap() const noexcept -> const KeyMapKeeper &;
+
 private:
     struct Turn {
         TimePoint m_now;
@@ -96,6 +103,10 @@
     auto on(HostsChanged &&event, Turn &turn) -> void;
     auto on(ConfigurationChanged &&event, Turn &turn) -> void;
     auto on(DrainRequested &&event, Turn &turn) -> void;
+    auto on(KeyMapRead &&event, Turn &turn) -> void;
+    auto on(KeyMapNotWritten &&event, Turn &turn) -> void;
+    auto on(PeerAsked &&event, Turn &turn) -> void;
+    auto on(PeerReplied &&event, Turn &turn) -> void;
     auto on(TimePassed &&event, Turn &turn) -> void;
 
     // Admission, one function for each KeyState.
@@ -112,6 +123,8 @@
     auto place(Exchange &exchange, Turn &turn) -> void;
     auto placeAnywhere(Exchange &exchange, Turn &turn) -> void;
     auto placeByKey(Exchange &exchange, Turn &turn) -> void;
+    auto placeByMap(Exchange &exchange, Turn &turn) -> void;
+    auto sendTo(Exchange &exchange, Target &target, Turn &turn) -> void;
     auto enqueue(Exchange &exchange, WaitingQueues &queues, std::string_view name, Turn &turn) -> void;
     auto forward(Exchange &exchange, Target &target, Turn &turn) -> void;
     auto dispatchQueued(Turn &turn) -> void;
@@ -123,6 +136,7 @@
     auto targetFull(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void;
     auto targetLeaving(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void;
     auto targetTombstoned(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void;
+    auto targetRestarted(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void;
     auto targetNotReached(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void;
     auto targetLost(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void;
     auto settledNeverStarted(Exchange &exchange, SettleReply &&reply, Turn &turn) -> void;
@@ -142,13 +156,31 @@
     [[nodiscard]] static auto isProof(const Exchange &exchange, std::string_view incarnation) noexcept -> bool;
     auto workerForgot(Exchange &exchange, Turn &turn) -> void;
     auto probe(Target &target, Turn &turn) -> void;
-    auto probeReplied(const SettleReply &reply) -> void;
+    auto probeReplied(const SettleReply &reply, Turn &turn) -> void;
+
+    // Key map.
+    [[nodiscard]] auto isMapped(const Exchange &exchange) const noexcept -> bool;
+    auto orderMap(std::vector<KeyMapCommand> &&commands, Turn &turn) -> void;
+    auto noteIncarnation(Target &target, std::string_view incarnation, Turn &turn) -> void;
+    auto awaitMap(Exchange &exchange, Turn &turn) -> void;
+    auto placeWaiting(Turn &turn) -> void;
+    auto askPeers(Exchange &exchange, Turn &turn) -> void;
+    auto peersReplied(Exchange &exchange, Turn &turn) -> void;
+    auto peerAnswered(Exchange &exchange, PeerReply &&reply, Turn &turn) -> void;
+    auto peerFailed(Exchange &exchange, PeerReply &&reply, Turn &turn) -> void;
+    auto peerConflicts(Exchange &exchange, PeerReply &&reply, Turn &turn) -> void;
+    auto peerNeverSent(Exchange &exchange, PeerReply &&reply, Turn &turn) -> void;
+    auto peerDoesNotKnow(Exchange &exchange, PeerReply &&reply, Turn &turn) -> void;
+    auto peerToAskAgain(Exchange &exchange, PeerReply &&reply, Turn &turn) -> void;
+    [[nodiscard]] auto knowledgeOf(std::string_view id, TimePoint now) -> PeerReply;
 
     // Timers, one function for each ExchangeState.
     auto queuedTooLong(Exchange &exchange, Turn &turn) -> void;
     auto retryPauseEnded(Exchange &exchange, Turn &turn) -> void;
     auto noReplyInTime(Exchange &exchange, Turn &turn) -> void;
     auto settlePauseEnded(Exchange &exchange, Turn &turn) -> void;
+    auto keyMapWaitEnded(Exchange &exchange, Turn &turn) -> void;
+    auto askPauseEnded(Exchange &exchange, Turn &turn) -> void;
 
     // Ends.
     auto finish(Exchange &exchange, Outcome outcome, ErrorCode code, std::string &&body, Turn &turn) -> void;
@@ -173,6 +205,10 @@
     WaitingQueues m_queuedByService;
     WaitingQueues m_queuedByWorker; ///< requests with a key wait for their worker
     ExchangeTable m_exchanges;
+    KeyMapKeeper m_keyMap;
+    std::map<std::string, PeerQuestion, std::less<>> m_peers; ///< entry daemons of the host list, with their addresses
+    std::set<std::uint64_t> m_waitingForMap; ///< exchanges that a change of the key map may let go on
+    bool m_mapMoved = false; ///< the current event may let them go on
     std::set<std::string, std::less<>> m_services; ///< empty: every name is accepted
     std::vector<Target *> m_freed; ///< workers with slots freed by the current event
     std::map<std::uint32_t, std::string> m_probes; ///< workers asked for their incarnation, by sequence
--- a/include/burdockspur/host/routercommand.hpp
+++ b/include/burdockspur/host/routercommand.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "burdockspur/contract/peerquestion.hpp"
 #include "burdockspur/contract/requestanswer.hpp"
 #include "burdockspur/contract/targetorder.hpp"
+#include "burdockspur/host/keymapcommand.hpp"
 #include "burdockspur/host/routerevent.hpp"
 
 #include <variant>
@@ -14,6 +16,12 @@
     RequestAnswer m_answer;
 };
 
+/// @brief Gives another entry daemon the answer to its question.
+struct AnswerPeer {
+    CallerTicket m_ticket = 0;
+    PeerReply m_reply;
+};
+
 /// @brief Everything that RequestRouter orders.
-using RouterCommand = std::variant<ForwardOrder, SettleOrder, AnswerCaller>;
+using RouterCommand = std::variant<ForwardOrder, SettleOrder, AnswerCaller, PeerQuestion, AnswerPeer, ProposeKeyMap, ReadKeyMap>;
 }
--- a/include/burdockspur/host/routerduty.hpp
+++ b/include/burdockspur/host/routerduty.hpp
@@ -21,11 +21,18 @@
 public:
     /// @param limits of the router
     /// @param ownZone zone of this entry host
+    /// @param self this entry daemon in the key map
     /// @param seed of random choices
     /// @param rings outlive the duty
     /// @param metrics outlive the duty
     /// @param status outlives the duty
-    RouterDuty(const RouterLimits &limits, std::string_view ownZone, std::uint64_t seed, EntryRings &rings, EntryMetrics &metrics, EntryStatus &status);
+    RouterDuty(const RouterLimits &limits,
+               std::string_view ownZone,
+               KeyMapIdentity self,
+               std::uint64_t seed,
+               EntryRings &rings,
+               EntryMetrics &metrics,
+               EntryStatus &status);
     ~RouterDuty() override;
 
 protected:
@@ -38,6 +45,10 @@
     auto carryOut(ForwardOrder &&order) -> void;
     auto carryOut(SettleOrder &&order) -> void;
     auto carryOut(AnswerCaller &&command) -> void;
+    auto carryOut(PeerQuestion &&question) -> void;
+    auto carryOut(AnswerPeer &&command) -> void;
+    auto carryOut(ProposeKeyMap &&command) -> void;
+    auto carryOut(ReadKeyMap &&command) -> void;
     auto deliverAnswers() -> void;
     auto publish(TimePoint now) -> void;
 
--- a/include/burdockspur/host/routerevent.hpp
+++ b/include/burdockspur/host/routerevent.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "burdockspur/contract/configuration.hpp"
+#include "burdockspur/contract/keymap.hpp"
+#include "burdockspur/contract/peerquestion.hpp"
 #include "burdockspur/contract/servicerequest.hpp"
 #include "burdockspur/contract/targetreply.hpp"
 #include "burdockspur/machine/hostrecord.hpp"
@@ -52,6 +54,38 @@
 struct TimePassed {
 };
 
+/// @brief The key map was read or written; generation 0 when the table holds none.
+struct KeyMapRead {
+    KeyMap m_map;
+};
+
+/// @brief A proposed key map was not written, or it is not known whether it was.
+struct KeyMapNotWritten {
+};
+
+/// @brief Another entry daemon asks what this one knows of a request.
+struct PeerAsked {
+    CallerTicket m_ticket = 0;
+    std::string m_requestId;
+    std::uint64_t m_generation = 0;
+};
+
+/// @brief Another entry daemon replied to a question, or will not.
+struct PeerReplied {
+    PeerReply m_reply;
+};
+
 /// @brief Everything that RequestRouter reacts to.
-using RouterEvent = std::variant<RequestArrived, CallerLeft, TargetReplied, SettleReplied, HostsChanged, ConfigurationChanged, DrainRequested, TimePassed>;
+using RouterEvent = std::variant<RequestArrived,
+                                 CallerLeft,
+                                 TargetReplied,
+                                 SettleReplied,
+                                 HostsChanged,
+                                 ConfigurationChanged,
+                                 DrainRequested,
+                                 KeyMapRead,
+                                 KeyMapNotWritten,
+                                 PeerAsked,
+                                 PeerReplied,
+                                 TimePassed>;
 }
--- a/include/burdockspur/platform/httptargetport.hpp
+++ b/include/burdockspur/platform/httptargetport.hpp
@@ -19,6 +19,7 @@
 
     auto forward(ForwardOrder &&order, ForwardCallback callback) -> void override;
     auto settle(SettleOrder &&order, SettleCallback callback) -> void override;
+    auto ask(PeerQuestion &&question, AskCallback callback) -> void override;
 
 private:
     HttpClient *m_forwards;
--- a/include/burdockspur/platform/targetport.hpp
+++ b/include/burdockspur/platform/targetport.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "burdockspur/contract/peerquestion.hpp"
 #include "burdockspur/contract/targetreply.hpp"
 
 #include <functional>
@@ -16,6 +17,8 @@
     using ForwardCallback = std::function<void(TargetReply &&)>;
     using SettleCallback = std::function<void(SettleReply &&)>;
 
+    using AskCallback = std::function<void(PeerReply &&)>;
+
     TargetPort() = default;
     virtual ~TargetPort() = default;
     TargetPort(const TargetPort &) = delete;
@@ -28,5 +31,8 @@
 
     /// @brief Asks what became of a request, over another connection than the one that carried it.
     virtual auto settle(SettleOrder &&order, SettleCallback callback) -> void = 0;
+
+    /// @brief Asks another entry daemon what it knows of a request.
+    virtual auto ask(PeerQuestion &&question, AskCallback callback) -> void = 0;
 };
 }
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -39,6 +39,7 @@
     {ErrorCode::Unavailable, "unavailable", 503},
     {ErrorCode::NotOwner, "not_owner", 503},
     {ErrorCode::OutcomeUnknown, "outcome_unknown", 504},
+    {ErrorCode::KeysUnavailable, "keys_unavailable", 503},
     {ErrorCode::ExecutionFailed, "execution_failed", 500},
     {ErrorCode::AnswerCorrupt, "answer_corrupt", 502},
     {ErrorCode::ConnectionClosed, "connection_closed", 502},
--- a/src/host/callercodec.cpp
+++ b/src/host/callercodec.cpp
@@ -52,7 +52,7 @@
     std::string_view m_message;
 };
 
-constexpr std::array<MessageEntry, 9> messageTable{{
+constexpr std::array<MessageEntry, 10> messageTable{{
     {ErrorCode::Draining, "this entry host is shutting down; use another one"},
     {ErrorCode::UnknownService, "the configuration does not define this service"},
     {ErrorCode::DeadlineExceeded, "the deadline passed before the request was sent to a worker"},
@@ -61,6 +61,7 @@
     {ErrorCode::NoTarget, "no worker accepts requests"},
     {ErrorCode::RetryBudgetExhausted, "workers refused the request and the caller's retry budget is exhausted"},
     {ErrorCode::OutcomeUnknown, "the request was sent to a worker and its outcome could not be learned in time"},
+    {ErrorCode::KeysUnavailable, "the key map did not allow to send requests with an idempotency key before the deadline"},
     {ErrorCode::ExecutionFailed, "the worker ran the request and it failed"},
 }};
 
--- a/src/host/callerduty.cpp
+++ b/src/host/callerduty.cpp
@@ -4,6 +4,7 @@
 #include "burdockspur/host/entrymetrics.hpp"
 #include "burdockspur/host/entrystatus.hpp"
 #include "burdockspur/operations/log.hpp"
+#include "burdockspur/platform/peercodec.hpp"
 
 #include <QTimer>
 
@@ -44,8 +45,9 @@
 
 auto CallerDuty::routes() -> std::span<const Route>
 {
-    static constexpr std::array<Route, 9> table{{
+    static constexpr std::array<Route, 10> table{{
         {"POST", "/v1/services/*/requests", &CallerDuty::forwardRequest},
+        {"POST", "/v1/requests/*/settle", &CallerDuty::settleRequest},
         {"POST", "/v1/jobs", &CallerDuty::submitJob},
         {"GET", "/v1/jobs", &CallerDuty::listJobs},
         {"GET", "/v1/jobs/*", &CallerDuty::showJob},
@@ -139,6 +141,21 @@
     }
 }
 
+auto CallerDuty::settleRequest(Call &call) -> void
+{
+    const auto generation = decodePeerQuestion(call.m_request.m_body);
+    if (!generation) {
+        refuse(call.m_exchange, generation.error());
+        return;
+    }
+    const CallerTicket ticket = remember(call.m_exchange, AnswerKind::Peer);
+    if (!m_rings.m_router.tryPush(PeerAsked{ticket, std::move(call.m_segment), *generation})) {
+        m_metrics.noteRingFull(RingName::Router);
+        complete(ticket);
+        refuse(call.m_exchange, {ErrorCode::Overloaded, "this entry host has too many requests in progress"});
+    }
+}
+
 auto CallerDuty::submitJob(Call &call) -> void
 {
     auto command = decodeSubmission(call.m_request);
@@ -313,6 +330,13 @@
     send(pending->m_exchange, encodeError(error, error.m_code == ErrorCode::OutcomeUnknown ? Outcome::Unknown : Outcome::Refused));
 }
 
+auto CallerDuty::on(AnswerPeer &&message) -> void
+{
+    if (const auto pending = complete(message.m_ticket); pending) {
+        send(pending->m_exchange, encodePeerReply(message.m_reply));
+    }
+}
+
 auto CallerDuty::on(ConfigurationChanged &&message) -> void
 {
     m_configuration = std::move(message.m_configuration);
--- a/src/host/entrydaemon.cpp
+++ b/src/host/entrydaemon.cpp
@@ -1,5 +1,6 @@
 #include "burdockspur/host/entrydaemon.hpp"
 
+#include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/core/randomsource.hpp"
 #include "burdockspur/host/adminduty.hpp"
 #include "burdockspur/host/callerduty.hpp"
@@ -74,7 +75,8 @@
     m_status.update([&](EntryReport &report) {
         report.m_host = settings.m_hostName;
     });
-    m_router = std::make_unique<RouterDuty>(settings, settings.m_zone, random.next64(), m_rings, m_entryMetrics, m_status);
+    m_router = std::make_unique<RouterDuty>(
+        settings, settings.m_zone, KeyMapIdentity{settings.m_hostName, hexOf(random.next64())}, random.next64(), m_rings, m_entryMetrics, m_status);
     m_targets = std::make_unique<TargetDuty>(workerLimits(settings), m_rings, m_entryMetrics);
     m_links = std::make_unique<SchedulerLinkDuty>(settings.m_hostName, random.next64(), m_rings, m_entryMetrics, m_status);
     m_platform = std::make_unique<PlatformDuty>(platformOptions(settings, random.next64()), m_rings, m_entryMetrics, m_status);
--- a/src/host/entrymetrics.cpp
+++ b/src/host/entrymetrics.cpp
@@ -1,5 +1,6 @@
 #include "burdockspur/host/entrymetrics.hpp"
 
+#include "burdockspur/contract/keymap.hpp"
 #include "burdockspur/operations/metrics.hpp"
 
 #include <prometheus/counter.h>
@@ -20,11 +21,14 @@
     , m_forwards(&metrics.counter("burdockspur_forwards_total", "Requests sent to workers, with retries"))
     , m_retries(&metrics.counter("burdockspur_retries_total", "Requests sent to a worker again"))
     , m_settles(&metrics.counter("burdockspur_settles_total", "Questions to workers about the outcome of a request"))
+    , m_peerQuestions(&metrics.counter("burdockspur_peer_questions_total", "Questions to other entry daemons about a request with an idempotency key"))
     , m_jobCommands(&metrics.counter("burdockspur_job_commands_total", "Commands of callers about jobs"))
     , m_inFlight(&metrics.gauge("burdockspur_requests_in_flight", "Callers that wait for the answer to a service request"))
     , m_queued(&metrics.gauge("burdockspur_requests_queued", "Service requests that wait for a free slot"))
     , m_openLinks(&metrics.gauge("burdockspur_scheduler_links_open", "Open links to schedulers"))
     , m_configVersion(&metrics.gauge("burdockspur_config_version", "Version of the configuration in force"))
+    , m_keyMapGeneration(&metrics.gauge("burdockspur_key_map_generation", "Generation of the key map; 0 when none was read"))
+    , m_keyMapChanges(&metrics.gauge("burdockspur_key_map_recent_changes", "Recent changes that the key map lists"))
 {
     for (std::size_t i = 0; i < outcomeCount; ++i) {
         const Metrics::Labels labels{{"outcome", std::string(outcomeName(static_cast<Outcome>(i)))}};
@@ -60,6 +64,17 @@
     m_settles->Increment();
 }
 
+auto EntryMetrics::notePeerQuestion() noexcept -> void
+{
+    m_peerQuestions->Increment();
+}
+
+auto EntryMetrics::setKeyMap(const KeyMap &map) noexcept -> void
+{
+    m_keyMapGeneration->Set(static_cast<double>(map.m_generation));
+    m_keyMapChanges->Set(static_cast<double>(map.m_changes.size()));
+}
+
 auto EntryMetrics::noteRingFull(RingName ring) noexcept -> void
 {
     m_ringRefusals[static_cast<std::size_t>(ring)]->Increment();
--- a/src/host/idempotencytable.cpp
+++ b/src/host/idempotencytable.cpp
@@ -4,6 +4,8 @@
 #include "burdockspur/core/invariant.hpp"
 #include "burdockspur/host/routerlimits.hpp"
 
+#include <algorithm>
+
 namespace Burdockspur
 {
 namespace
@@ -58,7 +60,7 @@
     std::string name(keyPartOf(id));
     const bool known = m_entries.contains(name);
     if (!known && m_entries.size() >= m_limits.m_idempotencyEntries) {
-        removeOldest();
+        makeRoom();
         if (m_entries.size() >= m_limits.m_idempotencyEntries) {
             return false;
         }
@@ -80,7 +82,7 @@
     m_bytes += sizeOf(found->second);
     finish(id, found->second, now);
     while (m_bytes > m_limits.m_idempotencyBytes && !m_finished.empty()) {
-        removeOldest();
+        makeRoom();
     }
 }
 
@@ -126,7 +128,17 @@
     }
 }
 
-auto IdempotencyTable::removeOldest() -> void
+auto IdempotencyTable::mayHaveForgotten(TimePoint now) const noexcept -> bool
+{
+    return now < m_forgottenUntil;
+}
+
+auto IdempotencyTable::makeRoom() -> void
+{
+    m_forgottenUntil = std::max(m_forgottenUntil, removeOldest());
+}
+
+auto IdempotencyTable::removeOldest() -> TimePoint
 {
     while (!m_finished.empty()) {
         const Age age = std::move(m_finished.front());
@@ -135,8 +147,9 @@
         // An entry that is in use again has another expiry and a later place in the list.
         if (found != m_entries.end() && found->second.m_expires == age.m_expires) {
             forget(age.m_id);
-            return;
+            return age.m_expires;
         }
     }
+    return TimePoint::min();
 }
 }
--- a/src/host/platformduty.cpp
+++ b/src/host/platformduty.cpp
@@ -1,8 +1,11 @@
 #include "burdockspur/host/platformduty.hpp"
 
+#include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/host/entrymetrics.hpp"
 #include "burdockspur/host/entrystatus.hpp"
+#include "burdockspur/host/keymapstore.hpp"
 #include "burdockspur/host/ringoutbox.hpp"
+#include "burdockspur/impl/polltimer.hpp"
 #include "burdockspur/operations/configurationwatcher.hpp"
 #include "burdockspur/operations/hostwatcher.hpp"
 #include "burdockspur/platform/httphostlist.hpp"
@@ -46,15 +49,32 @@
     m_hosts = std::make_unique<HostWatcher>(*m_hostList, m_options.m_hostsInterval, m_options.m_seed, [this](const HostListing &listing) {
         announce(listing);
     });
+    m_keyMap = std::make_unique<KeyMapStore>(*m_store,
+                                             hexOf(m_options.m_seed),
+                                             KeyMapStore::Listener{.m_read =
+                                                                       [this](const KeyMap &map) {
+                                                                           m_toRouter->push(KeyMapRead{map});
+                                                                       },
+                                                                   .m_notWritten =
+                                                                       [this] {
+                                                                           m_toRouter->push(KeyMapNotWritten{});
+                                                                       }});
+    m_keyMapTimer = std::make_unique<PollTimer>(m_options.m_keyMapInterval, m_options.m_seed + 1, [this] {
+        m_keyMap->poll();
+        m_keyMapTimer->startNext();
+    });
     watch(m_rings.m_platform.wakeDescriptor(), [this] {
         drainCommands();
     });
     m_configuration->start();
     m_hosts->start();
+    m_keyMapTimer->startNow();
 }
 
 auto PlatformDuty::tearDown() -> void
 {
+    m_keyMapTimer.reset();
+    m_keyMap.reset();
     m_hosts.reset();
     m_configuration.reset();
     m_hostList.reset();
@@ -114,4 +134,14 @@
 {
     m_configuration->noteVersion(command.m_version);
 }
+
+auto PlatformDuty::on(ProposeKeyMap &&command) -> void
+{
+    m_keyMap->propose(std::move(command.m_next));
+}
+
+auto PlatformDuty::on(ReadKeyMap && /*command*/) -> void
+{
+    m_keyMap->readNow();
+}
 }
--- a/src/host/requestrouter.cpp
+++ b/src/host/requestrouter.cpp
@@ -3,17 +3,25 @@
 #include "burdockspur/core/invariant.hpp"
 #include "burdockspur/core/randomsource.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace Burdockspur
 {
-RequestRouter::RequestRouter(const RouterLimits &limits, std::string_view ownZone)
+namespace
+{
+/// Another daemon may send by an older map for the time of a poll and an answer after a change was written.
+constexpr Milliseconds mapLag{10'000};
+}
+
+RequestRouter::RequestRouter(const RouterLimits &limits, std::string_view ownZone, KeyMapIdentity self)
     : m_limits(limits)
     , m_targets(m_limits, ownZone)
     , m_budget(m_limits)
     , m_keys(m_limits)
     , m_queuedByService(limits.m_maxQueuedPerClass)
     , m_queuedByWorker(limits.m_maxQueuedPerClass)
+    , m_keyMap(std::move(self), limits.m_idempotencyTtl + mapLag)
 {
 }
 
@@ -29,16 +37,21 @@
         &RequestRouter::dispatch<HostsChanged>,
         &RequestRouter::dispatch<ConfigurationChanged>,
         &RequestRouter::dispatch<DrainRequested>,
+        &RequestRouter::dispatch<KeyMapRead>,
+        &RequestRouter::dispatch<KeyMapNotWritten>,
+        &RequestRouter::dispatch<PeerAsked>,
+        &RequestRouter::dispatch<PeerReplied>,
         &RequestRouter::dispatch<TimePassed>,
     };
     Turn turn{now, random, commands};
     (this->*handlers[event.index()])(std::move(event), turn);
+    placeWaiting(turn);
     dispatchQueued(turn);
 }
 
 auto RequestRouter::nextDeadline() const noexcept -> TimePoint
 {
-    return m_exchanges.nextTimer();
+    return std::min(m_exchanges.nextTimer(), m_keyMap.nextDeadline());
 }
 
 auto RequestRouter::isDrained() const noexcept -> bool
@@ -61,6 +74,11 @@
     return m_targets;
 }
 
+auto RequestRouter::keyMap() const noexcept -> const KeyMapKeeper &
+{
+    return m_keyMap;
+}
+
 auto RequestRouter::on(CallerLeft &&event, Turn & /*turn*/) -> void
 {
     Exchange *const exchange = m_exchanges.leave(event.m_ticket);
@@ -74,18 +92,19 @@
 {
     using Handler = auto (RequestRouter::*)(Exchange &, TargetReply &&, Turn &)->void;
     // In the order of TargetReply::Status.
-    static constexpr std::array<Handler, 7> handlers{
+    static constexpr std::array<Handler, 8> handlers{
         &RequestRouter::targetAnswered,
         &RequestRouter::targetFailed,
         &RequestRouter::targetFull,
         &RequestRouter::targetLeaving,
         &RequestRouter::targetTombstoned,
+        &RequestRouter::targetRestarted,
         &RequestRouter::targetNotReached,
         &RequestRouter::targetLost,
     };
     auto &reply = event.m_reply;
     if (Exchange *const exchange = current(reply.m_dispatch, ExchangeState::Forwarded); exchange != nullptr) {
-        TargetTable::noteIncarnation(*exchange->m_target, reply.m_incarnation);
+        noteIncarnation(*exchange->m_target, reply.m_incarnation, turn);
         (this->*handlers[static_cast<std::size_t>(reply.m_status)])(*exchange, std::move(reply), turn);
     }
 }
@@ -103,9 +122,9 @@
     };
     auto &reply = event.m_reply;
     if (reply.m_dispatch.m_exchange == 0) {
-        probeReplied(reply);
+        probeReplied(reply, turn);
     } else if (Exchange *const exchange = current(reply.m_dispatch, ExchangeState::Settling); exchange != nullptr) {
-        TargetTable::noteIncarnation(*exchange->m_target, reply.m_incarnation);
+        noteIncarnation(*exchange->m_target, reply.m_incarnation, turn);
         (this->*handlers[static_cast<std::size_t>(reply.m_status)])(*exchange, std::move(reply), turn);
     }
 }
@@ -113,6 +132,15 @@
 auto RequestRouter::on(HostsChanged &&event, Turn &turn) -> void
 {
     m_targets.update(event.m_listing.m_hosts);
+    m_peers.clear();
+    for (const auto &host : event.m_listing.m_hosts) {
+        if (host.m_role == HostRole::Entry) {
+            m_peers.emplace(host.m_name,
+                            PeerQuestion{.m_dispatch = {}, .m_peer = host.m_name, .m_address = host.m_address, .m_port = host.m_port, .m_requestId = {}});
+        }
+    }
+    m_keyMap.takeHosts(event.m_listing, turn.m_now, turn.m_random);
+    m_mapMoved = true;
     m_freed.assign(m_targets.local().begin(), m_targets.local().end());
     m_freed.insert(m_freed.end(), m_targets.remote().begin(), m_targets.remote().end());
     for (Target *const target : m_freed) {
@@ -137,13 +165,19 @@
 {
     using Handler = auto (RequestRouter::*)(Exchange &, Turn &)->void;
     // In the order of ExchangeState.
-    static constexpr std::array<Handler, 5> handlers{
+    static constexpr std::array<Handler, 8> handlers{
         &RequestRouter::queuedTooLong,
         &RequestRouter::retryPauseEnded,
         &RequestRouter::noReplyInTime,
         &RequestRouter::noReplyInTime,
         &RequestRouter::settlePauseEnded,
+        &RequestRouter::keyMapWaitEnded,
+        &RequestRouter::keyMapWaitEnded,
+        &RequestRouter::askPauseEnded,
     };
+    std::vector<KeyMapCommand> orders;
+    m_keyMap.passTime(turn.m_now, turn.m_random, orders);
+    orderMap(std::move(orders), turn);
     while (Exchange *const exchange = m_exchanges.nextExpired(turn.m_now)) {
         for (const CallerTicket ticket : m_exchanges.leaveExpired(*exchange, turn.m_now)) {
             // Not `refused`: the exchange goes on for another caller with the same key and may run.
@@ -208,9 +242,9 @@
     if (exchange.m_request.m_idempotencyKey.empty()) {
         return;
     }
-    if (answer.m_outcome == Outcome::Unknown) {
+    if (answer.m_outcome == Outcome::Unknown && exchange.m_mayHaveRun) {
         m_keys.leaveUnresolved(exchange.m_request.m_id, exchange.m_lastWorker, exchange.m_incarnation, now);
-    } else if (answer.m_outcome == Outcome::Refused) {
+    } else if (answer.m_outcome == Outcome::Refused || answer.m_outcome == Outcome::Unknown) {
         m_keys.forget(exchange.m_request.m_id);
     } else {
         m_keys.store(exchange.m_request.m_id, answer, now);
--- a/src/host/requestrouterplacement.cpp
+++ b/src/host/requestrouterplacement.cpp
@@ -12,6 +12,8 @@
         finishWithoutAnswer(exchange, ErrorCode::DeadlineExceeded, turn);
     } else if (exchange.m_request.m_idempotencyKey.empty()) {
         placeAnywhere(exchange, turn);
+    } else if (isMapped(exchange)) {
+        placeByMap(exchange, turn);
     } else {
         placeByKey(exchange, turn);
     }
@@ -39,17 +41,24 @@
     Target *const target = m_rendezvous.pick(m_targets, criteria, turn.m_random);
     if (target == nullptr) {
         finishWithoutAnswer(exchange, ErrorCode::NoTarget, turn);
-    } else if (!target->accepts(turn.m_now)) {
+    } else {
+        sendTo(exchange, *target, turn);
+    }
+}
+
+auto RequestRouter::sendTo(Exchange &exchange, Target &target, Turn &turn) -> void
+{
+    if (!target.accepts(turn.m_now)) {
         // Another entry host may have sent this key to the leaving worker. Only its tombstone proves that no
         // one did, and then the next worker may be used.
-        attach(exchange, *target);
-        exchange.m_incarnation = target->m_incarnation;
+        attach(exchange, target);
+        exchange.m_incarnation = target.m_incarnation;
         exchange.m_wireId = exchange.m_request.m_id;
         settle(exchange, turn);
-    } else if (!target->hasFreeSlot()) {
-        enqueue(exchange, m_queuedByWorker, target->m_record.m_name, turn);
+    } else if (!target.hasFreeSlot()) {
+        enqueue(exchange, m_queuedByWorker, target.m_record.m_name, turn);
     } else {
-        forward(exchange, *target, turn);
+        forward(exchange, target, turn);
     }
 }
 
@@ -91,6 +100,7 @@
         .m_requestId = exchange.m_wireId,
         .m_service = request.m_service,
         .m_idempotencyKey = request.m_idempotencyKey.empty() ? std::string() : request.m_id,
+        .m_expectedIncarnation = isMapped(exchange) ? target.m_incarnation : std::string(),
         .m_body = request.m_body,
         .m_deadline = std::chrono::ceil<Milliseconds>(remaining),
         .m_timeout = std::min<Duration>(m_limits.m_forwardTimeout, remaining - reserve),
--- a/src/host/requestrouterreplies.cpp
+++ b/src/host/requestrouterreplies.cpp
@@ -50,6 +50,19 @@
     retryElsewhere(exchange, turn);
 }
 
+auto RequestRouter::targetRestarted(Exchange &exchange, TargetReply && /*reply*/, Turn &turn) -> void
+{
+    TargetTable::noteResponse(*exchange.m_target);
+    exchange.m_mayHaveRun = exchange.m_mayHaveRunBefore;
+    if (exchange.m_target->m_incarnation == exchange.m_incarnation) {
+        // The reply does not tell the other incarnation, so that the next send could not be told from this one.
+        retryLater(exchange, turn);
+        return;
+    }
+    detach(exchange);
+    place(exchange, turn);
+}
+
 auto RequestRouter::targetNotReached(Exchange &exchange, TargetReply &&reply, Turn &turn) -> void
 {
     exchange.m_mayHaveRun = exchange.m_mayHaveRunBefore;
@@ -80,6 +93,12 @@
         workerForgot(exchange, turn);
         return;
     }
+    if (isMapped(exchange) && !isProof(exchange, reply.m_incarnation)) {
+        // The tombstone is in another process than the one that the key map names.
+        detach(exchange);
+        place(exchange, turn);
+        return;
+    }
     exchange.m_mayHaveRun = exchange.m_mayHaveRunBefore;
     retryElsewhere(exchange, turn);
 }
@@ -154,16 +173,20 @@
     });
 }
 
-auto RequestRouter::probeReplied(const SettleReply &reply) -> void
+auto RequestRouter::probeReplied(const SettleReply &reply, Turn &turn) -> void
 {
     const auto found = m_probes.extract(reply.m_dispatch.m_sequence);
     Target *const target = found.empty() ? nullptr : m_targets.find(found.mapped());
     if (target == nullptr) {
         return;
     }
-    TargetTable::noteIncarnation(*target, reply.m_incarnation);
     // A worker that answers without the header is not asked again.
     target->m_isProbed = reply.m_status != SettleReply::Status::NoReply;
+    noteIncarnation(*target, reply.m_incarnation, turn);
+    if (target->m_isProbed && reply.m_incarnation.empty()) {
+        m_keyMap.noteWorker(target->m_record.m_name, {}, turn.m_now, turn.m_random);
+        m_mapMoved = true;
+    }
 }
 
 auto RequestRouter::settle(Exchange &exchange, Turn &turn) -> void
--- a/src/host/routerduty.cpp
+++ b/src/host/routerduty.cpp
@@ -28,9 +28,15 @@
 }
 }
 
-RouterDuty::RouterDuty(const RouterLimits &limits, std::string_view ownZone, std::uint64_t seed, EntryRings &rings, EntryMetrics &metrics, EntryStatus &status)
+RouterDuty::RouterDuty(const RouterLimits &limits,
+                       std::string_view ownZone,
+                       KeyMapIdentity self,
+                       std::uint64_t seed,
+                       EntryRings &rings,
+                       EntryMetrics &metrics,
+                       EntryStatus &status)
     : Duty("router")
-    , m_router(limits, ownZone)
+    , m_router(limits, ownZone, std::move(self))
     , m_random(seed)
     , m_rings(rings)
     , m_metrics(metrics)
@@ -128,6 +134,41 @@
     m_answers.emplace_back(std::move(command));
 }
 
+auto RouterDuty::carryOut(PeerQuestion &&question) -> void
+{
+    logEvent(LogLevel::Info, "peer_asked", {{"request", question.m_requestId}, {"peer", question.m_peer}, {"generation", question.m_generation}});
+    m_metrics.notePeerQuestion();
+    PeerReply refused;
+    refused.m_dispatch = question.m_dispatch;
+    refused.m_peer = question.m_peer;
+    refused.m_error = {ErrorCode::RingFull, "the ring of the target duty is full"};
+    if (!m_rings.m_targets.tryPush(std::move(question))) {
+        m_metrics.noteRingFull(RingName::Targets);
+        m_refused.push_back(PeerReplied{std::move(refused)});
+    }
+}
+
+auto RouterDuty::carryOut(AnswerPeer &&command) -> void
+{
+    m_answers.emplace_back(std::move(command));
+}
+
+auto RouterDuty::carryOut(ProposeKeyMap &&command) -> void
+{
+    if (!m_rings.m_platform.tryPush(std::move(command))) {
+        m_metrics.noteRingFull(RingName::Platform);
+        m_refused.push_back(KeyMapNotWritten{});
+    }
+}
+
+auto RouterDuty::carryOut(ReadKeyMap &&command) -> void
+{
+    // The poll of the platform duty reads a higher generation in any case.
+    if (!m_rings.m_platform.tryPush(command)) {
+        m_metrics.noteRingFull(RingName::Platform);
+    }
+}
+
 auto RouterDuty::deliverAnswers() -> void
 {
     while (!m_answers.empty()) {
@@ -146,6 +187,7 @@
     }
     m_isPublished = true;
     m_published = now;
+    m_metrics.setKeyMap(m_router.keyMap().map());
     m_metrics.setRequests(m_router.inFlight(), m_router.queued());
     std::vector<TargetStatus> targets;
     appendTargets(targets, m_router.targets().local(), now);
--- a/src/host/targetduty.cpp
+++ b/src/host/targetduty.cpp
@@ -76,4 +76,11 @@
         m_replies->push(SettleReplied{std::move(reply)});
     });
 }
+
+auto TargetDuty::carryOut(PeerQuestion &&question) -> void
+{
+    m_port->ask(std::move(question), [this](PeerReply &&reply) {
+        m_replies->push(PeerReplied{std::move(reply)});
+    });
+}
 }
--- a/src/platform/httptargetport.cpp
+++ b/src/platform/httptargetport.cpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/impl/jsonreader.hpp"
+#include "burdockspur/platform/peercodec.hpp"
 #include "burdockspur/platform/serviceport.hpp"
 
 #include <algorithm>
@@ -22,10 +23,11 @@
     TargetReply::Status m_status;
 };
 
-constexpr std::array<CodeEntry, 4> codeTable{{
+constexpr std::array<CodeEntry, 5> codeTable{{
     {503, "slots_exhausted", TargetReply::Status::SlotsExhausted},
     {503, "leaving", TargetReply::Status::Leaving},
     {503, "tombstoned", TargetReply::Status::Tombstoned},
+    {503, "other_incarnation", TargetReply::Status::OtherIncarnation},
     {500, "execution_failed", TargetReply::Status::Failed},
 }};
 
@@ -53,12 +55,15 @@
     HttpRequest request;
     request.m_method = "POST";
     request.m_target.append("/v1/services/").append(percentEncoded(order.m_service)).append("/requests");
-    request.m_fields.reserve(3);
+    request.m_fields.reserve(4);
     request.m_fields.push_back({std::string(requestIdField), std::move(order.m_requestId)});
     request.m_fields.push_back({"Burdockspur-Deadline-Ms", std::to_string(order.m_deadline.count())});
     if (!order.m_idempotencyKey.empty()) {
         request.m_fields.push_back({"Idempotency-Key", std::move(order.m_idempotencyKey)});
     }
+    if (!order.m_expectedIncarnation.empty()) {
+        request.m_fields.push_back({"Burdockspur-Expected-Incarnation", std::move(order.m_expectedIncarnation)});
+    }
     request.m_body = std::move(order.m_body);
     return request;
 }
@@ -168,4 +173,20 @@
     };
     m_settles->call(endpoint, std::move(request), order.m_timeout, std::move(take));
 }
+
+auto HttpTargetPort::ask(PeerQuestion &&question, AskCallback callback) -> void
+{
+    const HttpEndpoint endpoint{question.m_address, question.m_port};
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_target = "/v1/requests/" + percentEncoded(question.m_requestId) + "/settle";
+    request.m_body = encodePeerQuestion(question.m_generation);
+    auto take = [dispatch = question.m_dispatch, peer = std::move(question.m_peer), callback = std::move(callback)](HttpReply &&reply) {
+        auto decoded = decodePeerReply(reply);
+        decoded.m_dispatch = dispatch;
+        decoded.m_peer = peer;
+        callback(std::move(decoded));
+    };
+    m_settles->call(endpoint, std::move(request), question.m_timeout, std::move(take));
+}
 }
--- a/standins/workerserver.cpp
+++ b/standins/workerserver.cpp
@@ -176,6 +176,12 @@
     if (request.m_id.empty()) {
         return badRequest("the header Burdockspur-Request-Id is missing");
     }
+    const auto expected = call.m_request.field("Burdockspur-Expected-Incarnation");
+    if (!expected.empty() && expected != m_incarnation) {
+        auto response = codeResponse(503, "other_incarnation");
+        response.m_fields.push_back({"Burdockspur-Request-Id", std::string(request.m_id)});
+        return response;
+    }
     const auto defaultTime = std::chrono::duration_cast<std::chrono::microseconds>(m_spec.m_serviceTime).count();
     const auto serviceTime = numberOr(call.m_request.field("Burdockspur-Service-Time-Us"), static_cast<std::uint64_t>(defaultTime));
     request.m_serviceTime = std::chrono::microseconds(serviceTime);
--- a/tests/faultmatrix/entryhost.cpp
+++ b/tests/faultmatrix/entryhost.cpp
@@ -1,5 +1,7 @@
 #include "faultmatrix/entryhost.hpp"
 
+#include "burdockspur/core/identifiers.hpp"
+#include "burdockspur/host/keymapstore.hpp"
 #include "burdockspur/host/requestrouter.hpp"
 #include "faultmatrix/storelinks.hpp"
 
@@ -18,7 +20,17 @@
         : m_host(host)
         , m_table(host.m_platform, host)
         , m_random(seed)
-        , m_router(RouterLimits{}, "a")
+        , m_router(RouterLimits{}, "a", {host.m_name, hexOf(seed)})
+        , m_keyMap(m_table,
+                   hexOf(seed),
+                   {.m_read =
+                        [this](const KeyMap &map) {
+                            give(KeyMapRead{map});
+                        },
+                    .m_notWritten =
+                        [this] {
+                            give(KeyMapNotWritten{});
+                        }})
         , m_pollAt(host.m_simulation.m_now)
     {
     }
@@ -100,8 +112,55 @@
             });
     }
 
+    auto execute(ProposeKeyMap &command) -> void
+    {
+        m_keyMap.propose(KeyMap(command.m_next));
+    }
+
+    auto execute(ReadKeyMap & /*command*/) -> void
+    {
+        m_keyMap.readNow();
+    }
+
+    auto execute(AnswerPeer &command) -> void
+    {
+        if (const auto asked = m_questions.extract(command.m_ticket)) {
+            asked.mapped()(command.m_reply);
+        }
+    }
+
+    auto execute(PeerQuestion &question) -> void
+    {
+        EntryHost *const peer = m_host.m_peerNamed(question.m_peer);
+        const auto take = [this, dispatch = question.m_dispatch, name = question.m_peer](PeerReply reply) {
+            reply.m_dispatch = dispatch;
+            reply.m_peer = name;
+            give(PeerReplied{std::move(reply)});
+        };
+        m_host.m_simulation.call(
+            {{}, &m_host, peer},
+            question.m_timeout,
+            [peer, question, take](const Simulation::Respond &respond) {
+                peer->m_private->asked(question, [respond, take](const PeerReply &reply) {
+                    respond([take, reply] {
+                        take(reply);
+                    });
+                });
+            },
+            [take](bool /*refused*/) {
+                take({});
+            });
+    }
+
+    auto asked(const PeerQuestion &question, std::function<void(const PeerReply &)> replied) -> void
+    {
+        m_questions.emplace(++m_lastQuestion, std::move(replied));
+        give(PeerAsked{m_lastQuestion, question.m_requestId, question.m_generation});
+    }
+
     auto poll() -> void
     {
+        m_keyMap.poll();
         m_pollAt = m_host.m_simulation.m_now + pollPeriod;
         if (m_host.m_platform.hosts().m_generation != m_generation) {
             const HostListing &listing = m_host.m_platform.hosts();
@@ -129,17 +188,21 @@
     TableLink m_table;
     RandomSource m_random;
     RequestRouter m_router;
+    KeyMapStore m_keyMap;
+    std::map<CallerTicket, std::function<void(const PeerReply &)>> m_questions;
+    CallerTicket m_lastQuestion = 0;
     TimePoint m_pollAt;
     std::uint64_t m_generation = 0;
     std::uint64_t m_configVersion = 0;
 };
 
-EntryHost::EntryHost(std::string name, Simulation &simulation, SimulatedPlatform &platform, Workers &workers, Answered answered)
+EntryHost::EntryHost(std::string name, Simulation &simulation, SimulatedPlatform &platform, Workers &workers, Answered answered, PeerNamed peerNamed)
     : Process(std::move(name))
     , m_simulation(simulation)
     , m_platform(platform)
     , m_workers(workers)
     , m_answered(std::move(answered))
+    , m_peerNamed(std::move(peerNamed))
 {
     EntryHost::restart();
 }
--- a/tests/faultmatrix/entryhost.hpp
+++ b/tests/faultmatrix/entryhost.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace Burdockspur::FaultMatrix
 {
@@ -19,7 +20,10 @@
     /// @brief Takes the answer to a caller.
     using Answered = std::function<void(std::uint64_t, const RequestAnswer &)>;
 
-    EntryHost(std::string name, Simulation &simulation, SimulatedPlatform &platform, Workers &workers, Answered answered);
+    /// @brief Finds another entry host by its name.
+    using PeerNamed = std::function<EntryHost *(std::string_view)>;
+
+    EntryHost(std::string name, Simulation &simulation, SimulatedPlatform &platform, Workers &workers, Answered answered, PeerNamed peerNamed);
     ~EntryHost() override;
 
     auto restart() -> void override;
@@ -36,6 +40,7 @@
     SimulatedPlatform &m_platform;
     Workers &m_workers;
     Answered m_answered;
+    PeerNamed m_peerNamed;
     std::unique_ptr<Private> m_private;
 };
 }
--- a/tests/faultmatrix/faultworld.cpp
+++ b/tests/faultmatrix/faultworld.cpp
@@ -60,15 +60,36 @@
     for (const auto &worker : m_workers) {
         hosts.push_back(recordOf(*worker, m_simulation.m_now));
     }
+    for (const auto *const name : {"e0", "e1"}) {
+        HostRecord record;
+        record.m_name = name;
+        record.m_role = HostRole::Entry;
+        record.m_address = "127.0.0.1";
+        record.m_port = 1;
+        hosts.push_back(record);
+    }
     m_platform.m_hostList.set(m_simulation.m_now, hosts, Duration(0));
     static_cast<void>(m_platform.m_table.commit({.m_conditions = {}, .m_puts = {{"config", "accept first"}}, .m_deletes = {}}));
     for (const auto *const name : {"s0", "s1", "s2"}) {
         m_schedulers.push_back(std::make_unique<SchedulerHost>(name, m_simulation, m_platform, m_workers));
     }
     for (const auto *const name : {"e0", "e1"}) {
-        m_entries.push_back(std::make_unique<EntryHost>(name, m_simulation, m_platform, m_workers, [this](std::uint64_t ticket, const RequestAnswer &answer) {
-            m_requests.at(ticket).m_answers.push_back(answer);
-        }));
+        m_entries.push_back(std::make_unique<EntryHost>(
+            name,
+            m_simulation,
+            m_platform,
+            m_workers,
+            [this](std::uint64_t ticket, const RequestAnswer &answer) {
+                m_requests.at(ticket).m_answers.push_back(answer);
+            },
+            [this](std::string_view peer) {
+                return std::ranges::find(m_entries,
+                                         peer,
+                                         [](const auto &entry) -> std::string_view {
+                                             return entry->m_name;
+                                         })
+                    ->get();
+            }));
         m_operators.push_back(std::make_unique<TableLink>(m_platform, *m_entries.back()));
     }
 }
--- a/tests/faultmatrix/simulatedworker.cpp
+++ b/tests/faultmatrix/simulatedworker.cpp
@@ -145,6 +145,13 @@
 auto SimulatedWorker::request(const ForwardOrder &order, Replied replied) -> void
 {
     advance();
+    if (!order.m_expectedIncarnation.empty() && order.m_expectedIncarnation != incarnation()) {
+        TargetReply refused;
+        refused.m_status = TargetReply::Status::OtherIncarnation;
+        refused.m_incarnation = incarnation();
+        replied(std::move(refused));
+        return;
+    }
     Standins::WorkerRequest request;
     request.m_id = order.m_requestId;
     request.m_key = order.m_idempotencyKey;
--- a/tests/requestrouterpropertytest.cpp
+++ b/tests/requestrouterpropertytest.cpp
@@ -103,11 +103,13 @@
             m_workers.back()->m_name = "w" + std::to_string(i);
         }
         for (int i = 0; i < scenario.m_hosts; ++i) {
-            m_routers.push_back(std::make_unique<RequestRouter>(m_limits, "zone-0"));
+            const std::string name = hostName(i);
+            m_routers.push_back(std::make_unique<RequestRouter>(m_limits, "zone-0", KeyMapIdentity{name, name + "-1"}));
             sendHosts(i);
         }
         planFaults();
         planRequests();
+        planPolls();
     }
 
     auto run() -> void
@@ -161,12 +163,7 @@
         RC_ASSERT(found != m_answers.end() || plan.m_leaves);
         const auto body = bodyOf(ticket);
         const auto runs = m_runsOfBody.contains(body) ? m_runsOfBody.at(body) : 0;
-        // The memory of a key ends with the worker process: then another entry host may run it again, the same one never.
-        const bool forgotten = plan.m_key != 0 && m_forgottenIds.contains(requestIdOfKey({{}, "seats", "caller", std::to_string(plan.m_key), false, {}, body}));
-        RC_ASSERT(isIdempotent(plan) || runs <= 1 || forgotten);
-        const std::pair ofHost(plan.m_host % m_scenario.m_hosts, body);
-        const auto runsOfHost = m_runsByHost.contains(ofHost) ? m_runsByHost.at(ofHost) : 0;
-        RC_ASSERT(isIdempotent(plan) || runsOfHost <= 1);
+        RC_ASSERT(isIdempotent(plan) || runs <= 1);
         if (found == m_answers.end()) {
             return;
         }
@@ -236,6 +233,13 @@
     auto sendHosts(int host) -> void
     {
         HostListing listing;
+        listing.m_generation = ++m_hostsGeneration;
+        for (int i = 0; i < m_scenario.m_hosts; ++i) {
+            HostRecord record;
+            record.m_name = hostName(i);
+            record.m_role = HostRole::Entry;
+            listing.m_hosts.push_back(record);
+        }
         for (const auto &worker : m_workers) {
             HostRecord record;
             record.m_name = worker->m_name;
@@ -278,10 +282,6 @@
 
     auto restart(ModelWorker &worker) -> void
     {
-        for (const auto &[id, run] : worker.m_runs) {
-            m_forgottenIds.insert(id);
-        }
-        m_forgottenIds.insert(worker.m_tombstones.begin(), worker.m_tombstones.end());
         worker.m_runs.clear();
         worker.m_tombstones.clear();
         worker.m_running = 0;
@@ -345,6 +345,92 @@
         RC_ASSERT(first);
     }
 
+    [[nodiscard]] static auto hostName(int host) -> std::string
+    {
+        return "h" + std::to_string(host);
+    }
+
+    /// @brief Lets every entry host read the key map until the last request has ended.
+    auto planPolls() -> void
+    {
+        constexpr int lastPollMs = 5'000;
+        for (int host = 0; host < m_scenario.m_hosts; ++host) {
+            for (int time = delay(200); time < lastPollMs; time += 300) {
+                at(time, [this, host] {
+                    readKeyMap(host);
+                });
+            }
+        }
+    }
+
+    auto readKeyMap(int host) -> void
+    {
+        if (!isLost()) {
+            // The map is as old as the answer is slow.
+            at(delay(50), [this, host, map = m_keyMap]() mutable {
+                give(host, KeyMapRead{std::move(map)});
+            });
+        }
+    }
+
+    auto carryOut(int host, ReadKeyMap & /*order*/) -> void
+    {
+        readKeyMap(host);
+    }
+
+    auto carryOut(int host, ProposeKeyMap &order) -> void
+    {
+        at(delay(30), [this, host, next = order.m_next] {
+            const bool isWritten = next.m_generation == m_keyMap.m_generation + 1 && !isLost();
+            if (isWritten) {
+                m_keyMap = next;
+            }
+            at(delay(30), [this, host, next, isKnown = isWritten && !isLost()]() mutable {
+                if (isKnown) {
+                    give(host, KeyMapRead{std::move(next)});
+                } else {
+                    give(host, KeyMapNotWritten{});
+                }
+            });
+        });
+    }
+
+    auto carryOut(int host, PeerQuestion &question) -> void
+    {
+        auto replied = std::make_shared<bool>(false);
+        const auto replyOnceTo = [this, host, replied](PeerReply &&reply) {
+            if (!std::exchange(*replied, true)) {
+                give(host, PeerReplied{std::move(reply)});
+            }
+        };
+        PeerReply none;
+        none.m_dispatch = question.m_dispatch;
+        none.m_peer = question.m_peer;
+        at(static_cast<int>(std::chrono::ceil<Milliseconds>(question.m_timeout).count()), [replyOnceTo, none]() mutable {
+            replyOnceTo(std::move(none));
+        });
+        if (isLost()) {
+            return;
+        }
+        at(delay(30), [this, question, replyOnceTo] {
+            const CallerTicket ticket = ++m_lastQuestion;
+            m_questions[ticket] = [this, replyOnceTo, dispatch = question.m_dispatch](PeerReply &&reply) {
+                reply.m_dispatch = dispatch;
+                if (!isLost()) {
+                    at(delay(200), [replyOnceTo, reply = std::move(reply)]() mutable {
+                        replyOnceTo(std::move(reply));
+                    });
+                }
+            };
+            give(std::stoi(question.m_peer.substr(1)), PeerAsked{ticket, question.m_requestId, question.m_generation});
+        });
+    }
+
+    auto carryOut(int /*host*/, AnswerPeer &command) -> void
+    {
+        m_questions.extract(command.m_ticket).mapped()(std::move(command.m_reply));
+    }
+
     auto carryOut(int host, ForwardOrder &order) -> void
     {
         if (isLost() && isLost()) {
@@ -400,7 +486,9 @@
         const auto refuse = [&](TargetReply::Status status) {
             sendReply(host, replied, {order.m_dispatch, status, {}, {}, worker.incarnation()});
         };
-        if (worker.m_tombstones.contains(order.m_requestId)) {
+        if (!order.m_expectedIncarnation.empty() && order.m_expectedIncarnation != worker.incarnation()) {
+            refuse(TargetReply::Status::OtherIncarnation);
+        } else if (worker.m_tombstones.contains(order.m_requestId)) {
             refuse(TargetReply::Status::Tombstoned);
         } else if (worker.m_runs.contains(order.m_requestId)) {
             awaitEnd(host, replied, order, worker.m_starts);
@@ -417,7 +505,6 @@
     {
         ModelWorker &worker = workerNamed(order.m_target.m_worker);
         ++m_runsOfBody[order.m_body];
-        ++m_runsByHost[{host, order.m_body}];
         ++worker.m_running;
         worker.m_runs[order.m_requestId].m_answer = "answer to " + order.m_body;
         at(delay(80), [this, host, replied, order, &worker, starts = worker.m_starts] {
@@ -502,8 +589,10 @@
     std::vector<std::unique_ptr<ModelWorker>> m_workers;
     std::vector<std::unique_ptr<RequestRouter>> m_routers;
     std::map<std::string, int, std::less<>> m_runsOfBody;
-    std::map<std::pair<int, std::string>, int> m_runsByHost;
-    std::set<std::string> m_forgottenIds; ///< ran or tombstoned on a worker that restarted
+    KeyMap m_keyMap; ///< as the table holds it
+    std::map<CallerTicket, std::function<void(PeerReply &&)>> m_questions; ///< questions of entry hosts to each other
+    CallerTicket m_lastQuestion = 0;
+    std::uint64_t m_hostsGeneration = 0;
     std::map<CallerTicket, RequestAnswer> m_answers;
 };
 
