--- a/include/burdockspur/host/requestrouter.hpp
+++ b/include/burdockspur/host/requestrouter.hpp
@@ -153,7 +153,7 @@
     auto settle(Exchange &exchange, Turn &turn) -> void;
 
     // Incarnations of workers.
-    [[nodiscard]] static auto isProof(const Exchange &exchange, std::string_view incarnation) noexcept -> bool;
+    [[nodiscard]] auto isProof(const Exchange &exchange, std::string_view incarnation) const noexcept -> bool;
     auto workerForgot(Exchange &exchange, Turn &turn) -> void;
     auto probe(Target &target, Turn &turn) -> void;
     auto probeReplied(const SettleReply &reply, Turn &turn) -> void;
@@ -162,6 +162,7 @@
     [[nodiscard]] auto isMapped(const Exchange &exchange) const noexcept -> bool;
     auto orderMap(std::vector<KeyMapCommand> &&commands, Turn &turn) -> void;
     auto noteIncarnation(Target &target, std::string_view incarnation, Turn &turn) -> void;
+    auto awaitIncarnation(Exchange &exchange, Turn &turn) -> void;
     auto awaitMap(Exchange &exchange, Turn &turn) -> void;
     auto placeWaiting(Turn &turn) -> void;
     auto askPeers(Exchange &exchange, Turn &turn) -> void;
--- a/src/host/requestrouterkeymap.cpp
+++ b/src/host/requestrouterkeymap.cpp
@@ -139,7 +139,7 @@
 
 auto RequestRouter::isMapped(const Exchange &exchange) const noexcept -> bool
 {
-    return m_keyMap.isOn() && !exchange.m_request.m_idempotent && !exchange.m_request.m_idempotencyKey.empty();
+    return m_keyMap.isOn() && m_limits.m_guards.m_keyMap && !exchange.m_request.m_idempotent && !exchange.m_request.m_idempotencyKey.empty();
 }
 
 auto RequestRouter::orderMap(std::vector<KeyMapCommand> &&commands, Turn &turn) -> void
--- a/src/host/requestrouterreplies.cpp
+++ b/src/host/requestrouterreplies.cpp
@@ -54,8 +54,13 @@
 {
     TargetTable::noteResponse(*exchange.m_target);
     exchange.m_mayHaveRun = exchange.m_mayHaveRunBefore;
+    awaitIncarnation(exchange, turn);
+}
+
+auto RequestRouter::awaitIncarnation(Exchange &exchange, Turn &turn) -> void
+{
     if (exchange.m_target->m_incarnation == exchange.m_incarnation) {
-        // The reply does not tell the other incarnation, so that the next send could not be told from this one.
+        // The reply does not tell the other incarnation, so that the next message would follow at once.
         retryLater(exchange, turn);
         return;
     }
@@ -93,10 +98,9 @@
         workerForgot(exchange, turn);
         return;
     }
-    if (isMapped(exchange) && !isProof(exchange, reply.m_incarnation)) {
+    if (isMapped(exchange) && !exchange.m_incarnation.empty() && !isProof(exchange, reply.m_incarnation)) {
         // The tombstone is in another process than the one that the key map names.
-        detach(exchange);
-        place(exchange, turn);
+        awaitIncarnation(exchange, turn);
         return;
     }
     exchange.m_mayHaveRun = exchange.m_mayHaveRunBefore;
@@ -144,9 +148,9 @@
     return true;
 }
 
-auto RequestRouter::isProof(const Exchange &exchange, std::string_view incarnation) noexcept -> bool
+auto RequestRouter::isProof(const Exchange &exchange, std::string_view incarnation) const noexcept -> bool
 {
-    return !incarnation.empty() && incarnation == exchange.m_incarnation;
+    return !m_limits.m_guards.m_incarnationCheck || (!incarnation.empty() && incarnation == exchange.m_incarnation);
 }
 
 auto RequestRouter::workerForgot(Exchange &exchange, Turn &turn) -> void
--- a/src/shard/schedulersettings.cpp
+++ b/src/shard/schedulersettings.cpp
@@ -20,7 +20,7 @@
 constexpr SettingRange servicePort{1, 65'535};
 constexpr SettingRange time{50, 600'000};
 
-constexpr std::array<Field, 25> fields{{
+constexpr std::array<Field, 26> fields{{
     {"host.name", &S::m_host, text, required, name, "", "Name of this entry host in the host list"},
     {"host.zone", &S::m_zone, text, required, name, "", "Availability zone of this host"},
     {"host.region", &S::m_region, text, required, name, "", "Region of this host"},
@@ -39,13 +39,20 @@
     {"shard.takeover_ms", &S::m_takeover, duration, optional, time, "ms", "Unchanged heartbeat that allows a takeover"},
     {"shard.heartbeat_ms", &S::m_heartbeat, duration, optional, time, "ms", "Period of the owner's heartbeat"},
     {"shard.owner_lease_ms", &S::m_ownerLease, duration, optional, time, "ms", "Unconfirmed ownership after which an owner holds back"},
+    {"shard.rebalance_ms", &S::m_rebalance, duration, optional, time, "ms", "Uninterrupted excess of shards after which one is handed over"},
     {"shard.tick_ms", &S::m_tick, duration, optional, {1, 1'000}, "ms", "Changes of one tick go into one journal row"},
     {"shard.store_timeout_ms", &S::m_storeTimeout, duration, optional, time, "ms", "For answers of the table service and the object store"},
     {"shard.drain_ms", &S::m_drain, duration, optional, time, "ms", "Longest graceful shutdown"},
-    {"worker.lease_ms", &S::m_workerLease, duration, optional, time, "ms", "A worker stops its tasks so long after the last renewal"},
+    {"worker.lease_ms", &S::m_workerLease, duration, optional, time, "ms", "A worker stops its tasks so long after the last report that a renewal answered"},
     {"worker.renewal_ms", &S::m_renewal, duration, optional, time, "ms", "Period of lease renewals"},
     {"worker.call_timeout_ms", &S::m_callTimeout, duration, optional, time, "ms", "For answers of workers"},
-    {"worker.unfenced_wait_ms", &S::m_unfencedWait, duration, optional, {0, 600'000}, "ms", "Extra wait for a listed worker that a new owner never reached"},
+    {"worker.unfenced_wait_ms",
+     &S::m_unfencedWait,
+     duration,
+     optional,
+     {0, 600'000},
+     "ms",
+     "Extra wait for a worker that a new owner never reached and that is not listed any more"},
 }};
 }
 
@@ -74,9 +81,10 @@
          "less than shard.takeover_ms"},
         {"worker.renewal_ms",
          [](const SchedulerSettings &settings) {
-             return settings.m_renewal < settings.m_workerLease;
+             // A renewal grants the lease from the report of the renewal before.
+             return 2 * settings.m_renewal < settings.m_workerLease;
          },
-         "less than worker.lease_ms"},
+         "less than half of worker.lease_ms"},
     }};
     return checks;
 }
--- a/tests/faultmatrix/simulatedplatform.hpp
+++ b/tests/faultmatrix/simulatedplatform.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockspur/contract/job.hpp"
+#include "burdockspur/core/guards.hpp"
 #include "burdockspur/platform/tablestore.hpp"
 #include "faultmatrix/simulation.hpp"
 #include "standins/hostlistmodel.hpp"
@@ -15,6 +16,14 @@
 
 namespace Burdockspur::FaultMatrix
 {
+/// @brief Calls that hosts sent to the stores, whether or not they were served.
+struct StoreCalls {
+    int m_journalRows = 0; ///< transactions with a journal row
+    int m_otherWrites = 0; ///< further transactions and objects
+    int m_rowReads = 0;
+    int m_contentReads = 0; ///< scans and objects, as a recovery reads them
+};
+
 /// @brief The platform's models with their outages, and what became durable in them.
 class SimulatedPlatform
 {
@@ -36,6 +45,7 @@
     [[nodiscard]] auto hosts() -> const HostListing &;
 
     Simulation &m_simulation;
+    Guards m_guards; ///< of the processes
     Standins::TableModel m_table;
     Standins::ObjectModel m_objects;
     Standins::HostListModel m_hostList;
@@ -44,6 +54,7 @@
     int m_slowdowns = 0;
     int m_rateLimits = 0;
     int m_staleLists = 0;
+    StoreCalls m_calls;
     std::map<std::string, Job> m_jobs; ///< latest durable state of each job
     std::vector<std::string> m_violations;
 
@@ -51,6 +62,7 @@
     auto learn(const Job &job) -> void;
 
     HostListing m_lastListing;
+    std::uint64_t m_snapshotSequence = 0; ///< of the snapshot that the table names
     Standins::TokenBucket m_writes;
     Standins::TokenBucket m_reads;
 };
--- a/tests/shardworld.cpp
+++ b/tests/shardworld.cpp
@@ -17,10 +17,11 @@
 }
 }
 
-ShardWorld::ShardWorld(std::uint64_t seed, std::uint32_t lossPercent)
+ShardWorld::ShardWorld(std::uint64_t seed, std::uint32_t lossPercent, const Guards &guards)
     : m_random(seed)
     , m_lossPercent(lossPercent)
 {
+    m_settings.m_guards = guards;
     m_settings.m_rowsPerSnapshot = 10;
     m_settings.m_maxRowJobs = 5;
     for (int i = 0; i < 4; ++i) {
@@ -53,7 +54,9 @@
 
 auto ShardWorld::chance(std::uint32_t percent) -> bool
 {
-    return !m_healed && m_random.below(100) < percent;
+    const bool hit = !m_healed && m_random.below(100) < percent;
+    m_strikes += hit ? 1 : 0;
+    return hit;
 }
 
 auto ShardWorld::at(Duration delay, Action action) -> void
@@ -87,6 +90,7 @@
     }
     ShardCommands commands;
     if (m_now >= node.m_claim->deadline()) {
+        ++m_steps;
         node.m_claim->tick({}, m_now, *node.m_random, commands);
     }
     if (node.m_claim->isOwner() && !node.m_scheduler && !node.m_recovering) {
@@ -94,6 +98,7 @@
         commands.emplace_back(RecoverShard{.m_shard = 0, .m_epoch = node.m_claim->ownership().m_epoch});
     }
     if (node.m_scheduler && node.m_claim->mayAct(m_now) && m_now >= node.m_scheduler->deadline()) {
+        ++m_steps;
         node.m_scheduler->tick(m_now, *node.m_random, commands);
     }
     for (auto &command : commands) {
@@ -123,6 +128,7 @@
             return;
         }
         ShardCommands commands;
+        ++m_steps;
         node.m_scheduler->handle(value, m_now, *node.m_random, commands);
         if (node.m_scheduler->isFenced()) {
             node.m_scheduler.reset();
@@ -211,12 +217,18 @@
         return;
     }
     const Duration paused = std::max(Duration(0), machine.m_pausedUntil - m_now);
-    arrive(machine, paused + delay(), [call, answered] {
-        call(answered);
+    // What was sent to a process ends with it.
+    const auto toProcess = [&machine, start = machine.m_starts, call](bool isAnswered) {
+        if (machine.m_starts == start) {
+            call(isAnswered);
+        }
+    };
+    arrive(machine, paused + delay(), [toProcess, answered] {
+        toProcess(answered);
     });
     if (chance(m_lossPercent)) {
-        arrive(machine, paused + Milliseconds(m_random.below(latestCopyMs)), [call] {
-            call(false);
+        arrive(machine, paused + Milliseconds(m_random.below(latestCopyMs)), [toProcess] {
+            toProcess(false);
         });
     }
 }
@@ -237,6 +249,7 @@
     const std::uint64_t life = m_nodes[index].m_incarnation;
     const auto claimWritten = [this, index, life](const RowWritten &answer) {
         deliver(index, life, [this, answer](Node &node) {
+            ++m_steps;
             claimChange(node, node.m_claim->onWritten(answer, m_now, *node.m_random));
         });
     };
@@ -251,6 +264,7 @@
                 return;
             }
             deliver(index, life, [this, answer](Node &node) {
+                ++m_steps;
                 claimChange(node, node.m_claim->onRead(*answer, m_now, *node.m_random));
             });
         };
@@ -385,6 +399,7 @@
                         m_policy);
                     node.m_scheduler->recover(*content);
                     ShardCommands commands;
+                    ++m_steps;
                     node.m_scheduler->handle(hosts(), m_now, *node.m_random, commands);
                 });
             },
@@ -400,7 +415,7 @@
         workerCall(
             index,
             renewal->m_worker,
-            400,
+            3'000,
             [this, give, order = *renewal](bool answered) {
                 auto report = renew(m_machines.at(order.m_worker), order.m_renewal);
                 if (answered) {
@@ -535,7 +550,7 @@
     if (const auto tombstone = machine.m_tombstones.find(job); tombstone != machine.m_tombstones.end() && order.m_attempt.m_number <= tombstone->second) {
         return refused("tombstoned");
     }
-    if (m_now >= machine.m_leaseEnd || order.m_epoch > machine.m_epoch) {
+    if (m_now >= machine.m_leaseEnd || order.m_epoch != machine.m_granted) {
         return refused("no_lease");
     }
     if (machine.m_host.m_state == HostState::Leaving) {
@@ -594,7 +609,14 @@
         return failure(ErrorCode::StaleEpoch, "stale");
     }
     machine.m_epoch = renewal.m_epoch;
-    machine.m_leaseEnd = m_now + renewal.m_ttl;
+    const std::string incarnation = std::to_string(machine.m_starts);
+    bool granted = false;
+    if (renewal.m_answers && renewal.m_answers->m_incarnation == incarnation) {
+        const auto &[epoch, sent] = machine.m_reports.at(renewal.m_answers->m_number);
+        granted = epoch == renewal.m_epoch && m_now < sent + renewal.m_ttl;
+        machine.m_granted = granted ? epoch : machine.m_granted;
+        machine.m_leaseEnd = granted ? std::max(machine.m_leaseEnd, sent + renewal.m_ttl) : machine.m_leaseEnd;
+    }
     for (const auto &ended : renewal.m_acknowledged) {
         const auto task = machine.m_tasks.find(ended.m_job);
         if (task != machine.m_tasks.end() && task->second.m_report.m_attempt == ended) {
@@ -606,6 +628,9 @@
     }
     LeaseReport report;
     report.m_epoch = machine.m_epoch;
+    report.m_granted = granted;
+    report.m_report = {.m_incarnation = incarnation, .m_number = machine.m_reports.size() + 1};
+    machine.m_reports[report.m_report.m_number] = {machine.m_epoch, m_now};
     report.m_leaving = machine.m_host.m_state == HostState::Leaving;
     for (const auto &[job, task] : machine.m_tasks) {
         report.m_attempts.push_back(task.m_report);
@@ -652,6 +677,7 @@
 
 auto ShardWorld::apply(const Fault &fault) -> void
 {
+    ++m_strikes;
     const Duration length = Milliseconds(fault.m_durationMs);
     const auto index = static_cast<std::size_t>(fault.m_target) % m_nodes.size();
     Machine &machine = std::next(m_machines.begin(), fault.m_target % static_cast<int>(m_machines.size()))->second;
@@ -674,7 +700,12 @@
         break;
     case FaultKind::CrashWorker:
         machine.m_tasks.clear();
+        machine.m_tombstones.clear();
+        machine.m_epoch = 0;
         machine.m_leaseEnd = m_now;
+        machine.m_granted = 0;
+        machine.m_reports.clear();
+        ++machine.m_starts;
         machine.m_cutUntil = m_now + length;
         break;
     case FaultKind::PauseWorker:
