--- a/tests/guardstest.cpp
+++ b/tests/guardstest.cpp
@@ -83,8 +83,14 @@
 // Guards against the word of a restarted worker about a request that its former process ran.
 TEST(GuardsTest, IncarnationCheckRejectsTheWordOfARestartedWorker)
 {
-    expectGuards(&Guards::m_incarnationCheck, &runRequestWorld, 348, "a non-idempotent request ran twice");
-    expectGuards(&Guards::m_incarnationCheck, &runRequestWorld, 234, "a refused request ran");
+    expectGuards(&Guards::m_incarnationCheck, &runRequestWorld, 205, "a non-idempotent request ran twice");
+    expectGuards(&Guards::m_incarnationCheck, &runRequestWorld, 85, "a refused request ran");
+}
+
+// Guards against a key that another entry host sends after its worker restarted, or to another worker.
+TEST(GuardsTest, KeyMapKeepsAKeyAtOneHome)
+{
+    expectGuards(&Guards::m_keyMap, &runRequestWorld, 111, "a non-idempotent request ran twice");
 }
 
 // Guards against a late or lagging read of the table that puts an earlier preset in force again.
