--- a/include/burdockspur/burdockspur.hpp
+++ b/include/burdockspur/burdockspur.hpp
@@ -79,6 +79,7 @@
 #include "burdockspur/placement/bestfit.hpp"
 #include "burdockspur/placement/classspread.hpp"
 #include "burdockspur/placement/decayingquantile.hpp"
+#include "burdockspur/placement/fairshare.hpp"
 #include "burdockspur/placement/interferencecontroller.hpp"
 #include "burdockspur/placement/interferencemodel.hpp"
 #include "burdockspur/placement/leastloaded.hpp"
