--- a/include/burdockspur/shard/shardscheduler.hpp
+++ b/include/burdockspur/shard/shardscheduler.hpp
@@ -93,6 +93,12 @@
         return m_journal.waiting();
     }
 
+    /// @brief True when besides no start, stop or checkpoint waits for a worker's answer.
+    [[nodiscard]] auto isQuiet() const noexcept -> bool
+    {
+        return isDurable() && m_jobs.deadline() == TimePoint::max();
+    }
+
     [[nodiscard]] auto jobs() const noexcept -> const JobTable &
     {
         return m_jobs;
--- a/include/burdockspur/shard/shardsettings.hpp
+++ b/include/burdockspur/shard/shardsettings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockspur/core/clock.hpp"
+#include "burdockspur/core/guards.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -12,6 +13,7 @@
     Milliseconds m_takeover{3'000}; ///< an unchanged heartbeat for so long allows a takeover
     Milliseconds m_heartbeat{1'000}; ///< period of the owner's heartbeat
     Milliseconds m_ownerLease{2'500}; ///< an owner without a confirmed heartbeat for so long holds back until the store answers or fails
+    Milliseconds m_rebalance{10'000}; ///< longer than a planned restart of one host, so that its shards do not move twice
     Milliseconds m_workerLease{15'000}; ///< a worker stops the tasks of a shard so long after the last report that a renewal answered
     Milliseconds m_renewal{4'000}; ///< period of lease renewals; a renewal answers a report of the one before, so the lease must outlast two and some lost ones
     Milliseconds m_tick{50}; ///< changes of one tick go into one journal row
@@ -28,5 +30,6 @@
     std::uint32_t m_rowsPerSnapshot = 100; ///< journal rows between snapshots
     std::size_t m_scanLimit = 256; ///< queued jobs that one placement pass looks at
     std::size_t m_maxEndedJobs = 20'000; ///< ended jobs kept for queries and repeated submissions, per shard
+    Guards m_guards{};
 };
 }
--- a/src/shard/shardscheduler.cpp
+++ b/src/shard/shardscheduler.cpp
@@ -366,7 +366,11 @@
     entry.m_sends = 0;
     entry.m_record.m_reserved = reserved;
     entry.m_peak = Resources();
-    change(entry, {.m_kind = DurableEffect::Kind::Start, .m_ticket = {}, .m_attempt = job.m_attempt, .m_worker = {}}, turn);
+    const DurableEffect start{.m_kind = DurableEffect::Kind::Start, .m_ticket = {}, .m_attempt = job.m_attempt, .m_worker = {}};
+    change(entry, start, turn);
+    if (!m_settings.m_guards.m_writeAhead) {
+        effectStart(entry, start, turn);
+    }
 }
 
 auto ShardScheduler::change(JobEntry &entry, const Turn &turn) -> void
