--- a/tests/shardclaimtest.cpp
+++ b/tests/shardclaimtest.cpp
@@ -27,8 +27,7 @@
     }
 
     /// @brief Reads the unchanged row once a heartbeat for a time in which nothing may be claimed.
-    auto watchUnchanged(std::uint64_t version, Duration length, std::string_view owner = "h2", Epoch epoch = 4, const ClaimBalance &balance = {})
-        -> void
+    auto watchUnchanged(std::uint64_t version, Duration length, std::string_view owner = "h2", Epoch epoch = 4, const ClaimBalance &balance = {}) -> void
     {
         for (const TimePoint end = m_now + length; m_now < end;) {
             EXPECT_FALSE(writeOf(tick(balance)));
