--- a/include/burdockspur/shard/conditionalwrite.hpp
+++ b/include/burdockspur/shard/conditionalwrite.hpp
@@ -34,8 +34,10 @@
 
     /// @param timeout after which an answer counts as lost
     /// @param guards checks that are on
-    explicit ConditionalWrite(Duration timeout, const Guards &guards = {}) noexcept
+    /// @param longestRetry bound of the wait before a write or its read-back is repeated
+    explicit ConditionalWrite(Duration timeout, const Guards &guards = {}, Duration longestRetry = Duration::max()) noexcept
         : m_timeout(timeout)
+        , m_longestRetry(longestRetry)
         , m_guards(guards)
     {
     }
@@ -85,6 +87,7 @@
     auto finish(Verdict verdict) noexcept -> Verdict;
 
     Duration m_timeout;
+    Duration m_longestRetry;
     Guards m_guards;
     Step m_step = Step::Idle;
     std::string m_operation;
--- a/include/burdockspur/shard/shardscheduler.hpp
+++ b/include/burdockspur/shard/shardscheduler.hpp
@@ -63,6 +63,14 @@
     /// @brief Stops the assignment of attempts, before the shard is released.
     auto beginDrain() noexcept -> void;
 
+    /// @brief Holds journal rows and snapshots back while the owner's heartbeat waits for the store.
+    ///
+    /// A store that limits the rate of writes then serves heartbeats first, so that the ownership lasts.
+    auto holdWrites(bool held) noexcept -> void
+    {
+        m_writesHeld = held;
+    }
+
     /// @brief Time of the next tick that has something to do.
     [[nodiscard]] auto deadline() const noexcept -> TimePoint;
 
@@ -78,6 +86,18 @@
         return m_journal.waiting() == 0;
     }
 
+    /// @brief Number of changed jobs that wait for the store.
+    [[nodiscard]] auto waitingChanges() const noexcept -> std::size_t
+    {
+        return m_journal.waiting();
+    }
+
+    /// @brief True when besides no start, stop or checkpoint waits for a worker's answer.
+    [[nodiscard]] auto isQuiet() const noexcept -> bool
+    {
+        return isDurable() && m_jobs.deadline() == TimePoint::max();
+    }
+
     [[nodiscard]] auto jobs() const noexcept -> const JobTable &
     {
         return m_jobs;
@@ -132,7 +152,7 @@
     auto onEvent(const StartAnswered &event, const Turn &turn) -> void;
     auto onEvent(const StopAnswered &event, const Turn &turn) -> void;
     auto onEvent(const CheckpointAnswered &event, const Turn &turn) -> void;
-    auto renewalFailed(Worker &worker, bool closed, const Turn &turn) -> void;
+    auto renewalFailed(Worker &worker, const Turn &turn) -> void;
     auto takeReport(Worker &worker, const LeaseReport &report, const Turn &turn) -> void;
     auto takeAttempt(Worker &worker, const AttemptReport &report, const Turn &turn) -> void;
     auto takeStray(Worker &worker, const AttemptReport &report, const Turn &turn) -> void;
@@ -167,7 +187,6 @@
     auto placeJob(JobEntry &entry, std::vector<Resources> &tooLarge, const Turn &turn) -> void;
     auto assign(JobEntry &entry, Worker &worker, const Turn &turn) -> void;
     auto tickWorker(Worker &worker, const Turn &turn) -> void;
-    auto probe(Worker &worker, const Turn &turn) -> void;
     auto expireLease(Worker &worker, const Turn &turn) -> void;
     auto renew(Worker &worker, const Turn &turn) -> void;
     auto sendTombstones(Worker &worker, const Turn &turn) -> void;
@@ -201,6 +220,7 @@
     bool m_acceptBatch = true;
     bool m_draining = false;
     bool m_fenced = false;
+    bool m_writesHeld = false;
     TimePoint m_lastTick;
 };
 }
