--- a/tests/shardclaimtest.cpp
+++ b/tests/shardclaimtest.cpp
@@ -200,7 +200,7 @@
 // and against more reads than one a heartbeat.
 TEST_F(ShardClaimTest, ReadsComeToFollowTheHeartbeatsClosely)
 {
-    TimePoint beat = m_now;
+    TimePoint beat = m_now - Milliseconds(400);
     std::uint64_t version = 0;
     int reads = 0;
     int lateReads = 0;
