--- a/tests/longoutagetest.cpp
+++ b/tests/longoutagetest.cpp
@@ -313,7 +313,7 @@
     EXPECT_EQ(world.count(&Standins::WorkerCounts::m_lapses), 0);
     EXPECT_EQ(world.count(&Standins::WorkerCounts::m_stops), 0);
     EXPECT_GE(world.count(&Standins::WorkerCounts::m_completions), each + 1);
-    EXPECT_GE(world.runningTasks(), 2U * each);
+    EXPECT_GE(world.runningTasks(), std::size_t{2} * each);
     // Jobs from before the outage may change beyond the bound of new ones.
     EXPECT_LE(world.m_mostWaiting, settings.m_maxWaitingChanges + before);
     if (GetParam().m_servesNothing) {
--- a/tests/shardclaimtest.cpp
+++ b/tests/shardclaimtest.cpp
@@ -27,12 +27,12 @@
     }
 
     /// @brief Reads the unchanged row once a heartbeat for a time in which nothing may be claimed.
-    auto watchUnchanged(std::uint64_t version, Duration length) -> void
+    auto watchUnchanged(std::uint64_t version, Duration length, std::string_view owner = "h2", Epoch epoch = 4, const ClaimBalance &balance = {}) -> void
     {
         for (const TimePoint end = m_now + length; m_now < end;) {
-            EXPECT_FALSE(writeOf(tick()));
-            m_now = std::min(end, m_now + m_settings.m_heartbeat);
-            read(version, "h2", 4);
+            EXPECT_FALSE(writeOf(tick(balance)));
+            m_now = std::min<TimePoint>(end, m_now + m_settings.m_heartbeat);
+            read(version, std::string(owner), epoch);
         }
     }
 
@@ -189,7 +189,7 @@
     m_claim.holdOff(m_now + m_settings.m_takeover);
     tick();
     read(2, "", 1);
-    m_now += m_settings.m_takeover - Milliseconds(1);
+    watchUnchanged(2, m_settings.m_takeover - Milliseconds(1), "", 1);
     EXPECT_FALSE(writeOf(tick()));
     EXPECT_GE(m_claim.deadline(), m_now);
     m_now += Milliseconds(1);
@@ -230,7 +230,7 @@
     const ClaimBalance full{.m_owned = 9, .m_share = 2, .m_mayClaim = true};
     tick(full);
     read(1, "h2", 4);
-    m_now += m_settings.m_takeover;
+    watchUnchanged(1, m_settings.m_takeover, "h2", 4, full);
     EXPECT_FALSE(writeOf(tick(full)));
     m_now += m_settings.m_heartbeat / 2 + Milliseconds(100);
     EXPECT_TRUE(writeOf(tick(full)));
