--- a/include/burdockspur/core/guards.hpp
+++ b/include/burdockspur/core/guards.hpp
@@ -19,5 +19,6 @@
     bool m_slotBound = true; ///< requests in progress on a worker never exceed its slots or the host's share of connections
     bool m_versionFloor = true; ///< a configuration never goes back to a lower version
     bool m_incarnationCheck = true; ///< `never_started` counts only from the incarnation that was asked
+    bool m_keyMap = true; ///< a non-idempotent request with a key goes only to the home that the key map gives
 };
 }
--- a/include/burdockspur/host/callerduty.hpp
+++ b/include/burdockspur/host/callerduty.hpp
@@ -71,6 +71,7 @@
         Job,
         JobList,
         ConfigChange,
+        Peer,
     };
 
     struct Pending {
@@ -85,6 +86,7 @@
     auto answerUnmatched(ExchangeId exchange, const HttpRequest &request, std::string_view methods) -> void;
 
     auto forwardRequest(Call &call) -> void;
+    auto settleRequest(Call &call) -> void;
     auto submitJob(Call &call) -> void;
     auto showJob(Call &call) -> void;
     auto listJobs(Call &call) -> void;
@@ -107,6 +109,7 @@
     auto on(AnswerJob &&message) -> void;
     auto on(AnswerJobList &&message) -> void;
     auto on(AnswerConfigChange &&message) -> void;
+    auto on(AnswerPeer &&message) -> void;
     auto on(ConfigurationChanged &&message) -> void;
     auto on(DrainRequested &&message) -> void;
     auto complete(CallerTicket ticket) -> std::optional<Pending>;
--- a/tests/requestroutertest.cpp
+++ b/tests/requestroutertest.cpp
@@ -30,7 +30,7 @@
     auto apply(RouterEvent &&event) -> void
     {
         m_commands.clear();
-        m_router.handle(std::move(event), m_now, m_random, m_commands);
+        m_used->handle(std::move(event), m_now, m_random, m_commands);
     }
 
     auto setHosts(std::vector<HostRecord> hosts) -> void
@@ -70,7 +70,7 @@
 
     auto passTimer() -> void
     {
-        m_now = m_router.nextDeadline();
+        m_now = m_used->nextDeadline();
         apply(TimePassed{});
     }
 
@@ -99,10 +99,48 @@
 
     RouterLimits m_limits;
     RequestRouter m_router{m_limits, "zone-a"};
+    RequestRouter *m_used = &m_router; ///< takes the events
     RandomSource m_random{7};
     TimePoint m_now = start;
     std::vector<RouterCommand> m_commands;
 };
+
+/// @brief Router of the entry daemon h1, which knows a key map with h1, h2 and the worker w1.
+class KeyMapRouterTest : public RequestRouterTest
+{
+protected:
+    auto SetUp() -> void override
+    {
+        m_used = &m_mapped;
+        auto peer = workerIn("h2", "zone-a");
+        peer.m_role = HostRole::Entry;
+        auto self = peer;
+        self.m_name = "h1";
+        setHosts({workerIn("w1", "zone-a"), self, peer});
+        answerProbes("start-1");
+    }
+
+    auto readMap(std::string_view incarnation, std::vector<KeyMapChange> changes = {}) -> void
+    {
+        apply(KeyMapRead{{++m_generation, 1, {{"w1", std::string(incarnation)}}, {{"h1", "boot-1"}, {"h2", "boot-1"}}, std::move(changes)}});
+    }
+
+    /// @brief Lets the home of every key have a recent restart.
+    auto readChangedMap(KeyMapChange::Kind kind = KeyMapChange::Kind::EntryAdded) -> void
+    {
+        readMap("start-1", {{KeyMapChange::Kind::WorkerRestarted, "w1", 1}, {kind, "h2", 1}});
+    }
+
+    auto replyOfPeer(PeerReply::Status status, std::string_view body = {}, std::string_view incarnation = "boot-1", std::uint64_t generation = 1) -> void
+    {
+        const auto question = the<PeerQuestion>();
+        EXPECT_EQ(question.m_peer, "h2");
+        apply(PeerReplied{{question.m_dispatch, "h2", status, std::string(body), std::string(incarnation), generation, {}}});
+    }
+
+    RequestRouter m_mapped{m_limits, "zone-a", {"h1", "boot-1"}};
+    std::uint64_t m_generation = 0;
+};
 }
 
 // Guards against traffic to other zones, several milliseconds away, while the own zone has a free slot.
@@ -449,3 +487,110 @@
     apply(RequestArrived{2, {"r2", "vans", "caller", {}, false, m_now, {}}});
     expectAnswer(2, Outcome::Refused, ErrorCode::DeadlineExceeded);
 }
+
+// Guards against a question or a wait for keys whose home did not change, and for requests without a key.
+TEST_F(KeyMapRouterTest, SettledHomeIsUsedAtOnceByItsIncarnation)
+{
+    arrive(1, "key");
+    EXPECT_TRUE(m_commands.empty()) << "no map was read";
+    arrive(2);
+    EXPECT_EQ(the<ForwardOrder>().m_expectedIncarnation, "");
+    reply(the<ForwardOrder>(), TargetReply::Status::Answered);
+    readMap("start-1");
+    EXPECT_EQ(m_commands.size(), 1U);
+    EXPECT_EQ(the<ForwardOrder>().m_expectedIncarnation, "start-1");
+}
+
+// Guards against a send to the next process of a worker before the map names it, and after that without a question.
+TEST_F(KeyMapRouterTest, ARestartedHomeWaitsForTheMapAndThenAsks)
+{
+    readMap("start-1");
+    arrive(1, "key");
+    reply(the<ForwardOrder>(), TargetReply::Status::OtherIncarnation, {}, "start-2");
+    EXPECT_TRUE(m_commands.empty());
+    readMap("start-2", {{KeyMapChange::Kind::WorkerRestarted, "w1", 2}});
+    EXPECT_EQ(the<PeerQuestion>().m_generation, 2U);
+    replyOfPeer(PeerReply::Status::NeverSent);
+    EXPECT_EQ(the<ForwardOrder>().m_expectedIncarnation, "start-2");
+}
+
+// Guards against a second run when another entry daemon has sent the key, and against an answer that is withheld.
+TEST_F(KeyMapRouterTest, RepliesOfPeersDecideAboutAKeyWithoutASettledHome)
+{
+    readChangedMap();
+    arrive(1, "answered");
+    replyOfPeer(PeerReply::Status::Answered, "seat 4");
+    expectAnswer(1, Outcome::Answered, ErrorCode::Internal);
+    EXPECT_EQ(the<AnswerCaller>().m_answer.m_body, "seat 4");
+    arrive(2, "failed");
+    replyOfPeer(PeerReply::Status::Failed);
+    expectAnswer(2, Outcome::Failed, ErrorCode::ExecutionFailed);
+    arrive(3, "unknown");
+    replyOfPeer(PeerReply::Status::Unknown);
+    expectAnswer(3, Outcome::Unknown, ErrorCode::OutcomeUnknown);
+    arrive(4, "conflict");
+    replyOfPeer(PeerReply::Status::Conflict);
+    expectAnswer(4, Outcome::Refused, ErrorCode::IdempotencyConflict);
+    arrive(5, "running");
+    replyOfPeer(PeerReply::Status::Running);
+    passTimer();
+    replyOfPeer(PeerReply::Status::NeverSent, {}, "boot-2");
+    passTimer();
+    replyOfPeer(PeerReply::Status::NeverSent);
+    EXPECT_EQ(the<ForwardOrder>().m_target.m_worker, "w1");
+}
+
+// Guards against the word of the remaining daemons for one whose memory has ended.
+TEST_F(KeyMapRouterTest, ALostEntryDaemonLeavesTheOutcomeUnknown)
+{
+    readChangedMap(KeyMapChange::Kind::EntryReplaced);
+    arrive(1, "key");
+    replyOfPeer(PeerReply::Status::NeverSent);
+    expectAnswer(1, Outcome::Unknown, ErrorCode::OutcomeUnknown);
+}
+
+// Guards against a send by a map that is older than the one of the daemon that replied.
+TEST_F(KeyMapRouterTest, AHigherGenerationOfAPeerIsReadFirst)
+{
+    readChangedMap();
+    arrive(1, "key");
+    replyOfPeer(PeerReply::Status::NeverSent, {}, "boot-1", 2);
+    EXPECT_EQ(m_commands.size(), 1U);
+    static_cast<void>(the<ReadKeyMap>());
+    readMap("start-1");
+    EXPECT_EQ(the<ForwardOrder>().m_target.m_worker, "w1");
+}
+
+// Guards against a false word to another daemon: what was sent, answered or left open, and what is sent afterwards.
+TEST_F(KeyMapRouterTest, TellsPeersWhatItKnowsAndAdoptsTheirGeneration)
+{
+    readMap("start-1");
+    arrive(1, "key");
+    const auto order = the<ForwardOrder>();
+    const auto statusOf = [&](std::string_view id, std::uint64_t generation) {
+        apply(PeerAsked{7, std::string(id), generation});
+        return the<AnswerPeer>().m_reply;
+    };
+    EXPECT_EQ(statusOf(order.m_requestId, 1).m_status, PeerReply::Status::Running);
+    EXPECT_EQ(statusOf(order.m_requestId, 1).m_incarnation, "boot-1");
+    reply(order, TargetReply::Status::Answered, "seat 4");
+    EXPECT_EQ(statusOf(order.m_requestId, 1).m_status, PeerReply::Status::Answered);
+    EXPECT_EQ(statusOf(order.m_requestId, 1).m_body, "seat 4");
+    EXPECT_EQ(statusOf("k0-0", 2).m_status, PeerReply::Status::NeverSent);
+    arrive(2, "later");
+    EXPECT_TRUE(m_commands.empty()) << "sent by the map of generation 1 after generation 2 was adopted";
+}
+
+// Guards against a caller that waits past its deadline for a map, and against a `refused` that is not proved.
+TEST_F(KeyMapRouterTest, AKeyEndsAtItsDeadlineWithoutAMap)
+{
+    arrive(1, "key");
+    m_now += 1s;
+    apply(TimePassed{});
+    bool isAnswered = false;
+    for (const auto &command : m_commands) {
+        const auto *const given = std::get_if<AnswerCaller>(&command);
+        isAnswered = isAnswered || (given != nullptr && given->m_answer.m_outcome == Outcome::Unknown);
+    }
+    EXPECT_TRUE(isAnswered);
+}
