--- a/include/burdockspur/shard/shardscheduler.hpp
+++ b/include/burdockspur/shard/shardscheduler.hpp
@@ -160,6 +160,7 @@
     [[nodiscard]] static auto isLateCompletion(const JobEntry &entry, const Worker &worker, const AttemptReport &report) noexcept -> bool;
     auto confirmRunning(JobEntry &entry, const AttemptReport &report, const Turn &turn) -> void;
     auto observeUsage(JobEntry &entry, const Resources &usage) -> void;
+    auto stopStarting(const Worker &worker, const Turn &turn) -> void;
     auto stopMissing(Worker &worker, const std::set<std::string_view> &reported, const Turn &turn) -> void;
     auto startRefused(JobEntry &entry, Worker &worker, std::string_view reason, const Turn &turn) -> void;
 
--- a/src/shard/shardschedulerworkers.cpp
+++ b/src/shard/shardschedulerworkers.cpp
@@ -55,7 +55,11 @@
 
 auto ShardScheduler::takeReport(Worker &worker, const LeaseReport &report, const Turn &turn) -> void
 {
+    const bool isRestarted = worker.answers() && worker.answers()->m_incarnation != report.m_report.m_incarnation;
     worker.renewalAnswered(report, turn.m_now);
+    if (isRestarted) {
+        stopStarting(worker, turn);
+    }
     if (!report.m_granted) {
         worker.m_nextRenewal = turn.m_now + (worker.renewsAtOnce() ? Milliseconds(0) : renewalRetry);
     }
@@ -140,6 +144,18 @@
     }
 }
 
+auto ShardScheduler::stopStarting(const Worker &worker, const Turn &turn) -> void
+{
+    // The start may have run before the crash with its answer lost; a repeated start would run the same attempt again.
+    const std::vector<std::string> jobs(worker.m_jobs.begin(), worker.m_jobs.end());
+    for (const auto &id : jobs) {
+        JobEntry &entry = *m_jobs.find(id);
+        if (entry.m_phase == AttemptPhase::Starting) {
+            beginStop(entry, turn);
+        }
+    }
+}
+
 auto ShardScheduler::stopMissing(Worker &worker, const std::set<std::string_view> &reported, const Turn &turn) -> void
 {
     const std::vector<std::string> jobs(worker.m_jobs.begin(), worker.m_jobs.end());
