--- a/tests/longoutagetest.cpp
+++ b/tests/longoutagetest.cpp
@@ -59,9 +59,19 @@
             m_schedulers.push_back(std::make_unique<SchedulerHost>(name, m_simulation, m_platform, m_workers));
         }
         for (const auto *const name : {"e0", "e1"}) {
-            m_entries.push_back(
-                std::make_unique<EntryHost>(name, m_simulation, m_platform, m_workers, [this](std::uint64_t /*ticket*/, const RequestAnswer &answer) {
+            m_entries.push_back(std::make_unique<EntryHost>(
+                name,
+                m_simulation,
+                m_platform,
+                m_workers,
+                [this](std::uint64_t /*ticket*/, const RequestAnswer &answer) {
                     ++m_answers[answer.m_outcome];
+                },
+                [this](std::string_view peer) -> EntryHost * {
+                    const auto found = std::ranges::find(m_entries, peer, [](const auto &entry) -> std::string_view {
+                        return entry->m_name;
+                    });
+                    return found == m_entries.end() ? nullptr : found->get();
                 }));
         }
         m_simulation.m_inspect = [this](const Message &message) {
@@ -357,6 +367,6 @@
                          testing::Values(StoreFailure{"Unavailable", &SimulatedPlatform::m_outages, true},
                                          StoreFailure{"Silent", &SimulatedPlatform::m_silences, true},
                                          StoreFailure{"RateLimited", &SimulatedPlatform::m_rateLimits, false}),
-                         [](const auto &info) {
-                             return std::string(info.param.m_name);
+                         [](const auto &parameter) {
+                             return std::string(parameter.param.m_name);
                          });
