--- a/include/burdockspur/host/requestrouter.hpp
+++ b/include/burdockspur/host/requestrouter.hpp
@@ -210,6 +210,7 @@
     std::map<std::string, PeerQuestion, std::less<>> m_peers; ///< entry daemons of the host list, with their addresses
     std::set<std::uint64_t> m_waitingForMap; ///< exchanges that a change of the key map may let go on
     bool m_mapMoved = false; ///< the current event may let them go on
+    ConfigVersion m_configVersion = 0; ///< of the services
     std::set<std::string, std::less<>> m_services; ///< empty: every name is accepted
     std::vector<Target *> m_freed; ///< workers with slots freed by the current event
     std::map<std::uint32_t, std::string> m_probes; ///< workers asked for their incarnation, by sequence
--- a/include/burdockspur/placement/interferencemodel.hpp
+++ b/include/burdockspur/placement/interferencemodel.hpp
@@ -105,6 +105,11 @@
     [[nodiscard]] static auto valueOf(const Service &service, std::size_t jobClass, TimePoint now) noexcept -> double;
     [[nodiscard]] static auto sharesAt(const WorkerHistory &history, TimePoint when) noexcept -> const Shares *;
     [[nodiscard]] auto ratioOf(const ServiceThere &there, const Shares &shares, TimePoint now) const noexcept -> double;
+
+    /// @brief Largest value of a measure over the services of a worker; 0 for a worker that is not known.
+    /// @param measure takes a service and the ratio that is expected with the job
+    template<typename Measure>
+    [[nodiscard]] auto worstOver(std::string_view worker, std::string_view jobClass, double share, TimePoint now, Measure measure) const -> double;
     static auto forget(Service &service) -> void;
     auto learn(Service &service, const Shares &shares, const TailSample &sample, TimePoint now) -> void;
 
--- a/src/host/requestrouter.cpp
+++ b/src/host/requestrouter.cpp
@@ -150,6 +150,8 @@
 
 auto RequestRouter::on(ConfigurationChanged &&event, Turn & /*turn*/) -> void
 {
+    requireInvariant(event.m_configuration.m_version >= m_configVersion, "configuration_never_reverts", {});
+    m_configVersion = event.m_configuration.m_version;
     m_services.clear();
     for (auto &service : event.m_configuration.m_services) {
         m_services.insert(std::move(service.m_name));
--- a/src/host/requestrouterplacement.cpp
+++ b/src/host/requestrouterplacement.cpp
@@ -77,6 +77,7 @@
 {
     auto &request = exchange.m_request;
     requireInvariant(request.m_idempotent || !exchange.m_mayHaveRun, "non_idempotent_runs_once", request.m_id);
+    requireInvariant(target.accepts(turn.m_now), "no_request_to_a_leaving_worker", request.m_id);
     exchange.m_mayHaveRunBefore = exchange.m_mayHaveRun;
     exchange.m_mayHaveRun = true;
     attach(exchange, target);
--- a/src/link/httpserver.cpp
+++ b/src/link/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "burdockspur/link/httpserver.hpp"
 
+#include "burdockspur/core/invariant.hpp"
 #include "burdockspur/impl/deadlinesweep.hpp"
 #include "burdockspur/impl/httptext.hpp"
 #include "burdockspur/impl/inputbuffer.hpp"
@@ -469,6 +470,8 @@
         }
         if (connection->m_writeDeadline <= now) {
             logEvent(LogLevel::Info, "http_slow_reader_closed", {{"connection", connection->m_id}, {"unread_bytes", connection->m_socket->bytesToWrite()}});
+        } else if (connection->m_idleDeadline <= now) {
+            requireInvariant(connection->m_slots.empty(), "idle_connection_has_no_request", {});
         }
         close(connection);
     }
--- a/src/placement/interferencemodel.cpp
+++ b/src/placement/interferencemodel.cpp
@@ -146,7 +146,8 @@
     return ratio;
 }
 
-auto InterferenceModel::expectedRatio(std::string_view worker, std::string_view jobClass, double share, TimePoint now) const -> double
+template<typename Measure>
+auto InterferenceModel::worstOver(std::string_view worker, std::string_view jobClass, double share, TimePoint now, Measure measure) const -> double
 {
     const auto found = m_workers.find(worker);
     if (found == m_workers.end() || found->second.m_occupancy.empty()) {
@@ -155,28 +156,26 @@
     const auto known = m_classNames.find(jobClass);
     double worst = 0.0;
     for (const auto &there : found->second.m_services) {
-        const double effect = known == m_classNames.end() ? prior : valueOf(m_services[there.m_service], known->second, now);
-        const double ratio = ratioOf(there, found->second.m_occupancy.back().m_shares, now);
-        worst = std::max(worst, ratio + share * there.m_load * effect);
+        const Service &service = m_services[there.m_service];
+        const double effect = known == m_classNames.end() ? prior : valueOf(service, known->second, now);
+        const double ratio = ratioOf(there, found->second.m_occupancy.back().m_shares, now) + share * there.m_load * effect;
+        worst = std::max(worst, measure(service, ratio));
     }
     return worst;
 }
 
+auto InterferenceModel::expectedRatio(std::string_view worker, std::string_view jobClass, double share, TimePoint now) const -> double
+{
+    return worstOver(worker, jobClass, share, now, [](const Service & /*service*/, double ratio) {
+        return ratio;
+    });
+}
+
 auto InterferenceModel::expectedGrowth(std::string_view worker, std::string_view jobClass, double share, TimePoint now) const -> double
 {
-    const auto found = m_workers.find(worker);
-    if (found == m_workers.end() || found->second.m_occupancy.empty()) {
-        return 0.0;
-    }
-    const auto known = m_classNames.find(jobClass);
-    double worst = 0.0;
-    for (const auto &there : found->second.m_services) {
-        const Service &service = m_services[there.m_service];
-        const double effect = known == m_classNames.end() ? prior : valueOf(service, known->second, now);
-        const double ratio = ratioOf(there, found->second.m_occupancy.back().m_shares, now) + share * there.m_load * effect;
-        worst = service.m_base > 0.0 ? std::max(worst, ratio / service.m_base - 1.0) : worst;
-    }
-    return worst;
+    return worstOver(worker, jobClass, share, now, [](const Service &service, double ratio) {
+        return service.m_base > 0.0 ? ratio / service.m_base - 1.0 : 0.0;
+    });
 }
 
 auto InterferenceModel::effectOf(std::string_view service, std::string_view jobClass, TimePoint now) const -> double
--- a/src/shard/shardduty.cpp
+++ b/src/shard/shardduty.cpp
@@ -1,5 +1,6 @@
 #include "burdockspur/shard/shardduty.hpp"
 
+#include "burdockspur/core/invariant.hpp"
 #include "burdockspur/operations/log.hpp"
 
 #include <algorithm>
@@ -279,6 +280,7 @@
         logEvent(LogLevel::Error, "shard_count_changed", {{"shards", m_configuration->m_shards}, {"ignored", input.m_shards}});
         input.m_shards = m_configuration->m_shards;
     }
+    requireInvariant(!m_configuration || input.m_version >= m_configuration->m_version, "configuration_never_reverts", {});
     m_configuration = std::move(input);
     if (m_listing && m_shards.empty()) {
         HostListing listing = *m_listing;
--- a/src/shard/shardscheduler.cpp
+++ b/src/shard/shardscheduler.cpp
@@ -357,6 +357,7 @@
     Job &job = entry.m_record.m_job;
     requireInvariant(entry.m_phase == AttemptPhase::None && job.m_state == JobState::Queued, "one_current_attempt", job.m_id);
     requireInvariant(job.m_attempt >= entry.m_durableAttempt, "attempt_numbers_grow", job.m_id);
+    requireInvariant(!worker.isLeaving(), "no_assignment_to_a_leaving_worker", job.m_id);
     worker.reserve(job.m_id, job.m_spec.m_class, reserved, m_workers.reservation());
     m_queue.erase(entry.m_record);
     ++job.m_attempt;
