--- a/tests/shardschedulertest.cpp
+++ b/tests/shardschedulertest.cpp
@@ -248,6 +248,34 @@
     EXPECT_EQ(second[0].m_worker, first[0].m_worker);
 }
 
+// Guards against a start that is repeated on a restarted worker, where the same attempt would run a second time.
+TEST_F(ShardSchedulerTest, RestartOfTheWorkerStopsAStartWithoutAnAnswer)
+{
+    listWorkers(1);
+    submit("a");
+    run();
+    const auto starts = take<StartAttempt>();
+    ASSERT_EQ(starts.size(), 1U);
+    answerStart(starts.front(), StartResult::Status::Unknown);
+    LeaseReport report;
+    report.m_report = {.m_incarnation = "second", .m_number = 1};
+    while (take<RenewLease>().empty()) {
+        tick(Milliseconds(10));
+        ASSERT_LE(take<StartAttempt>().size(), 1U) << "no renewal is sent";
+    }
+    handle(LeaseAnswered{.m_shard = 0, .m_epoch = 1, .m_worker = "w0", .m_report = report});
+    EXPECT_EQ(take<StopAttempt>().size(), 1U);
+    for (int i = 0; i < 100; ++i) {
+        tick(Milliseconds(100));
+        EXPECT_TRUE(take<StartAttempt>().empty());
+    }
+    AttemptReport end;
+    end.m_attempt = starts.front().m_order.m_attempt;
+    end.m_state = AttemptState::NeverStarted;
+    handle(StopAnswered{.m_shard = 0, .m_epoch = 1, .m_worker = "w0", .m_attempt = end.m_attempt, .m_report = end});
+    EXPECT_EQ(job("a").m_state, JobState::Queued);
+}
+
 // Guards against a completion that is acknowledged to the worker before it is durable.
 TEST_F(ShardSchedulerTest, CompletionIsDurableBeforeItIsAcknowledged)
 {
