--- a/bench/policymain.cpp
+++ b/bench/policymain.cpp
@@ -94,6 +94,7 @@
         }));
     }
     std::vector<PolicyResult> results;
+    results.reserve(runs.size());
     for (auto &run : runs) {
         results.push_back(run.get());
     }
--- a/tests/keymapkeepertest.cpp
+++ b/tests/keymapkeepertest.cpp
@@ -14,13 +14,14 @@
 {
 using Kind = KeyMapChange::Kind;
 
-[[nodiscard]] auto listing(std::uint64_t generation, std::vector<std::string> workers, std::vector<std::string> entries) -> HostListing
+[[nodiscard]] auto listing(std::uint64_t generation, std::initializer_list<std::string_view> workers, std::initializer_list<std::string_view> entries)
+    -> HostListing
 {
     HostListing list{generation, {}};
-    for (const auto &name : workers) {
+    for (const auto name : workers) {
         list.m_hosts.emplace_back().m_name = name;
     }
-    for (const auto &name : entries) {
+    for (const auto name : entries) {
         auto &host = list.m_hosts.emplace_back();
         host.m_name = name;
         host.m_role = HostRole::Entry;
--- a/tests/longoutagetest.cpp
+++ b/tests/longoutagetest.cpp
@@ -289,7 +289,7 @@
     }
     ASSERT_TRUE(world.runUntil(
         [&] {
-            return world.runningTasks() == 3 * each;
+            return world.runningTasks() == std::size_t{3} * each;
         },
         Milliseconds(60'000)));
 
