Explain a job from the logs of all hosts

Cause: the way from the id of a failed job to its cause was a grep over the logs of all hosts, without the lines of workers, owners and the store that hold the cause, and finding the longest gap among some hundred lines was left to the reader.

Change: burdockspurctl explain ID reads log files or standard input, orders the lines by time, adds the context lines of the same time, and prints where the time went: back from the last end, each run and what it waited for.

--- a/include/burdockspur/operations/controloptions.hpp
+++ b/include/burdockspur/operations/controloptions.hpp
@@ -13,7 +13,7 @@
 {
 /// @brief Values of the flags of burdockspurctl.
 struct ControlOptions {
-    HttpEndpoint m_entry;
+    HttpEndpoint m_entry; ///< without a port when none was given
     std::string m_caller;
     std::string m_state;
     std::string m_key;
@@ -21,6 +21,7 @@
     std::string m_bodyFile;
     std::uint64_t m_expectedVersion = 0;
     std::vector<HttpEndpoint> m_moreEntries; ///< burn: further entry daemons
+    std::vector<std::string> m_logs; ///< explain: files with log lines
     std::string m_html; ///< burn: file for the page
     std::string m_after; ///< last job of the previous page
     std::uint32_t m_limit = 0;
--- a/include/burdockspur/operations/controlprogram.hpp
+++ b/include/burdockspur/operations/controlprogram.hpp
@@ -25,7 +25,7 @@
 /// @brief The commands of burdockspurctl, over the HTTP interface of an entry daemon.
 ///
 /// Lives in a thread with a Qt application; each call runs an event loop until the reply has come. Files
-/// and flags are validated before anything is sent.
+/// and flags are validated before anything is sent. `explain` reads logs and calls nobody.
 ///
 /// @code
 /// ControlProgram program(*options, std::cout, std::cerr);
@@ -68,6 +68,7 @@
     [[nodiscard]] auto sendRequest(std::string_view service) -> ControlExit;
     [[nodiscard]] auto showStatus(std::string_view argument) -> ControlExit;
     [[nodiscard]] auto showBurn(std::string_view argument) -> ControlExit;
+    [[nodiscard]] auto explainJob(std::string_view id) -> ControlExit;
     [[nodiscard]] auto fetchBurn(const HttpEndpoint &entry) -> std::expected<BurnReport, ControlExit>;
 
     [[nodiscard]] auto checkUsage(const Command &command, std::span<const std::string_view> arguments, const ProgramOptions &commandLine) -> ControlExit;
--- a/src/operations/controloptions.cpp
+++ b/src/operations/controloptions.cpp
@@ -16,6 +16,7 @@
 DEFINE_string(state, "", "state of the jobs listed");
 DEFINE_string(after, "", "last job of the previous page");
 DEFINE_string(more_entries, "", "further entry daemons");
+DEFINE_string(logs, "/dev/stdin", "files with log lines");
 DEFINE_string(html, "", "file for an HTML page");
 DEFINE_string(key, "", "idempotency key");
 DEFINE_string(body, "", "body of the request");
@@ -31,9 +32,9 @@
 {
 namespace
 {
-constexpr std::array<ProgramFlag, 16> flagTable{{
+constexpr std::array<ProgramFlag, 17> flagTable{{
     {"check", "", "check the command and its files, send nothing (0 valid, 2 not)"},
-    {"entry", "ADDRESS:PORT", "callers' port of any entry daemon; required"},
+    {"entry", "ADDRESS:PORT", "callers' port of any entry daemon; required by every command but explain"},
     {"json", "", "print the answer as JSON instead of tables"},
     {"toml", "", "config show: print the document as TOML, for config apply"},
     {"expected_version", "N", "version that the change is based on; another one is a conflict"},
@@ -42,6 +43,7 @@
     {"after", "ID", "jobs list: only jobs after this id, the last one of the previous page"},
     {"more_entries", "LIST", "burn: ADDRESS:PORT,... of further entry daemons whose counts are added"},
     {"html", "FILE", "burn: write an HTML page with plots"},
+    {"logs", "FILE,...", "explain: files with log lines of all hosts (default standard input)"},
     {"key", "KEY", "idempotency key of a job or request"},
     {"caller", "NAME", "caller of a job or request (default operator)"},
     {"body", "TEXT", "request: body"},
@@ -85,10 +87,7 @@
 
 auto ControlOptions::fromFlags() -> Result<ControlOptions>
 {
-    if (FLAGS_entry.empty()) {
-        return failure(ErrorCode::BadRequest, "no entry daemon, expected --entry ADDRESS:PORT");
-    }
-    auto entry = parseEndpoint(FLAGS_entry);
+    auto entry = FLAGS_entry.empty() ? Result<HttpEndpoint>(HttpEndpoint{}) : parseEndpoint(FLAGS_entry);
     if (!entry) {
         return wrongFlag("entry", FLAGS_entry, entry.error().m_message);
     }
@@ -108,6 +107,9 @@
         }
         options.m_moreEntries.push_back(std::move(*more));
     }
+    for (const auto part : std::views::split(FLAGS_logs, ',')) {
+        options.m_logs.emplace_back(std::string_view(part));
+    }
     options.m_html = FLAGS_html;
     options.m_entry = std::move(*entry);
     options.m_caller = FLAGS_caller;
--- a/src/operations/controlprogram.cpp
+++ b/src/operations/controlprogram.cpp
@@ -7,6 +7,7 @@
 #include "burdockspur/impl/tomljson.hpp"
 #include "burdockspur/operations/burnpage.hpp"
 #include "burdockspur/operations/configurationdocument.hpp"
+#include "burdockspur/operations/jobhistory.hpp"
 #include "burdockspur/operations/settingstable.hpp"
 
 #include <QEventLoop>
@@ -30,6 +31,7 @@
 constexpr std::array<std::string_view, 1> tomlFlag{"toml"};
 constexpr std::array<std::string_view, 1> callerFlag{"caller"};
 constexpr std::array<std::string_view, 3> listFlags{"state", "limit", "after"};
+constexpr std::array<std::string_view, 1> logsFlag{"logs"};
 constexpr std::array<std::string_view, 2> burnFlags{"more_entries", "html"};
 constexpr std::array<std::string_view, 6> requestFlags{"body", "body_file", "key", "caller", "idempotent", "deadline_ms"};
 // Flags that every command takes.
@@ -127,6 +129,7 @@
     Flags m_optional;
     std::string_view m_help;
     ControlExit (ControlProgram::*m_run)(std::string_view);
+    bool m_callsEntry = true; ///< needs --entry
 
     [[nodiscard]] auto usage() const -> std::string
     {
@@ -158,7 +161,7 @@
 
 auto ControlProgram::commands() -> std::span<const Command>
 {
-    static constexpr std::array<Command, 14> table{{
+    static constexpr std::array<Command, 15> table{{
         {"config", "show", "", {}, tomlFlag, "the configuration in force", &ControlProgram::showConfiguration},
         {"config", "init", "FILE", {}, {}, "store the first configuration", &ControlProgram::initConfiguration},
         {"config", "apply", "FILE", versionFlag, {}, "replace the configuration", &ControlProgram::applyConfiguration},
@@ -172,6 +175,7 @@
         {"jobs", "follow", "ID", {}, {}, "print each change of a job until it ends", &ControlProgram::followJob},
         {"request", "", "SERVICE", {}, requestFlags, "send a request to a service", &ControlProgram::sendRequest},
         {"burn", "", "", {}, burnFlags, "service levels of the last hour and what they were lost to", &ControlProgram::showBurn},
+        {"explain", "", "ID", {}, logsFlag, "the life of a job in the logs of all hosts, and where its time went", &ControlProgram::explainJob, false},
         {"status", "", "", {}, {}, "shards, owners and targets", &ControlProgram::showStatus},
     }};
     return table;
@@ -224,6 +228,9 @@
             return fail(ControlExit::BadInput, "flag --" + std::string(flag) + " is missing, expected: " + command.usage());
         }
     }
+    if (command.m_callsEntry && m_options.m_entry.m_port == 0) {
+        return fail(ControlExit::BadInput, "no entry daemon, expected --entry ADDRESS:PORT");
+    }
     for (const auto &flag : controlFlags()) {
         const bool isTaken = contains(generalFlags, flag.m_name) || contains(command.m_required, flag.m_name) || contains(command.m_optional, flag.m_name);
         if (commandLine.has(flag.m_name) && !isTaken) {
@@ -446,6 +453,28 @@
     return std::move(*report);
 }
 
+auto ControlProgram::explainJob(std::string_view id) -> ControlExit
+{
+    JobHistory history(id);
+    for (const auto &name : m_options.m_logs) {
+        std::ifstream logs(name);
+        if (!logs) {
+            return fail(ControlExit::BadInput, name + ": cannot be read, expected a file with log lines");
+        }
+        if (!m_isCheckOnly) {
+            history.read(logs);
+        }
+    }
+    if (m_isCheckOnly) {
+        return ControlExit::Success;
+    }
+    if (history.isEmpty()) {
+        return fail(ControlExit::Refused, "no log line names the job '" + std::string(id) + "', expected the logs of all hosts since its submission");
+    }
+    *m_out << history.report();
+    return ControlExit::Success;
+}
+
 auto ControlProgram::showStatus(std::string_view) -> ControlExit
 {
     return show(send({"GET", "/v1/status", "", {}}));
--- /dev/null
+++ b/src/operations/jobhistory.cpp
@@ -0,0 +1,193 @@
+#include "burdockspur/operations/jobhistory.hpp"
+
+#include <QDateTime>
+#include <QString>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <optional>
+#include <set>
+
+namespace Burdockspur
+{
+namespace
+{
+/// Events that may hold up any job.
+constexpr std::array<std::string_view, 13> hostEvents{"started",
+                                                      "drain_begun",
+                                                      "ended",
+                                                      "ownership_claim",
+                                                      "ownership_taken",
+                                                      "ownership_begun",
+                                                      "ownership_released",
+                                                      "ownership_fenced",
+                                                      "ownership_lost",
+                                                      "table_unreachable",
+                                                      "table_reachable",
+                                                      "commit_refused",
+                                                      "log_suppressed"};
+
+constexpr std::size_t lengthColumn = 8;
+
+[[nodiscard]] auto timeOf(const LogLine &line) -> std::int64_t
+{
+    const auto time = line.time();
+    return QDateTime::fromString(QString::fromUtf8(time.data(), static_cast<qsizetype>(time.size())), Qt::ISODateWithMs).toMSecsSinceEpoch();
+}
+
+[[nodiscard]] auto sorted(std::vector<const LogLine *> lines) -> std::vector<const LogLine *>
+{
+    std::ranges::stable_sort(lines, {}, &LogLine::time);
+    return lines;
+}
+}
+
+/// @brief One run of a task; times in Unix milliseconds.
+struct JobHistory::Run {
+    std::string_view m_task;
+    std::string_view m_number;
+    std::string_view m_worker;
+    std::string_view m_how; ///< of its end
+    std::int64_t m_assigned = 0;
+    std::optional<std::int64_t> m_started;
+    std::optional<std::int64_t> m_ended;
+};
+
+JobHistory::JobHistory(std::string_view job)
+    : m_job(job)
+{
+}
+
+auto JobHistory::read(std::istream &logs) -> void
+{
+    std::string text;
+    while (std::getline(logs, text)) {
+        auto line = LogLine::parse(text);
+        if (!line) {
+            continue;
+        }
+        if (line->value("job") == m_job || line->value("request") == m_job) {
+            m_lines.push_back(std::move(*line));
+        } else if (line->value("job").empty() && (!line->value("worker").empty() || std::ranges::find(hostEvents, line->event()) != hostEvents.end())) {
+            m_context.push_back(std::move(*line));
+        }
+    }
+}
+
+auto JobHistory::linesOfJob() const -> std::vector<const LogLine *>
+{
+    std::vector<const LogLine *> lines;
+    lines.reserve(m_lines.size());
+    for (const auto &line : m_lines) {
+        lines.push_back(&line);
+    }
+    return sorted(std::move(lines));
+}
+
+auto JobHistory::lines() const -> std::vector<const LogLine *>
+{
+    auto lines = linesOfJob();
+    if (lines.empty()) {
+        return lines;
+    }
+    std::set<std::string_view> workers;
+    for (const auto *const line : lines) {
+        workers.insert(line->value("worker"));
+    }
+    const auto first = lines.front()->time();
+    const auto last = lines.back()->time();
+    for (const auto &line : m_context) {
+        const auto worker = line.value("worker");
+        const bool concerns = worker.empty() || workers.contains(worker);
+        if (concerns && line.time() >= first && line.time() <= last) {
+            lines.push_back(&line);
+        }
+    }
+    return sorted(std::move(lines));
+}
+
+auto JobHistory::runs() const -> std::vector<Run>
+{
+    std::vector<Run> runs;
+    const auto openRun = [&runs](const LogLine &line) -> Run * {
+        const auto run = std::ranges::find_if(runs, [&line](const Run &other) {
+            return other.m_task == line.value("task") && other.m_number == line.value("run");
+        });
+        return run == runs.end() || run->m_ended ? nullptr : &*run;
+    };
+    for (const auto *const line : linesOfJob()) {
+        const auto event = line->event();
+        if (event == "task_assigned") {
+            runs.push_back({line->value("task"), line->value("run"), line->value("worker"), {}, timeOf(*line), {}, {}});
+        } else if (auto *const run = openRun(*line); run == nullptr) {
+            continue;
+        } else if (event == "start_answered" && line->value("outcome") == "accepted") {
+            run->m_started = timeOf(*line);
+        } else if (event == "run_ended") {
+            run->m_ended = timeOf(*line);
+            run->m_how = line->value("how");
+        } else if (event == "run_lost" || event == "run_returned") {
+            run->m_ended = timeOf(*line);
+            run->m_how = line->value("reason");
+        }
+    }
+    return runs;
+}
+
+auto JobHistory::criticalPath() const -> std::vector<Segment>
+{
+    const auto all = runs();
+    const auto lastBefore = [&all](std::int64_t time, std::string_view task) -> const Run * {
+        const Run *latest = nullptr;
+        for (const auto &run : all) {
+            const bool isEarlier = run.m_ended && *run.m_ended <= time && (task.empty() || run.m_task == task);
+            if (isEarlier && (latest == nullptr || *run.m_ended >= *latest->m_ended)) {
+                latest = &run;
+            }
+        }
+        return latest;
+    };
+    const auto lines = linesOfJob();
+    const auto seen = std::ranges::find(lines, "job_seen", &LogLine::event);
+    std::vector<Segment> path;
+    std::set<const Run *> used;
+    const Run *run = lastBefore(std::numeric_limits<std::int64_t>::max(), {});
+    while (run != nullptr && used.insert(run).second) {
+        const auto started = run->m_started.value_or(run->m_assigned);
+        const auto number = "run " + std::string(run->m_number);
+        const auto worker = std::string(run->m_worker);
+        path.push_back({std::string(run->m_task), number + " on " + worker + " ended " + std::string(run->m_how), Milliseconds(*run->m_ended - started)});
+        path.push_back({std::string(run->m_task), "order of " + number + " to " + worker, Milliseconds(started - run->m_assigned)});
+        // A task that ran before waits since that run; any other since the end that made it ready.
+        const Run *previous = lastBefore(run->m_assigned, run->m_task);
+        previous = previous == nullptr ? lastBefore(run->m_assigned, {}) : previous;
+        if (previous != nullptr || seen != lines.end()) {
+            const auto since = previous != nullptr ? *previous->m_ended : timeOf(**seen);
+            path.push_back({std::string(run->m_task), "wait for a worker", Milliseconds(run->m_assigned - since)});
+        }
+        run = previous;
+    }
+    std::ranges::reverse(path);
+    return path;
+}
+
+auto JobHistory::report() const -> std::string
+{
+    std::string text;
+    for (const auto *const line : lines()) {
+        text.append(line->text()).append("\n");
+    }
+    const auto path = criticalPath();
+    if (path.empty()) {
+        return text + "no run of the job has ended\n";
+    }
+    text.append("where the time went:\n");
+    for (const auto &segment : path) {
+        const auto length = std::to_string(segment.m_length.count());
+        text.append(lengthColumn - std::min(lengthColumn, length.size()), ' ');
+        text.append(length).append(" ms  ").append(segment.m_task).append("  ").append(segment.m_what).append("\n");
+    }
+    return text;
+}
+}
--- a/tests/ctltest.cpp
+++ b/tests/ctltest.cpp
@@ -305,3 +305,20 @@
     expectBadInput({"config", "init", file("wrong.toml", "shards = 0\n"), "--check"}, "shards: found 0");
     expectBadInput({"jobs", "list", "--limit", "0", "--check"}, "flag --limit");
 }
+
+// Explaining a failure needs no daemon, and several logs are read as one.
+TEST_F(CtlTest, ExplainReadsTheLogsOfAllHosts)
+{
+    const auto first = file("a.log", "ts=2026-08-10T00:00:02.000Z event=task_assigned job=j1 task=j1.0.0.0 run=1 worker=w1\n");
+    const auto second = file("b.log", "ts=2026-08-10T00:00:01.000Z event=job_seen job=j1\nts=2026-08-10T00:00:01.000Z event=job_seen job=j2\n");
+    const gflags::FlagSaver saver;
+    EXPECT_EQ(runWords({"burdockspurctl", "explain", "j1", "--logs", first + "," + second}), 0) << m_err.str();
+    EXPECT_TRUE(m_out.str().starts_with("ts=2026-08-10T00:00:01.000Z event=job_seen job=j1\nts=2026-08-10T00:00:02.000Z event=task_assigned")) << m_out.str();
+    EXPECT_EQ(m_out.str().find("j2"), std::string::npos);
+
+    EXPECT_EQ(runWords({"burdockspurctl", "explain", "j3", "--logs", first}), 1);
+    EXPECT_EQ(m_err.str(), "burdockspurctl: no log line names the job 'j3', expected the logs of all hosts since its submission\n");
+    EXPECT_EQ(runWords({"burdockspurctl", "explain", "j1", "--logs", first + ".missing"}), 2);
+    EXPECT_NE(m_err.str().find("cannot be read"), std::string::npos);
+    EXPECT_EQ(runWords({"burdockspurctl", "explain"}), 2);
+}
