Decide by kept room of workers and over active jobs only

Cause: each waiting task looked at every worker, and for each of them built the task's name, looked it up, summed the declared processors of all runs and predicted the headroom of every serving task. Five loops of each decision went over all known jobs, of which most are final and kept for 150 s only to answer for their state.

Ruled out: an index of workers by free room; with the sums kept a walk over 1,000 workers is short, and the index would have to follow each report.

Change: FleetWorker keeps the sums of declared processors; PaceController keeps with each worker what its serving tasks can bear, by image, until its runs change, a report comes or 100 ms have passed; names are looked up last; tasks that wait carry no copy of their id; decisions walk over active jobs, those that are not both final and stored; weights of pairs of images are found by index.

--- a/bench/capacitymain.cpp
+++ b/bench/capacitymain.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <vector>
 
+DEFINE_string(only, "", "measure only costs whose name contains this");
 DEFINE_uint32(repetitions, 5, "measurements of each point; the median counts");
 
 namespace
@@ -41,9 +42,11 @@
     gflags::SetUsageMessage("measures what control costs at several sizes and fits a line");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::cout << "| cost | unit | measured (size: value) | slope | at size 0 | residual |\n|---|---|---|---|---|---|\n";
-    for (const auto table : {routerCosts(), shardCosts()}) {
+    for (const auto table : {routerCosts(), shardCosts(), fleetCosts()}) {
         for (const MeasuredCost &cost : table) {
-            printRow(cost);
+            if (cost.m_name.find(FLAGS_only) != std::string_view::npos) {
+                printRow(cost);
+            }
         }
     }
     return 0;
--- a/bench/measuredcost.hpp
+++ b/bench/measuredcost.hpp
@@ -19,4 +19,7 @@
 
 /// @brief Costs of a shard owner.
 [[nodiscard]] auto shardCosts() noexcept -> std::span<const MeasuredCost>;
+
+/// @brief Costs of the owner of a fleet.
+[[nodiscard]] auto fleetCosts() noexcept -> std::span<const MeasuredCost>;
 }
--- /dev/null
+++ b/bench/promptfleet.cpp
@@ -0,0 +1,282 @@
+#include "promptfleet.hpp"
+
+#include "resourceusage.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+#include <utility>
+
+namespace Burdockspur::Bench
+{
+namespace
+{
+constexpr Milliseconds tickLength{10};
+constexpr double ticksPerSecond = 100.0;
+constexpr FleetScheduler::WallTime wallNow{Milliseconds{1'800'000'000'000}};
+constexpr std::int64_t workerCpu = 16'000;
+constexpr std::int64_t workerMemory = 64'000;
+constexpr std::size_t workersPerRack = 8;
+constexpr std::uint32_t servingTasks = 6;
+constexpr std::int64_t servingCpu = 3'200;
+constexpr int images = 5;
+constexpr Milliseconds tailTarget{50};
+/// Headroom of a serving task without neighbours, how far its load moves that, and what a full worker of filling tasks takes.
+constexpr double freeHeadroom = 2.2;
+constexpr double headroomSwing = 0.4;
+constexpr double swingSeconds = 14.0;
+constexpr double pressure = 3.0;
+constexpr double allPercent = 100.0;
+
+[[nodiscard]] auto pacedLoad(const TaskStep &step, int pace) noexcept -> double
+{
+    return static_cast<double>(step.m_demand.m_cpuMillis) * pace / allPercent;
+}
+}
+
+struct PromptFleet::Run {
+    TaskId m_task;
+    RunNumber m_number = 0;
+    const TaskStep *m_step = nullptr;
+    double m_percent = 0;
+    int m_pace = 100;
+};
+
+struct PromptFleet::Worker {
+    WorkerRecord m_record;
+    std::map<std::string, Run> m_runs;
+    std::vector<EndedTask> m_ended;
+    std::uint64_t m_sequence = 0;
+    bool m_isAsked = false;
+    ReportOrder m_order;
+    TimePoint m_askedAt;
+};
+
+PromptFleet::PromptFleet(std::size_t workers, const PromptLoad &load)
+    : m_scheduler(FleetLimits{})
+    , m_load(load)
+    , m_now(TimePoint{} + std::chrono::hours(1))
+{
+    m_scheduler.begin(1, {}, m_now, wallNow);
+    std::vector<WorkerRecord> records;
+    for (std::size_t i = 0; i < workers; ++i) {
+        auto worker = std::make_unique<Worker>();
+        auto &record = worker->m_record;
+        record.m_id = "worker-" + std::to_string(i);
+        record.m_pool = "pool";
+        record.m_endpoint = {"10.0.0.1", static_cast<std::uint16_t>(i + 1)};
+        record.m_rack = "rack-" + std::to_string(i / workersPerRack);
+        record.m_labels = {record.m_rack};
+        record.m_capacity = {workerCpu, workerMemory, 0};
+        record.m_incarnation = 1;
+        records.push_back(record);
+        m_workers.push_back(std::move(worker));
+    }
+    m_scheduler.updateWorkers(records, {}, m_now);
+    const double reserved = m_load.m_servingShare * static_cast<double>(workers) * workerCpu;
+    submitServing(static_cast<std::size_t>(reserved / (servingTasks * servingCpu)));
+}
+
+PromptFleet::~PromptFleet() = default;
+
+auto PromptFleet::run(Milliseconds length) -> void
+{
+    for (const TimePoint end = m_now + length; m_now < end;) {
+        tick();
+    }
+}
+
+auto PromptFleet::tick() -> void
+{
+    m_now += tickLength;
+    submitDue();
+    endDueRuns();
+    answerReports();
+    const auto answers = std::exchange(m_answers, {});
+    const auto commits = std::exchange(m_commits, {});
+    const double begin = threadCpuNanoseconds();
+    for (const auto &answer : answers) {
+        std::visit(
+            [this](const auto &taken) {
+                m_scheduler.take(taken, m_now);
+            },
+            answer);
+    }
+    for (const auto &commit : commits) {
+        m_scheduler.take(commit, m_now);
+    }
+    static_cast<void>(m_scheduler.advance(m_now, wallNow));
+    const auto commands = m_scheduler.takeCommands();
+    m_nanoseconds += threadCpuNanoseconds() - begin;
+    for (const auto &command : commands) {
+        std::visit(
+            [this](const auto &order) {
+                carryOut(order);
+            },
+            command);
+    }
+}
+
+auto PromptFleet::submitDue() -> void
+{
+    const auto workers = static_cast<double>(m_workers.size());
+    m_shortDue += m_load.m_shortJobs * workers / ticksPerSecond;
+    m_fillsDue += m_load.m_fillJobs * workers / ticksPerSecond;
+    for (; m_shortDue >= 1; m_shortDue -= 1) {
+        submit(false);
+    }
+    for (; m_fillsDue >= 1; m_fillsDue -= 1) {
+        submit(true);
+    }
+}
+
+auto PromptFleet::submit(bool fills) -> void
+{
+    TaskJob job;
+    job.m_id = "job-" + std::to_string(++m_submitted);
+    job.m_policy = {.m_name = fills ? "fills" : "short",
+                    .m_host = {},
+                    .m_prefix = {},
+                    .m_pool = "pool",
+                    .m_priority = fills ? 2U : 0U,
+                    .m_maxAttempts = 3,
+                    .m_stretch = 2.0};
+    const std::uint32_t steps = fills ? 2 : 1 + static_cast<std::uint32_t>(m_submitted % 2);
+    for (std::uint32_t i = 0; i < steps; ++i) {
+        TaskStep step;
+        step.m_count = fills ? 8 : 6;
+        step.m_demand = fills ? Resources{1'800, 3'200, 0} : Resources{1'600, 3'200, 0};
+        step.m_estimate = fills ? Milliseconds{1'700} : Milliseconds{800};
+        step.m_image = (fills ? "fill-" : "short-") + std::to_string(m_submitted % images);
+        step.m_fills = fills;
+        if (i > 0) {
+            step.m_after = {i - 1};
+        }
+        job.m_steps.push_back(std::move(step));
+    }
+    m_jobs.emplace(job.m_id, job.m_steps);
+    const double begin = threadCpuNanoseconds();
+    m_scheduler.addJob(std::move(job), m_now, wallNow);
+    m_nanoseconds += threadCpuNanoseconds() - begin;
+}
+
+auto PromptFleet::submitServing(std::size_t jobs) -> void
+{
+    for (std::size_t i = 0; i < jobs; ++i) {
+        TaskJob job;
+        job.m_id = "serving-" + std::to_string(i);
+        job.m_policy = {.m_name = "serving", .m_host = {}, .m_prefix = {}, .m_pool = "pool", .m_priority = 0, .m_maxAttempts = 3, .m_stretch = 2.0};
+        TaskStep step;
+        step.m_count = servingTasks;
+        step.m_demand = {servingCpu, 6'400, 0};
+        step.m_image = "serving-" + std::to_string(i % images);
+        step.m_isServing = true;
+        step.m_tailTarget = tailTarget;
+        job.m_steps.push_back(std::move(step));
+        m_jobs.emplace(job.m_id, job.m_steps);
+        m_scheduler.addJob(std::move(job), m_now, wallNow);
+    }
+}
+
+auto PromptFleet::endDueRuns() -> void
+{
+    for (const auto &worker : m_workers) {
+        for (auto &[name, run] : worker->m_runs) {
+            if (!run.m_step->m_isServing) {
+                run.m_percent += run.m_pace * static_cast<double>(tickLength.count()) / static_cast<double>(run.m_step->m_estimate.count());
+            }
+        }
+        std::erase_if(worker->m_runs, [&worker](const auto &entry) {
+            const Run &run = entry.second;
+            const bool isDone = run.m_percent >= allPercent;
+            if (isDone) {
+                worker->m_ended.push_back({++worker->m_sequence, run.m_task, run.m_number, RunEnd::Done, {}});
+            }
+            return isDone;
+        });
+    }
+}
+
+auto PromptFleet::answerReports() -> void
+{
+    for (const auto &worker : m_workers) {
+        const bool hasNews = !worker->m_ended.empty() && worker->m_ended.back().m_sequence > worker->m_order.m_ackedEnd;
+        if (worker->m_isAsked && (hasNews || m_now - worker->m_askedAt >= worker->m_order.m_wait)) {
+            worker->m_isAsked = false;
+            m_answers.emplace_back(reportOf(*worker));
+        }
+    }
+}
+
+auto PromptFleet::reportOf(Worker &worker) -> ReportAnswer
+{
+    std::erase_if(worker.m_ended, [&worker](const EndedTask &end) {
+        return end.m_sequence <= worker.m_order.m_ackedEnd;
+    });
+    ReportAnswer answer{worker.m_order.m_address, OrderOutcome::Accepted, {}, worker.m_askedAt, m_now};
+    answer.m_report.m_incarnation = worker.m_record.m_incarnation;
+    answer.m_report.m_clock = std::chrono::duration_cast<Milliseconds>(m_now - TimePoint{});
+    answer.m_report.m_ended = worker.m_ended;
+    double fillUse = 0;
+    for (const auto &[name, run] : worker.m_runs) {
+        fillUse += run.m_step->m_fills ? pacedLoad(*run.m_step, run.m_pace) / workerCpu : 0.0;
+    }
+    const double phase = std::chrono::duration<double>(m_now - TimePoint{}).count() * 2 * std::numbers::pi / swingSeconds;
+    const double headroom = std::max(0.3, freeHeadroom + headroomSwing * std::sin(phase) - pressure * fillUse);
+    for (const auto &[name, run] : worker.m_runs) {
+        const bool isServing = run.m_step->m_isServing;
+        const double load = isServing ? static_cast<double>(tailTarget.count()) / headroom : pacedLoad(*run.m_step, run.m_pace);
+        answer.m_report.m_running.push_back({run.m_task, run.m_number, {}, isServing ? allPercent : run.m_percent, load});
+    }
+    return answer;
+}
+
+auto PromptFleet::carryOut(const ReportOrder &order) -> void
+{
+    auto &worker = workerAt(order.m_address);
+    worker.m_isAsked = true;
+    worker.m_order = order;
+    worker.m_askedAt = m_now;
+}
+
+auto PromptFleet::carryOut(const RunStartOrder &order) -> void
+{
+    ++m_starts;
+    auto &worker = workerAt(order.m_address);
+    worker.m_runs.insert_or_assign(order.m_task.text(), Run{order.m_task, order.m_run, &stepOf(order.m_task)});
+    m_answers.emplace_back(StartAnswer{order.m_address, order.m_task, order.m_run, OrderOutcome::Accepted, {}});
+}
+
+auto PromptFleet::carryOut(const RunStopOrder &order) -> void
+{
+    auto &worker = workerAt(order.m_address);
+    if (worker.m_runs.erase(order.m_task.text()) > 0) {
+        worker.m_ended.push_back({++worker.m_sequence, order.m_task, order.m_run, RunEnd::Stopped, {}});
+    }
+    m_answers.emplace_back(StopAnswer{order.m_address, order.m_task, order.m_run, OrderOutcome::Accepted});
+}
+
+auto PromptFleet::carryOut(const RunPaceOrder &order) -> void
+{
+    auto &worker = workerAt(order.m_address);
+    if (const auto run = worker.m_runs.find(order.m_task.text()); run != worker.m_runs.end()) {
+        run->second.m_pace = order.m_percent;
+    }
+    m_answers.emplace_back(PaceAnswer{order.m_address, order.m_task, order.m_run, order.m_percent, OrderOutcome::Accepted});
+}
+
+auto PromptFleet::carryOut(const CommitOrder &order) -> void
+{
+    m_commits.push_back({order.m_number, order.m_epoch, true});
+}
+
+auto PromptFleet::workerAt(const WorkerAddress &address) noexcept -> Worker &
+{
+    return *m_workers[address.m_endpoint.m_port - 1U];
+}
+
+auto PromptFleet::stepOf(const TaskId &task) const -> const TaskStep &
+{
+    return m_jobs.find(task.m_job)->second[task.m_step];
+}
+}
--- a/include/burdockspur/fleet/fleetjob.hpp
+++ b/include/burdockspur/fleet/fleetjob.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -44,6 +45,18 @@
         return m_progress;
     }
 
+    /// @brief Occurrences that have begun and are not over.
+    [[nodiscard]] auto openOccurrences() noexcept -> std::span<OccurrenceProgress>
+    {
+        return m_progress.m_open;
+    }
+
+    /// @brief True when nothing more will happen to the job: it is final, no task of it is open, and that is stored or being stored.
+    [[nodiscard]] auto isSettled() const noexcept -> bool
+    {
+        return isFinal(m_progress.m_phase) && m_progress.m_open.empty() && !m_dirty;
+    }
+
     /// @brief Takes the progress that a previous owner has stored.
     /// @returns false when it does not fit the job's steps; the progress stays as it was
     [[nodiscard]] auto restore(JobProgress &&progress) -> bool;
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -125,6 +125,9 @@
     auto wantStops(const FleetJob &job) -> void;
     auto beginDueOccurrences(TimePoint now, WallTime wallNow) -> TimePoint;
     auto forgetOldJobs(TimePoint now) -> void;
+
+    /// @brief Leaves out of further decisions what is final and stored; it stays known until it is forgotten.
+    auto settleJobs() -> void;
     [[nodiscard]] auto policyOf(const FleetJob &job) const noexcept -> const JobQueuePolicy &;
 
     // Workers
@@ -167,6 +170,7 @@
     TimePoint m_storeConfirmedAt; ///< when the last stored commit was sent
     std::shared_ptr<const FleetConfiguration> m_configuration;
     std::map<std::string, std::unique_ptr<FleetJob>, std::less<>> m_jobs;
+    std::map<std::string_view, FleetJob *> m_activeJobs; ///< those that are not settled, by id
     WorkerMap m_workers;
     PaceController m_paces; ///< kept over ownerships: what it has learned stays true
     std::map<std::string, double, std::less<>> m_meanWork; ///< core seconds of a job, by queue
--- a/include/burdockspur/fleet/fleetworker.hpp
+++ b/include/burdockspur/fleet/fleetworker.hpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/contract/runreport.hpp"
 #include "burdockspur/contract/workerrecord.hpp"
+#include "burdockspur/fleet/servingroom.hpp"
 #include "burdockspur/fleet/taskrun.hpp"
 #include "burdockspur/fleet/workerhealth.hpp"
 #include "burdockspur/fleet/workerlife.hpp"
@@ -10,6 +11,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Burdockspur
 {
@@ -38,6 +40,8 @@
     bool m_reportInFlight = false;
     TimePoint m_reportDue; ///< when to ask again
     TimePoint m_heardAt; ///< last report
+    std::vector<ServingRoom> m_servingRooms; ///< kept from one decision to the next, see PaceController::fitOf()
+    TimePoint m_roomsAt; ///< when they were computed; the epoch once the runs have changed
     bool m_hasForeignRuns = false; ///< runs something that no job explains; until it is gone, nothing is added
 
     /// @brief Adds a run and reserves its room.
@@ -67,5 +71,7 @@
 
 private:
     Resources m_reserved;
+    std::int64_t m_servingCpu = 0; ///< declared by the serving runs
+    std::int64_t m_otherCpu = 0; ///< declared by all others
 };
 }
--- a/include/burdockspur/fleet/pacecontroller.hpp
+++ b/include/burdockspur/fleet/pacecontroller.hpp
@@ -5,6 +5,7 @@
 #include "burdockspur/fleet/fleetjob.hpp"
 #include "burdockspur/fleet/pressuremodel.hpp"
 
+#include <cstdint>
 #include <span>
 #include <vector>
 
@@ -12,7 +13,6 @@
 {
 class FleetWorker;
 struct TaskRun;
-struct TaskStep;
 
 /// @brief A pace that a filling task should have.
 struct PacePlan {
@@ -36,9 +36,13 @@
     [[nodiscard]] auto plan(FleetWorker &worker, TimePoint now) const -> std::vector<PacePlan>;
 
     /// @brief How a further filling task would fit.
+    ///
+    /// What the worker's serving tasks can bear is kept with the worker for some time, because a decision looks at every
+    /// worker for each task that waits.
     /// @param worker that would run it
-    /// @param step of the filling task
-    [[nodiscard]] auto fitOf(const FleetWorker &worker, const TaskStep &step, TimePoint now) -> FillFit;
+    /// @param image of the filling task
+    /// @param cpuMillis that the task declares, in thousandths of a core
+    [[nodiscard]] auto fitOf(FleetWorker &worker, ImageId image, std::int64_t cpuMillis, TimePoint now) const -> FillFit;
 
     /// @brief Tells how much filling work waits: without a backlog, serving tasks are given more room.
     /// @param share processors that waiting filling tasks ask for, as a share of all processors
@@ -56,6 +60,9 @@
     /// Compares a sample of a job with that of another worker, and keeps it for the next comparison.
     auto compare(FleetJob &job, ImageId image, FleetJob::HeadroomSample &&sample) -> void;
 
+    /// Computes what the serving tasks of a worker can bear.
+    auto updateRooms(FleetWorker &worker, TimePoint now) const -> void;
+
     /// Headroom that a serving task is expected to have without filling neighbours.
     [[nodiscard]] auto freeHeadroom(const TaskRun &run, TimePoint when) const noexcept -> double;
 
--- a/include/burdockspur/fleet/pressuremodel.hpp
+++ b/include/burdockspur/fleet/pressuremodel.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -61,6 +62,7 @@
 private:
     /// A Kalman filter of the weights of all filling images on one serving image.
     struct Victim {
+        bool m_isKnown = false; ///< something has pressed on it
         std::vector<double> m_weights; ///< by index of the filling image
         std::vector<double> m_covariance; ///< square, row by row
     };
@@ -72,7 +74,7 @@
     std::map<std::string, ImageId, std::less<>> m_ids;
     std::vector<std::string> m_names; ///< by id
     std::vector<ImageId> m_fills; ///< filling images by index
-    std::map<ImageId, std::size_t> m_indexes; ///< of filling images
-    std::map<ImageId, Victim> m_victims;
+    std::vector<std::optional<std::size_t>> m_indexes; ///< of filling images, by id
+    std::vector<Victim> m_victims; ///< by id
 };
 }
--- a/include/burdockspur/impl/fleetschedulerparts.hpp
+++ b/include/burdockspur/impl/fleetschedulerparts.hpp
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -24,17 +25,25 @@
 /// @brief A task that may start as soon as there is room.
 struct FleetScheduler::WaitingTask {
     FleetJob *m_job = nullptr;
-    TaskId m_id;
+    std::uint32_t m_occurrence = 0;
+    std::uint32_t m_stepNumber = 0;
+    std::uint32_t m_index = 0;
     TaskProgress *m_progress = nullptr;
     const TaskStep *m_step = nullptr;
     const JobQueuePolicy *m_policy = nullptr;
 
     JobRank m_rank;
 
+    /// Built when it is needed, because a backlog has thousands of tasks of which few start.
+    [[nodiscard]] auto id() const -> TaskId
+    {
+        return {m_job->job().m_id, m_occurrence, m_stepNumber, m_index};
+    }
+
     /// Tasks of one step stand together.
     [[nodiscard]] auto order() const noexcept
     {
-        return std::tuple(m_rank, m_job, m_id.m_occurrence, m_id.m_step, m_id.m_index);
+        return std::tuple(m_rank, std::string_view(m_job->job().m_id), m_occurrence, m_stepNumber, m_index);
     }
 };
 
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -31,6 +31,7 @@
             continue;
         }
         auto &entry = *m_jobs.insert_or_assign(job->job().m_id, std::move(job)).first->second;
+        m_activeJobs.emplace(entry.job().m_id, &entry);
         restoreRuns(entry, now);
         if (stored.m_isCancelled) {
             entry.setPhase(JobPhase::Cancelled);
@@ -46,6 +47,7 @@
 auto FleetScheduler::resign() -> void
 {
     m_epoch = 0;
+    m_activeJobs.clear();
     m_jobs.clear();
     m_workers.clear();
     m_servingWaits.clear();
@@ -118,7 +120,8 @@
     logEvent(LogLevel::Info,
              "job_seen",
              {{"job", id}, {"queue", job.m_policy.m_name}, {"steps", job.m_steps.size()}, {"waiting", m_waitingCount}, {"epoch", m_epoch}});
-    const auto &added = *m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(job), now, wallNow)).first->second;
+    auto &added = *m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(job), now, wallNow)).first->second;
+    m_activeJobs.emplace(added.job().m_id, &added);
     /// Share of a new job in the running mean of its queue.
     constexpr double meanRate = 0.05;
     const auto mean = m_meanWork.try_emplace(added.job().m_policy.m_name, added.wholeWork()).first;
@@ -194,7 +197,7 @@
     /// The wall clock may jump, so a due time is looked at again after this time at the latest.
     constexpr Milliseconds longestSleep{1'000};
     TimePoint next = now + longestSleep;
-    for (const auto &[id, job] : m_jobs) {
+    for (const auto &[id, job] : m_activeJobs) {
         if (job->beginDue(wallNow)) {
             m_mustPlace = true;
         }
@@ -226,11 +229,19 @@
             break;
         }
         m_deletes.insert({jobKey(id), cancelKey(id), progressKey(id)});
+        m_activeJobs.erase(id);
         m_jobs.erase(entry);
     }
     m_finished.erase(m_finished.begin(), m_finished.begin() + static_cast<std::ptrdiff_t>(old));
 }
 
+auto FleetScheduler::settleJobs() -> void
+{
+    std::erase_if(m_activeJobs, [](const auto &entry) {
+        return entry.second->isSettled();
+    });
+}
+
 auto FleetScheduler::advance(TimePoint now, WallTime wallNow) -> TimePoint
 {
     if (!isOwner()) {
@@ -238,6 +249,7 @@
     }
     TimePoint next = beginDueOccurrences(now, wallNow);
     forgetOldJobs(now);
+    settleJobs();
     for (auto &[id, worker] : m_workers) {
         leaveWorker(worker, now);
         next = std::min(next, stopRuns(worker, now));
@@ -262,7 +274,7 @@
 auto FleetScheduler::pendingByQueue() const -> std::map<std::string, std::uint32_t>
 {
     std::map<std::string, std::uint32_t> pending;
-    for (const auto &[id, job] : m_jobs) {
+    for (const auto &[id, job] : m_activeJobs) {
         if (!isFinal(job->progress().m_phase) && !job->hasBegun() && job->job().m_repeats == 0) {
             ++pending[job->job().m_policy.m_name];
         }
@@ -275,7 +287,7 @@
     const bool hasUnackedEnds = std::ranges::any_of(m_workers, [](const auto &entry) {
         return entry.second.m_seenEnd > entry.second.m_durableEnd;
     });
-    const bool hasDirtyJobs = std::ranges::any_of(m_jobs, [](const auto &entry) {
+    const bool hasDirtyJobs = std::ranges::any_of(m_activeJobs, [](const auto &entry) {
         return entry.second->isDirty();
     });
     return hasUnackedEnds || hasDirtyJobs || !m_deletes.empty();
@@ -286,7 +298,7 @@
 {
     std::size_t bytes = 0;
     bool isWhole = true;
-    for (const auto &[id, job] : m_jobs) {
+    for (const auto &[id, job] : m_activeJobs) {
         if (!job->isDirty()) {
             continue;
         }
@@ -297,7 +309,7 @@
         static_cast<void>(job->takeDirty());
         order.m_puts.push_back({progressKey(id), encodeRow(job->progress())});
         bytes += order.m_puts.back().m_value.size();
-        commit.m_jobs.push_back(id);
+        commit.m_jobs.emplace_back(id);
     }
     for (auto entry = m_deletes.begin(); entry != m_deletes.end() && order.m_puts.size() + order.m_deletes.size() < m_limits.m_rowsPerCommit;) {
         order.m_deletes.push_back(*entry);
@@ -364,6 +376,7 @@
         for (const auto &id : commit->m_jobs) {
             if (const auto job = m_jobs.find(id); job != m_jobs.end()) {
                 job->second->touch();
+                m_activeJobs.emplace(job->second->job().m_id, job->second.get());
             }
         }
         m_deletes.insert(commit->m_deletes.begin(), commit->m_deletes.end());
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -77,7 +77,7 @@
 {
     std::vector<WaitingTask> waiting;
     std::map<std::string, TimePoint> servingWaits;
-    for (auto &[id, job] : m_jobs) {
+    for (auto &[id, job] : m_activeJobs) {
         if (isFinal(job->progress().m_phase)) {
             continue;
         }
@@ -87,23 +87,23 @@
             continue;
         }
         const auto rank = rankOf(*job, policy, now);
-        for (const auto &occurrence : job->progress().m_open) {
+        for (auto &occurrence : job->openOccurrences()) {
             for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
                 if (!job->isReady(occurrence, step)) {
                     continue;
                 }
-                const auto &tasks = occurrence.m_steps[step].m_tasks;
+                auto &tasks = occurrence.m_steps[step].m_tasks;
                 for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                    if (tasks[index].m_phase == TaskPhase::Waiting) {
-                        const TaskId name{id, occurrence.m_number, step, index};
-                        auto taskRank = rank;
-                        if (rank.m_yields) {
-                            const auto known = m_servingWaits.find(name.text());
-                            const TimePoint since = known == m_servingWaits.end() ? now : known->second;
-                            servingWaits.emplace(name.text(), since);
-                            taskRank.m_yields = now - since < m_limits.m_servingPatience;
-                        }
-                        waiting.push_back({job.get(), name, job->task(name), &job->job().m_steps[step], &policy, taskRank});
+                    if (tasks[index].m_phase != TaskPhase::Waiting) {
+                        continue;
+                    }
+                    auto &task = waiting.emplace_back(job, occurrence.m_number, step, index, &tasks[index], &job->job().m_steps[step], &policy, rank);
+                    if (rank.m_yields) {
+                        const auto name = task.id().text();
+                        const auto known = m_servingWaits.find(name);
+                        const TimePoint since = known == m_servingWaits.end() ? now : known->second;
+                        servingWaits.emplace(name, since);
+                        task.m_rank.m_yields = now - since < m_limits.m_servingPatience;
                     }
                 }
             }
@@ -123,7 +123,7 @@
         const auto &task = waiting[i];
         if (task.m_step->m_isGang) {
             const auto isMember = [&](const WaitingTask &other) {
-                return other.m_job == task.m_job && other.m_id.m_occurrence == task.m_id.m_occurrence && other.m_id.m_step == task.m_id.m_step;
+                return other.m_job == task.m_job && other.m_occurrence == task.m_occurrence && other.m_stepNumber == task.m_stepNumber;
             };
             const auto end = std::find_if_not(waiting.begin() + static_cast<std::ptrdiff_t>(i), waiting.end(), isMember);
             const std::span members(waiting.begin() + static_cast<std::ptrdiff_t>(i), end);
@@ -171,14 +171,16 @@
     const auto &step = *waiting.m_step;
     Resources demand = step.m_demand;
     demand.m_cpuMillis = step.m_fills ? 0 : demand.m_cpuMillis;
+    const auto image = m_paces.model().imageId(step.m_image);
+    const auto task = waiting.id();
+    const auto name = task.text();
     FleetWorker *best = nullptr;
     std::tuple<bool, bool, int, std::int64_t> bestRank;
     for (auto &[id, worker] : m_workers) {
-        const bool isAllowed = worker.m_record.m_pool == waiting.m_policy->m_pool && hasLabel(worker.m_record, step.m_requiredLabel);
-        if (!isAllowed || !worker.isOpen(m_limits, now) || !demand.fitsInto(worker.free()) || worker.run(waiting.m_id.text()) != nullptr) {
+        if (!worker.isOpen(m_limits, now) || !demand.fitsInto(worker.free())) {
             continue;
         }
-        if (step.m_maxPerWorker != 0 && worker.countOf(waiting.m_id) >= step.m_maxPerWorker) {
+        if (worker.m_record.m_pool != waiting.m_policy->m_pool || !hasLabel(worker.m_record, step.m_requiredLabel)) {
             continue;
         }
         // A serving task rather runs on a doubtful worker than nowhere; other tasks would use up their attempts there.
@@ -192,7 +194,7 @@
             if (static_cast<double>(worker.fillRoom(m_limits)) < fillShare * static_cast<double>(step.m_demand.m_cpuMillis)) {
                 continue;
             }
-            const auto fillFit = m_paces.fitOf(worker, step, now);
+            const auto fillFit = m_paces.fitOf(worker, image, step.m_demand.m_cpuMillis, now);
             if (fillFit.m_slack < 0) {
                 continue;
             }
@@ -201,10 +203,15 @@
         } else {
             // Best fit: the least room that is left keeps large gaps for large tasks.
             fit = -worker.free().m_cpuMillis;
-            affinity = step.m_isServing ? imageAffinity(worker, m_paces.model().imageId(step.m_image)) : 0;
+            affinity = step.m_isServing ? imageAffinity(worker, image) : 0;
         }
         const std::tuple rank(isTrusted, step.m_preferredRack.empty() || worker.m_record.m_rack == step.m_preferredRack, affinity, fit);
-        if (best == nullptr || rank > bestRank) {
+        if (best != nullptr && rank <= bestRank) {
+            continue;
+        }
+        // Looked up last, for the few workers that would be chosen.
+        const bool isFull = step.m_maxPerWorker != 0 && worker.countOf(task) >= step.m_maxPerWorker;
+        if (!isFull && worker.run(name) == nullptr) {
             best = &worker;
             bestRank = rank;
         }
@@ -236,7 +243,7 @@
     }
     for (std::size_t i = 0; i < chosen.size(); ++i) {
         // Nothing was stored or sent since the assignment, so it can be taken back.
-        chosen[i]->remove(members[i].m_id.text());
+        chosen[i]->remove(members[i].id().text());
         auto &task = *members[i].m_progress;
         task.m_phase = TaskPhase::Waiting;
         task.m_worker.clear();
@@ -247,6 +254,7 @@
 
 auto FleetScheduler::assign(const WaitingTask &waiting, FleetWorker &worker, RunNumber run, TimePoint now) -> void
 {
+    const auto id = waiting.id();
     auto &task = *waiting.m_progress;
     task.m_phase = TaskPhase::Assigned;
     task.m_run = run;
@@ -254,7 +262,7 @@
     task.m_incarnation = worker.m_record.m_incarnation;
     TaskRun entry;
     entry.m_job = waiting.m_job;
-    entry.m_task = waiting.m_id;
+    entry.m_task = id;
     entry.m_run = run;
     entry.m_assignedAt = now;
     entry.m_checkpoint = task.m_checkpoint;
@@ -265,8 +273,8 @@
     waiting.m_job->touch();
     logEvent(LogLevel::Info,
              "task_assigned",
-             {{"job", waiting.m_id.m_job},
-              {"task", waiting.m_id.text()},
+             {{"job", id.m_job},
+              {"task", id.text()},
               {"run", run},
               {"worker", task.m_worker},
               {"free_cpu", worker.free().m_cpuMillis},
--- a/src/fleet/fleetworker.cpp
+++ b/src/fleet/fleetworker.cpp
@@ -17,6 +17,8 @@
 auto FleetWorker::add(TaskRun &&run) -> TaskRun &
 {
     m_reserved += run.m_reserved;
+    (run.m_isServing ? m_servingCpu : m_otherCpu) += run.m_cpuMillis;
+    m_roomsAt = {};
     const auto [entry, isNew] = m_runs.emplace(run.m_task.text(), std::move(run));
     requireInvariant(isNew, "one_run_of_a_task_on_a_worker", entry->first);
     return entry->second;
@@ -27,6 +29,8 @@
     const auto entry = m_runs.find(task);
     if (entry != m_runs.end()) {
         m_reserved -= entry->second.m_reserved;
+        (entry->second.m_isServing ? m_servingCpu : m_otherCpu) -= entry->second.m_cpuMillis;
+        m_roomsAt = {};
         m_runs.erase(entry);
     }
 }
@@ -34,6 +38,9 @@
 auto FleetWorker::takeRuns() -> std::map<std::string, TaskRun, std::less<>>
 {
     m_reserved = {};
+    m_servingCpu = 0;
+    m_otherCpu = 0;
+    m_roomsAt = {};
     return std::exchange(m_runs, {});
 }
 
@@ -52,11 +59,8 @@
 
 auto FleetWorker::fillRoom(const FleetLimits &limits) const noexcept -> std::int64_t
 {
-    auto room = static_cast<double>(m_record.m_capacity.m_cpuMillis) * limits.m_fillCeiling;
-    for (const auto &[name, run] : m_runs) {
-        room -= static_cast<double>(run.m_cpuMillis) * (run.m_isServing ? limits.m_servingUse : 1.0);
-    }
-    return static_cast<std::int64_t>(room);
+    const auto usable = static_cast<double>(m_record.m_capacity.m_cpuMillis) * limits.m_fillCeiling;
+    return static_cast<std::int64_t>(usable - static_cast<double>(m_servingCpu) * limits.m_servingUse - static_cast<double>(m_otherCpu));
 }
 
 auto FleetWorker::countOf(const TaskId &task) const noexcept -> std::uint32_t
--- a/src/fleet/pacecontroller.cpp
+++ b/src/fleet/pacecontroller.cpp
@@ -46,6 +46,9 @@
 /// later load that rises is met by its pace, and a load that falls must not keep it waiting.
 constexpr Milliseconds placementAhead{500};
 constexpr double smallestWeight = 1e-3;
+/// What serving tasks can bear is computed again after this time: the loads of their jobs, which other workers report, change
+/// by some percent within it.
+constexpr Milliseconds roomAge{100};
 
 [[nodiscard]] auto headroomOf(const TaskRun &run) noexcept -> double
 {
@@ -137,6 +140,7 @@
     for (const auto &[job, mean] : means) {
         mean.m_job->m_trend.add(std::min(largestHeadroom, mean.m_headroom + m_model.pressure(use, mean.m_image)), now);
     }
+    worker.m_roomsAt = {};
 }
 
 auto PaceController::compare(FleetJob &job, ImageId image, FleetJob::HeadroomSample &&sample) -> void
@@ -230,23 +234,42 @@
     return plans;
 }
 
-auto PaceController::fitOf(const FleetWorker &worker, const TaskStep &step, TimePoint now) -> FillFit
+auto PaceController::updateRooms(FleetWorker &worker, TimePoint now) const -> void
 {
-    const auto image = m_model.imageId(step.m_image);
-    const double share = static_cast<double>(step.m_demand.m_cpuMillis) / capacityOf(worker);
-    std::vector<FillUse> use{{image, share}};
+    worker.m_servingRooms.clear();
+    worker.m_roomsAt = now;
+    std::vector<FillUse> use;
     for (const auto &[name, run] : worker.m_runs) {
         if (run.m_fills) {
             use.push_back({run.m_image, static_cast<double>(run.m_cpuMillis) / capacityOf(worker)});
         }
     }
-    FillFit fit{std::numeric_limits<double>::max(), 0};
     for (const auto &[name, run] : worker.m_runs) {
-        if (run.m_isServing && run.m_tailTarget.count() > 0) {
-            const double free = std::min(freeHeadroom(run, now), freeHeadroom(run, now + placementAhead));
-            fit.m_slack = std::min(fit.m_slack, free - m_model.pressure(use, run.m_image) - aim());
-            fit.m_cost = std::max(fit.m_cost, m_model.weight(image, run.m_image) * share);
+        if (!run.m_isServing || run.m_tailTarget.count() <= 0) {
+            continue;
         }
+        const double free = std::min(freeHeadroom(run, now), freeHeadroom(run, now + placementAhead));
+        const double headroom = free - m_model.pressure(use, run.m_image);
+        const auto known = std::ranges::find(worker.m_servingRooms, run.m_image, &ServingRoom::m_image);
+        if (known == worker.m_servingRooms.end()) {
+            worker.m_servingRooms.push_back({run.m_image, headroom});
+        } else {
+            known->m_headroom = std::min(known->m_headroom, headroom);
+        }
+    }
+}
+
+auto PaceController::fitOf(FleetWorker &worker, ImageId image, std::int64_t cpuMillis, TimePoint now) const -> FillFit
+{
+    if (worker.m_roomsAt == TimePoint{} || now - worker.m_roomsAt > roomAge) {
+        updateRooms(worker, now);
+    }
+    const double share = static_cast<double>(cpuMillis) / capacityOf(worker);
+    FillFit fit{std::numeric_limits<double>::max(), 0};
+    for (const auto &room : worker.m_servingRooms) {
+        const double cost = m_model.weight(image, room.m_image) * share;
+        fit.m_slack = std::min(fit.m_slack, room.m_headroom - cost - aim());
+        fit.m_cost = std::max(fit.m_cost, cost);
     }
     return fit;
 }
--- a/src/fleet/pressuremodel.cpp
+++ b/src/fleet/pressuremodel.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <ranges>
+#include <utility>
 
 namespace Burdockspur
 {
@@ -30,20 +31,24 @@
     const auto id = static_cast<ImageId>(m_names.size());
     m_ids.emplace(image, id);
     m_names.emplace_back(image);
+    m_indexes.emplace_back();
+    m_victims.emplace_back();
     return id;
 }
 
 auto PressureModel::indexOf(ImageId fill) -> std::size_t
 {
-    const auto known = m_indexes.find(fill);
-    if (known != m_indexes.end()) {
-        return known->second;
+    if (const auto known = m_indexes[fill]) {
+        return *known;
     }
     const std::size_t before = m_fills.size();
     const std::size_t after = before + 1;
-    m_indexes.emplace(fill, before);
+    m_indexes[fill] = before;
     m_fills.push_back(fill);
-    for (auto &[serving, victim] : m_victims) {
+    for (auto &victim : m_victims) {
+        if (!victim.m_isKnown) {
+            continue;
+        }
         std::vector<double> grown(after * after, 0.0);
         for (std::size_t row = 0; row < before; ++row) {
             std::copy_n(
@@ -58,23 +63,26 @@
 
 auto PressureModel::victimOf(ImageId serving) -> Victim &
 {
-    const auto [entry, isNew] = m_victims.try_emplace(serving);
-    if (isNew) {
+    auto &victim = m_victims[serving];
+    if (!std::exchange(victim.m_isKnown, true)) {
         const std::size_t count = m_fills.size();
-        entry->second.m_weights.assign(count, priorWeight);
-        entry->second.m_covariance.assign(count * count, 0.0);
+        victim.m_weights.assign(count, priorWeight);
+        victim.m_covariance.assign(count * count, 0.0);
         for (std::size_t i = 0; i < count; ++i) {
-            entry->second.m_covariance[i * count + i] = priorVariance;
+            victim.m_covariance[i * count + i] = priorVariance;
         }
     }
-    return entry->second;
+    return victim;
 }
 
 auto PressureModel::weight(ImageId fill, ImageId serving) const noexcept -> double
 {
-    const auto victim = m_victims.find(serving);
-    const auto index = m_indexes.find(fill);
-    return victim == m_victims.end() || index == m_indexes.end() ? priorWeight : victim->second.m_weights[index->second];
+    if (fill >= m_indexes.size() || serving >= m_victims.size()) {
+        return priorWeight;
+    }
+    const auto &victim = m_victims[serving];
+    const auto index = m_indexes[fill];
+    return victim.m_isKnown && index ? victim.m_weights[*index] : priorWeight;
 }
 
 auto PressureModel::pressure(std::span<const FillUse> fills, ImageId serving) const noexcept -> double
@@ -131,8 +139,9 @@
 {
     std::vector<PressurePair> all;
     const std::size_t count = m_fills.size();
-    for (const auto &[serving, victim] : m_victims) {
-        for (std::size_t i = 0; i < count; ++i) {
+    for (ImageId serving = 0; serving < m_victims.size(); ++serving) {
+        const auto &victim = m_victims[serving];
+        for (std::size_t i = 0; victim.m_isKnown && i < count; ++i) {
             const double variance = victim.m_covariance[i * count + i];
             if (variance < priorVariance) {
                 all.push_back({m_names[m_fills[i]], m_names[serving], victim.m_weights[i], variance});
--- a/tests/fleetschedulertest.cpp
+++ b/tests/fleetschedulertest.cpp
@@ -234,3 +234,23 @@
     EXPECT_EQ(world.startsOf(hexOf(1)), starts);
     EXPECT_EQ(world.phaseOf(hexOf(1)), JobPhase::Cancelled);
 }
+
+// Final jobs are left out of decisions once they are stored. Guards against leaving one out whose commit fails after that, which
+// would be shown as running for good.
+TEST(FleetSchedulerTest, AFinalJobWhoseCommitFailsIsStoredLater)
+{
+    FleetFaults faults;
+    faults.m_commitFails = 0.5;
+    FleetWorld world(seed, 8, faults);
+    constexpr std::uint64_t jobs = 40;
+    for (std::uint64_t i = 1; i <= jobs; ++i) {
+        world.submit(jobOf(i, 2, 500, Milliseconds{100 + 10 * static_cast<std::int64_t>(i)}));
+    }
+    world.run(Milliseconds{8'000});
+    world.endFaults();
+    world.run(Milliseconds{4'000});
+    for (std::uint64_t i = 1; i <= jobs; ++i) {
+        EXPECT_EQ(world.phaseOf(hexOf(i)), JobPhase::Completed) << i;
+    }
+    EXPECT_TRUE(world.m_violations.empty());
+}
--- a/tests/pacecontrollertest.cpp
+++ b/tests/pacecontrollertest.cpp
@@ -39,6 +39,11 @@
         return m_worker->add(std::move(run));
     }
 
+    auto fitOf(const TaskStep &step) -> FillFit
+    {
+        return m_paces.fitOf(*m_worker, m_paces.model().imageId(step.m_image), step.m_demand.m_cpuMillis, m_now);
+    }
+
     auto weigh(std::string_view fill, std::string_view serving, double weight) -> void
     {
         const std::vector<PressurePair> pairs{{std::string(fill), std::string(serving), weight, 1e-3}};
@@ -122,9 +127,27 @@
     TaskStep step;
     step.m_demand.m_cpuMillis = capacity / 5;
     step.m_image = "heavy";
-    EXPECT_LT(m_paces.fitOf(*m_worker, step, m_now).m_slack, 0);
+    EXPECT_LT(fitOf(step).m_slack, 0);
     step.m_image = "light";
-    EXPECT_GT(m_paces.fitOf(*m_worker, step, m_now).m_slack, 0);
+    EXPECT_GT(fitOf(step).m_slack, 0);
+}
+
+// The pattern: a burst places many filling tasks in one decision. Guards against a kept figure that does not know of the tasks
+// that were placed a moment before, so that a worker would be given many times what its serving tasks bear.
+TEST_F(PaceControllerTest, RoomShrinksWithEachTaskOfTheSameMoment)
+{
+    weigh("fill", "serving", 2.0);
+    auto &serving = add(0, "serving", true);
+    serving.m_load = 25;
+    m_paces.sample(*m_worker, m_now);
+    TaskStep step;
+    step.m_demand.m_cpuMillis = capacity / 10;
+    step.m_image = "fill";
+    const double before = fitOf(step).m_slack;
+    static_cast<void>(add(1, "fill", false));
+    EXPECT_NEAR(fitOf(step).m_slack, before - 2.0 * 0.1, 1e-9);
+    m_worker->remove("job.0.0.1");
+    EXPECT_NEAR(fitOf(step).m_slack, before, 1e-9);
 }
 
 // Guards against learning from a sample of another moment: loads change within seconds.
@@ -174,13 +197,13 @@
     auto &serving = add(0, "serving", true);
     serving.m_load = 30;
     m_paces.sample(*m_worker, m_now);
-    const auto light = m_paces.fitOf(*m_worker, step, m_now);
+    const auto light = fitOf(step);
     m_worker->remove(serving.m_task.text());
     m_job = std::make_unique<FleetJob>(TaskJob{}, m_now, TaskJob::WallTime{});
     auto &sensitive = add(0, "sensitive", true);
     sensitive.m_load = 15;
     m_paces.sample(*m_worker, m_now);
-    const auto heavy = m_paces.fitOf(*m_worker, step, m_now);
+    const auto heavy = fitOf(step);
     EXPECT_GT(heavy.m_slack, light.m_slack);
     EXPECT_GT(light.rank(), heavy.rank());
 }
@@ -220,7 +243,7 @@
         m_paces.sample(*m_worker, m_now);
         m_now += Milliseconds{400};
     }
-    EXPECT_LT(m_paces.fitOf(*m_worker, step, m_now).m_slack, 0);
+    EXPECT_LT(fitOf(step).m_slack, 0);
 }
 
 // Guards against a tail that stays just over its target for seconds while the noise of its samples hides it (HARM,
@@ -263,15 +286,15 @@
     step.m_demand.m_cpuMillis = capacity / 10;
     step.m_image = "light";
     m_paces.noteBacklog(0.0, m_now);
-    EXPECT_LT(m_paces.fitOf(*m_worker, step, m_now).m_slack, 0);
+    EXPECT_LT(fitOf(step).m_slack, 0);
     for (int i = 0; i < 20; ++i) {
         m_now += Milliseconds{500};
         m_paces.noteBacklog(0.1, m_now);
     }
-    EXPECT_GT(m_paces.fitOf(*m_worker, step, m_now).m_slack, 0);
+    EXPECT_GT(fitOf(step).m_slack, 0);
     for (int i = 0; i < 20; ++i) {
         m_now += Milliseconds{500};
         m_paces.noteBacklog(0.0, m_now);
     }
-    EXPECT_LT(m_paces.fitOf(*m_worker, step, m_now).m_slack, 0);
+    EXPECT_LT(fitOf(step).m_slack, 0);
 }
