--- a/bench/promptfleet.cpp
+++ b/bench/promptfleet.cpp
@@ -14,6 +14,7 @@
 constexpr Milliseconds tickLength{10};
 constexpr double ticksPerSecond = 100.0;
 constexpr FleetScheduler::WallTime wallNow{Milliseconds{1'800'000'000'000}};
+/// Workers and tasks as in the users' first deployment.
 constexpr std::int64_t workerCpu = 16'000;
 constexpr std::int64_t workerMemory = 64'000;
 constexpr std::size_t workersPerRack = 8;
--- a/bench/promptfleet.hpp
+++ b/bench/promptfleet.hpp
@@ -11,7 +11,7 @@
 
 namespace Burdockspur::Bench
 {
-/// @brief What callers send to a PromptFleet, for each worker.
+/// @brief What callers send to a PromptFleet, for each worker: the rates of the users' first deployment, divided by its 66 workers.
 struct PromptLoad {
     double m_shortJobs = 0.076; ///< a second; one or two steps of six tasks of 0.8 s on 1.6 cores
     double m_fillJobs = 0.13; ///< a second; two steps of eight filling tasks of 1.7 s on 1.8 cores
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -376,6 +376,7 @@
         for (const auto &id : commit->m_jobs) {
             if (const auto job = m_jobs.find(id); job != m_jobs.end()) {
                 job->second->touch();
+                // It may have been settled since, because its row counted as being stored.
                 m_activeJobs.emplace(job->second->job().m_id, job->second.get());
             }
         }
--- a/src/operations/jobhistory.cpp
+++ b/src/operations/jobhistory.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 /// Events that may hold up any job.
-constexpr std::array<std::string_view, 13> hostEvents{"started",
+constexpr std::array<std::string_view, 16> hostEvents{"started",
                                                       "drain_begun",
                                                       "ended",
                                                       "ownership_claim",
@@ -23,9 +23,12 @@
                                                       "ownership_released",
                                                       "ownership_fenced",
                                                       "ownership_lost",
+                                                      "ownership_unusable",
                                                       "table_unreachable",
                                                       "table_reachable",
                                                       "commit_refused",
+                                                      "commit_unsettled",
+                                                      "ring_full",
                                                       "log_suppressed"};
 
 constexpr std::size_t lengthColumn = 8;
