--- a/src/operations/jobhistory.cpp
+++ b/src/operations/jobhistory.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <initializer_list>
 #include <limits>
 #include <optional>
 #include <set>
@@ -39,6 +40,15 @@
     return QDateTime::fromString(QString::fromUtf8(time.data(), static_cast<qsizetype>(time.size())), Qt::ISODateWithMs).toMSecsSinceEpoch();
 }
 
+[[nodiscard]] auto joined(std::initializer_list<std::string_view> parts) -> std::string
+{
+    std::string text;
+    for (const auto part : parts) {
+        text.append(part);
+    }
+    return text;
+}
+
 [[nodiscard]] auto sorted(std::vector<const LogLine *> lines) -> std::vector<const LogLine *>
 {
     std::ranges::stable_sort(lines, {}, &LogLine::time);
@@ -158,10 +168,9 @@
     const Run *run = lastBefore(std::numeric_limits<std::int64_t>::max(), {});
     while (run != nullptr && used.insert(run).second) {
         const auto started = run->m_started.value_or(run->m_assigned);
-        const auto number = "run " + std::string(run->m_number);
-        const auto worker = std::string(run->m_worker);
-        path.push_back({std::string(run->m_task), number + " on " + worker + " ended " + std::string(run->m_how), Milliseconds(*run->m_ended - started)});
-        path.push_back({std::string(run->m_task), "order of " + number + " to " + worker, Milliseconds(started - run->m_assigned)});
+        path.push_back(
+            {std::string(run->m_task), joined({"run ", run->m_number, " on ", run->m_worker, " ended ", run->m_how}), Milliseconds(*run->m_ended - started)});
+        path.push_back({std::string(run->m_task), joined({"order of run ", run->m_number, " to ", run->m_worker}), Milliseconds(started - run->m_assigned)});
         // A task that ran before waits since that run; any other since the end that made it ready.
         const Run *previous = lastBefore(run->m_assigned, run->m_task);
         previous = previous == nullptr ? lastBefore(run->m_assigned, {}) : previous;
