--- a/tests/fleetschedulertest.cpp
+++ b/tests/fleetschedulertest.cpp
@@ -255,8 +255,8 @@
     EXPECT_TRUE(world.m_violations.empty());
 }
 
-// About one task in seven takes some three times as long as the others of its step, wherever it runs. Guards against moving such
-// tasks for ever and against avoiding the workers that they run on.
+// Some tasks take far longer than the others of their step, wherever they run. Guards against moving such tasks for ever and against
+// avoiding the workers that they run on.
 TEST(FleetSchedulerTest, ALongTaskStaysWhereItIs)
 {
     // With this seed no run fails by chance.
