Log what takeovers read, how old answered counts are, and the owner's load

New lines: jobs_load_ended (pages, rows, bytes and time of a takeover's reads), pending_counted (age and origin of each answered count), owner_load (one line a second: rounds, busy time, starts, commits, waiting tasks). No decision changes.

--- a/include/burdockspur/fleet/fleetduty.hpp
+++ b/include/burdockspur/fleet/fleetduty.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/core/duty.hpp"
 #include "burdockspur/fleet/fleetrings.hpp"
 #include "burdockspur/fleet/fleetscheduler.hpp"
+#include "burdockspur/fleet/ownerload.hpp"
 
 #include <deque>
 #include <vector>
@@ -42,6 +43,7 @@
     FleetScheduler m_scheduler;
     FleetRings &m_rings;
     FleetMetrics &m_metrics;
+    OwnerLoad m_load;
     std::vector<FleetInput> m_inputs;
     std::deque<FleetCommand> m_unsent; ///< while a ring is full
 };
--- a/include/burdockspur/fleet/fleetrings.hpp
+++ b/include/burdockspur/fleet/fleetrings.hpp
@@ -38,6 +38,8 @@
 struct PendingCounts {
     std::map<std::string, std::uint32_t> m_jobs; ///< by queue
     TimePoint m_readAt;
+    std::string m_countedBy; ///< host whose row holds the counts
+    Epoch m_epoch = 0; ///< of that row
 };
 
 /// @brief Answer to a StoreRequest.
--- a/src/fleet/fleetduty.cpp
+++ b/src/fleet/fleetduty.cpp
@@ -58,7 +58,9 @@
         if (!m_unsent.empty()) {
             next = std::min(next, now + retryPause);
         }
-        m_metrics.noteRound(m_scheduler.isOwner(), m_scheduler.jobCount(), m_scheduler.workerCount(), m_scheduler.waitingCount(), Clock::now() - now);
+        const TimePoint end = Clock::now();
+        m_metrics.noteRound(m_scheduler.isOwner(), m_scheduler.jobCount(), m_scheduler.workerCount(), m_scheduler.waitingCount(), end - now);
+        m_load.noteRound(m_scheduler, m_inputs.size(), now, end);
     }
 }
 
@@ -101,6 +103,7 @@
 
 auto FleetDuty::on(CommitAnswer &&input, TimePoint now) -> void
 {
+    m_load.noteCommit(input.m_isStored, now);
     m_scheduler.take(input, now);
 }
 
@@ -130,7 +133,9 @@
 
 auto FleetDuty::sendCommands() -> void
 {
-    std::ranges::move(m_scheduler.takeCommands(), std::back_inserter(m_unsent));
+    auto commands = m_scheduler.takeCommands();
+    m_load.noteCommands(commands, Clock::now());
+    std::ranges::move(commands, std::back_inserter(m_unsent));
     while (!m_unsent.empty()) {
         auto &command = m_unsent.front();
         const bool isSent = std::visit(
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -224,7 +224,8 @@
     m_ownerTimer->startNext();
     if (m_commits->isOwner()) {
         // Every commit of the owner checks the row, and the counts are its own.
-        m_toGate->push(PendingCounts{m_commits->row().m_pending, m_commits->storedAt()});
+        const auto &row = m_commits->row();
+        m_toGate->push(PendingCounts{row.m_pending, m_commits->storedAt(), row.m_host, row.m_epoch});
         if (!m_isBegun && m_commits->isIdle()) {
             // A sign of life while the jobs are read, which can take long from a slow store.
             m_commits->commit(CommitOrder{.m_epoch = m_commits->row().m_epoch, .m_pending = m_commits->row().m_pending});
@@ -249,7 +250,8 @@
     }
     const auto attempt = m_claim.observe(rows->empty() ? std::nullopt : std::optional(rows->front()), Clock::now());
     // The counts are as old as the row, which a dead owner leaves unchanged.
-    m_toGate->push(PendingCounts{m_claim.ownerRow().m_pending, m_claim.changedAt()});
+    const auto &row = m_claim.ownerRow();
+    m_toGate->push(PendingCounts{row.m_pending, m_claim.changedAt(), row.m_host, row.m_epoch});
     if (attempt && !m_isDraining) {
         claim(*attempt);
     }
--- a/src/fleet/gateduty.cpp
+++ b/src/fleet/gateduty.cpp
@@ -209,8 +209,16 @@
         refuse(open, Error{ErrorCode::Unavailable, "the counts of waiting jobs are too old"});
         return;
     }
-    const auto count = m_pending.m_jobs.find(call.m_queue);
-    answer(open, m_codec->pendingResponse(count == m_pending.m_jobs.end() ? 0 : count->second), "counted");
+    const auto entry = m_pending.m_jobs.find(call.m_queue);
+    const std::uint32_t count = entry == m_pending.m_jobs.end() ? 0 : entry->second;
+    logEvent(LogLevel::Info,
+             "pending_counted",
+             {{"queue", call.m_queue},
+              {"count", count},
+              {"age_ms", ageInMs(receivedAt, m_pending.m_readAt)},
+              {"counted_by", m_pending.m_countedBy},
+              {"epoch", m_pending.m_epoch}});
+    answer(open, m_codec->pendingResponse(count), "counted");
 }
 
 auto GateDuty::forward(ExchangeId exchange, GateCall &&call, TimePoint receivedAt) -> void
--- a/src/fleet/jobstore.cpp
+++ b/src/fleet/jobstore.cpp
@@ -18,6 +18,11 @@
     std::vector<TableRow> m_progressRows;
     std::optional<std::uint64_t> m_version;
     std::size_t m_openPartitions = 0;
+    TimePoint m_beganAt;
+    std::size_t m_pages = 0;
+    std::size_t m_bytes = 0; ///< of the rows' values
+
+    auto log(std::string_view outcome) const -> void;
 };
 
 namespace
@@ -65,6 +70,19 @@
 }
 }
 
+auto JobStore::Load::log(std::string_view outcome) const -> void
+{
+    logEvent(LogLevel::Info,
+             "jobs_load_ended",
+             {{"outcome", outcome},
+              {"took_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - m_beganAt).count()},
+              {"pages", m_pages},
+              {"job_rows", m_jobRows.size()},
+              {"progress_rows", m_progressRows.size()},
+              {"bytes", m_bytes},
+              {"open_partitions", m_openPartitions}});
+}
+
 JobStore::JobStore(ChangeStore &store)
     : m_store(store)
 {
@@ -172,6 +190,7 @@
 {
     auto load = std::make_shared<Load>();
     load->m_callback = std::move(callback);
+    load->m_beganAt = Clock::now();
     load->m_openPartitions = jobPartitions.size() + (withProgress ? 1 : 0);
     for (std::size_t i = 0; i < jobPartitions.size(); ++i) {
         loadPartition(load, FleetTables::jobs, jobPartitions.substr(i, 1), {});
@@ -188,6 +207,7 @@
             return;
         }
         if (!page) {
+            load->log(page.error().m_message);
             std::exchange(load->m_callback, nullptr)(std::unexpected(page.error()), 0);
             return;
         }
@@ -195,12 +215,15 @@
         load->m_version = std::min(load->m_version.value_or(page->m_version), page->m_version);
         auto &rows = table == FleetTables::jobs ? load->m_jobRows : load->m_progressRows;
         const std::string last(page->m_rows.empty() ? std::string_view{} : rowName(page->m_rows.back().m_row.m_key));
+        ++load->m_pages;
         for (auto &change : page->m_rows) {
+            load->m_bytes += change.m_row.m_value.size();
             rows.push_back(std::move(change.m_row));
         }
         if (page->m_hasMore && !last.empty()) {
             loadPartition(load, table, partition, last);
         } else if (--load->m_openPartitions == 0) {
+            load->log("loaded");
             std::exchange(load->m_callback, nullptr)(joined(load->m_jobRows, load->m_progressRows), *load->m_version);
         }
     });
--- /dev/null
+++ b/src/fleet/ownerload.cpp
@@ -0,0 +1,73 @@
+#include "burdockspur/fleet/ownerload.hpp"
+
+#include "burdockspur/fleet/fleetscheduler.hpp"
+#include "burdockspur/operations/log.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace Burdockspur
+{
+namespace
+{
+/// One line a second stays small against the lines of the decisions.
+constexpr Milliseconds logInterval{1'000};
+
+[[nodiscard]] auto inMs(Duration duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<Milliseconds>(duration).count();
+}
+}
+
+auto OwnerLoad::noteCommands(std::span<const FleetCommand> commands, TimePoint now) -> void
+{
+    for (const auto &command : commands) {
+        m_sums.m_starts += std::holds_alternative<RunStartOrder>(command) ? 1 : 0;
+        m_sums.m_reports += std::holds_alternative<ReportOrder>(command) ? 1 : 0;
+        m_commitSentAt = std::holds_alternative<CommitOrder>(command) ? now : m_commitSentAt;
+    }
+}
+
+auto OwnerLoad::noteCommit(bool isStored, TimePoint now) -> void
+{
+    m_sums.m_commits += isStored ? 1 : 0;
+    m_sums.m_refusedCommits += isStored ? 0 : 1;
+    m_sums.m_longestCommit = std::max(m_sums.m_longestCommit, now - m_commitSentAt);
+}
+
+auto OwnerLoad::noteRound(const FleetScheduler &scheduler, std::size_t inputs, TimePoint beganAt, TimePoint now) -> void
+{
+    ++m_sums.m_rounds;
+    m_sums.m_inputs += inputs;
+    m_sums.m_mostInputs = std::max(m_sums.m_mostInputs, inputs);
+    m_sums.m_busy += now - beganAt;
+    m_sums.m_longestRound = std::max(m_sums.m_longestRound, now - beganAt);
+    if (scheduler.isOwner() && now - m_loggedAt >= logInterval) {
+        log(scheduler, now);
+    }
+}
+
+auto OwnerLoad::log(const FleetScheduler &scheduler, TimePoint now) -> void
+{
+    const Sums sums = std::exchange(m_sums, {});
+    logEvent(LogLevel::Info,
+             "owner_load",
+             {{"epoch", scheduler.epoch()},
+              {"over_ms", m_loggedAt == TimePoint{} ? 0 : inMs(now - m_loggedAt)},
+              {"rounds", sums.m_rounds},
+              {"busy_ms", inMs(sums.m_busy)},
+              {"longest_ms", inMs(sums.m_longestRound)},
+              {"inputs", sums.m_inputs},
+              {"most_inputs", sums.m_mostInputs},
+              {"reports", sums.m_reports},
+              {"starts", sums.m_starts},
+              {"commits", sums.m_commits},
+              {"refused_commits", sums.m_refusedCommits},
+              {"longest_commit_ms", inMs(sums.m_longestCommit)},
+              {"jobs", scheduler.jobCount()},
+              {"workers", scheduler.workerCount()},
+              {"waiting", scheduler.waitingCount()}});
+    m_loggedAt = now;
+}
+}
