Reproduce counts of a dead owner that pass for fresh ones

FleetHostTest.DoesNotAnswerWithTheWaitingJobsOfADeadOwner fails on this code: a host that claims from a dead owner answers 1 waiting job of 20.

--- a/standins/fleetstandin.cpp
+++ b/standins/fleetstandin.cpp
@@ -200,6 +200,11 @@
     answerFeeds();
 }
 
+auto FleetStandin::delayReads(std::string_view table, std::chrono::milliseconds delay) -> void
+{
+    m_readDelays.insert_or_assign(std::string(table), delay);
+}
+
 auto FleetStandin::serveStore(ExchangeId exchange, const HttpRequest &request) -> void
 {
     if (m_isStoreDown) {
@@ -208,7 +213,10 @@
         m_store->respond(exchange, transact(request));
         answerFeeds();
     } else if (request.path() == "/rows-get") {
-        m_store->respond(exchange, get(request));
+        const auto delay = m_readDelays.find(request.query("table"));
+        QTimer::singleShot(delay == m_readDelays.end() ? Milliseconds{0} : delay->second, m_timer.get(), [this, exchange, response = get(request)]() mutable {
+            m_store->respond(exchange, std::move(response));
+        });
     } else if (request.path() == "/rows-feed") {
         const Milliseconds wait(static_cast<std::int64_t>(numberIn(request.query("wait_ms"))));
         m_feeds.push_back({exchange, request.query("table"), numberIn(request.query("after")), Clock::now() + wait});
--- a/standins/fleetstandin.hpp
+++ b/standins/fleetstandin.hpp
@@ -2,7 +2,9 @@
 
 #include "burdockspur/link/httpserver.hpp"
 
+#include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -48,6 +50,9 @@
         m_isStoreDown = isDown;
     }
 
+    /// @brief Delays the answers to reads of a table.
+    auto delayReads(std::string_view table, std::chrono::milliseconds delay) -> void;
+
     /// @brief Starts per task, over all workers.
     [[nodiscard]] auto starts() const noexcept -> const std::map<std::string, int> &
     {
@@ -72,6 +77,7 @@
     std::vector<Row> m_rows;
     std::uint64_t m_version = 0;
     bool m_isStoreDown = false;
+    std::map<std::string, std::chrono::milliseconds, std::less<>> m_readDelays; ///< by table
     std::vector<Feed> m_feeds;
     std::vector<std::unique_ptr<Worker>> m_workers;
     std::map<std::string, int> m_starts;
--- a/tests/fleethosttest.cpp
+++ b/tests/fleethosttest.cpp
@@ -1,4 +1,5 @@
 #include "burdockspur/fleet/fleethost.hpp"
+#include "burdockspur/fleet/fleetrows.hpp"
 #include "burdockspur/link/httpclient.hpp"
 #include "platform/platform.hpp"
 
@@ -160,6 +161,38 @@
     awaitState(second, "/jobs/5c0e7a21d94b36f9", "completed");
 }
 
+// Guards against a takeover that passes the counts of a dead owner on as fresh ones (MIXED, incident of 2026-12-05).
+TEST_F(FleetHostTest, DoesNotAnswerWithTheWaitingJobsOfADeadOwner)
+{
+    constexpr std::uint32_t waiting = 20;
+    const FleetOwnerRow dead{.m_host = "gone", .m_incarnation = "1", .m_epoch = 4, .m_commit = 9, .m_pending = {{"queue", 1}}};
+    m_platform.put("owner", "fleet", "owner", encodeRow(dead));
+    for (std::uint32_t i = 0; i < waiting; ++i) {
+        TaskJob job;
+        job.m_id = "5c0e7a21d94b36" + std::to_string(10 + i);
+        job.m_policy.m_name = "queue";
+        job.m_policy.m_pool = "pool without workers";
+        job.m_steps.push_back({.m_count = 1, .m_demand = {.m_cpuMillis = 500, .m_memoryMb = 64}});
+        m_platform.put("jobs", "5", job.m_id, encodeRow(job));
+    }
+    // The successor reads the jobs for longer than a count may be old.
+    m_platform.delayReads("jobs", Milliseconds{900});
+    Host host("host-1", m_platform.storePort());
+    host.awaitReady(true);
+    std::optional<std::string> answer;
+    const TimePoint until = Clock::now() + std::chrono::seconds(20);
+    while (answer != R"({"pending":20})" && Clock::now() < until) {
+        const auto reply = host.call("GET", "/jobs/");
+        ASSERT_TRUE(reply);
+        if (reply->m_status == 200) {
+            answer = reply->m_body;
+            ASSERT_EQ(*answer, R"({"pending":20})");
+        }
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 20);
+    }
+    EXPECT_TRUE(answer) << "the counts of the new owner never came";
+}
+
 // Guards the answers to what no queue, no job and no codec accepts: clear, and nothing stored.
 TEST_F(FleetHostTest, RefusesWhatItCannotServe)
 {
