Let counts of waiting jobs carry the age of what was counted

Cause: the age of the counts was the time since a host first saw the owner's row change. A claim copied the former owner's counts into a row with a new version, signs of life repeated them while the jobs were read, and a host that had just started took any row for new. An owner whose list of jobs was behind counted what it knew, without a sign of that.

Now the row holds the age of the list that was counted, a claim and a sign of life hold no counts, and a reader adds the time since its last read that saw another version. Counts that are too old or of unknown age are refused with 503.

The wait of the feed of jobs is 1 s instead of 2 s, because the counts are as old as its last answer.

--- a/bench/promptfleet.cpp
+++ b/bench/promptfleet.cpp
@@ -112,7 +112,10 @@
     for (const auto &command : commands) {
         std::visit(
             [this](const auto &order) {
-                carryOut(order);
+                // Nobody else claims this fleet.
+                if constexpr (!std::is_same_v<std::remove_cvref_t<decltype(order)>, OwnershipResigned>) {
+                    carryOut(order);
+                }
             },
             command);
     }
--- a/include/burdockspur/fleet/fleetcommand.hpp
+++ b/include/burdockspur/fleet/fleetcommand.hpp
@@ -3,11 +3,11 @@
 #include "burdockspur/contract/taskid.hpp"
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/core/identifiers.hpp"
+#include "burdockspur/fleet/waitingjobs.hpp"
 #include "burdockspur/link/httpclient.hpp"
 #include "burdockspur/port/tablestore.hpp"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -62,9 +62,14 @@
     Epoch m_epoch = 0;
     std::vector<RowPut> m_puts;
     std::vector<std::string> m_deletes;
-    std::map<std::string, std::uint32_t> m_pending; ///< see FleetOwnerRow
+    std::optional<WaitingJobs> m_waiting; ///< nothing while they are not counted
+};
+
+/// @brief The scheduler has stopped, because a worker takes the orders of a later owner.
+struct OwnershipResigned {
+    Epoch m_epoch = 0;
 };
 
 /// @brief What the scheduler wants done.
-using FleetCommand = std::variant<ReportOrder, RunStartOrder, RunStopOrder, RunPaceOrder, CommitOrder>;
+using FleetCommand = std::variant<ReportOrder, RunStartOrder, RunStopOrder, RunPaceOrder, CommitOrder, OwnershipResigned>;
 }
--- a/include/burdockspur/fleet/fleetrings.hpp
+++ b/include/burdockspur/fleet/fleetrings.hpp
@@ -6,10 +6,11 @@
 #include "burdockspur/fleet/fleetcommand.hpp"
 #include "burdockspur/fleet/fleetscheduler.hpp"
 #include "burdockspur/fleet/gatecall.hpp"
+#include "burdockspur/fleet/waitingjobs.hpp"
 
 #include <cstdint>
-#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,7 +27,7 @@
 struct DrainBegun {
 };
 
-using FleetStoreInput = std::variant<StoreRequest, CommitOrder, DrainBegun>;
+using FleetStoreInput = std::variant<StoreRequest, CommitOrder, OwnershipResigned, DrainBegun>;
 
 /// @brief The configuration in force, confirmed by the store.
 struct ConfigurationConfirmed {
@@ -36,8 +37,7 @@
 
 /// @brief What the owner said of the jobs that wait.
 struct PendingCounts {
-    std::map<std::string, std::uint32_t> m_jobs; ///< by queue
-    TimePoint m_readAt;
+    std::optional<WaitingJobs> m_waiting; ///< nothing when the age of the counts is not known
     std::string m_countedBy; ///< host whose row holds the counts
     Epoch m_epoch = 0; ///< of that row
 };
@@ -58,6 +58,7 @@
 struct OwnershipTaken {
     Epoch m_epoch = 0;
     std::vector<StoredJob> m_jobs;
+    TimePoint m_asOf; ///< every job stored before this time is among them
 };
 
 /// @brief This host is the owner no more.
@@ -69,6 +70,7 @@
 struct JobsStored {
     std::vector<TaskJob> m_jobs;
     std::vector<std::string> m_cancelled;
+    TimePoint m_asOf; ///< with these, every job stored before this time is known
 };
 
 /// @brief What a previous owner had learned.
--- a/include/burdockspur/fleet/fleetrows.hpp
+++ b/include/burdockspur/fleet/fleetrows.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockspur/contract/taskjob.hpp"
+#include "burdockspur/core/clock.hpp"
 #include "burdockspur/core/error.hpp"
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/fleet/jobprogress.hpp"
@@ -8,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -61,7 +63,10 @@
     std::string m_incarnation; ///< distinguishes restarts of a host
     Epoch m_epoch = 0;
     std::uint64_t m_commit = 0; ///< number of the commit within the epoch
-    std::map<std::string, std::uint32_t> m_pending; ///< jobs without a started task, by queue
+    std::map<std::string, std::uint32_t> m_waiting; ///< jobs without a started task, by queue
+    /// Age of the view of the jobs that was counted when the row was sent; nothing while the owner has not counted.
+    /// A duration, because the clocks of two hosts differ.
+    std::optional<Milliseconds> m_waitingAge;
 
     [[nodiscard]] auto operator==(const FleetOwnerRow &) const -> bool = default;
 };
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -75,6 +75,12 @@
     auto addJob(TaskJob &&job, TimePoint now, WallTime wallNow) -> void;
     auto cancelJob(std::string_view id, TimePoint now) -> void;
 
+    /// @brief Every job stored before a time was given to begin() or addJob().
+    auto noteJobsAsOf(TimePoint time) noexcept -> void
+    {
+        m_jobsAsOf = time;
+    }
+
     /// @brief Takes changes of the list of workers.
     /// @param changed entries that are new or different
     /// @param removed ids that are listed no more
@@ -134,6 +140,7 @@
     [[nodiscard]] auto workerNamed(std::string_view id) noexcept -> FleetWorker *;
     [[nodiscard]] auto workerFor(const WorkerAddress &address) noexcept -> FleetWorker *;
     [[nodiscard]] auto addressOf(const FleetWorker &worker) const -> WorkerAddress;
+    auto resignFenced(const FleetWorker &worker) -> void;
     auto replaceIncarnation(FleetWorker &worker, const WorkerRecord &record, TimePoint now) -> void;
     auto takeEnds(FleetWorker &worker, std::span<const EndedTask> ended, TimePoint now) -> void;
     auto takeRunning(FleetWorker &worker, const ReportAnswer &answer, TimePoint now) -> void;
@@ -163,11 +170,12 @@
     [[nodiscard]] auto hasChanges() const -> bool;
     auto collectRows(CommitOrder &order, CommitInFlight &commit) -> bool;
     auto collectConsequences(CommitInFlight &commit, bool isWhole) const -> void;
-    [[nodiscard]] auto pendingByQueue() const -> std::map<std::string, std::uint32_t>;
+    [[nodiscard]] auto waitingJobs() const -> std::optional<WaitingJobs>;
 
     FleetLimits m_limits;
     Epoch m_epoch = 0;
     TimePoint m_storeConfirmedAt; ///< when the last stored commit was sent
+    std::optional<TimePoint> m_jobsAsOf; ///< see noteJobsAsOf()
     std::shared_ptr<const FleetConfiguration> m_configuration;
     std::map<std::string, std::unique_ptr<FleetJob>, std::less<>> m_jobs;
     std::map<std::string_view, FleetJob *> m_activeJobs; ///< those that are not settled, by id
--- a/include/burdockspur/fleet/fleetsettings.hpp
+++ b/include/burdockspur/fleet/fleetsettings.hpp
@@ -24,6 +24,7 @@
     Milliseconds m_configApply{2'000};
     double m_graceSeconds = 6.0;
     double m_retentionSeconds = 120.0;
+    Milliseconds m_jobVisible{3'000};
     Milliseconds m_ownerSilence{1'600};
     std::uint64_t m_rowBytes = 65'536;
 };
--- a/include/burdockspur/fleet/fleetstoreduty.hpp
+++ b/include/burdockspur/fleet/fleetstoreduty.hpp
@@ -45,6 +45,7 @@
     auto takeInputs() -> void;
     auto on(StoreRequest &&request) -> void;
     auto on(CommitOrder &&order) -> void;
+    auto on(OwnershipResigned &&resigned) -> void;
     auto on(DrainBegun &&drain) -> void;
     auto later(Milliseconds pause, std::function<void()> call) -> void;
 
@@ -53,7 +54,7 @@
 
     // Ownership
     auto watchOwner() -> void;
-    auto takeOwnerRow(Result<std::vector<TableRow>> &&rows) -> void;
+    auto takeOwnerRow(Result<std::vector<TableRow>> &&rows, TimePoint sentAt) -> void;
     auto claim(const ClaimAttempt &attempt) -> void;
     auto beginOwnership(const FleetOwnerRow &row, std::uint64_t version) -> void;
     auto jobsLoaded(Result<std::vector<StoredJob>> &&jobs, std::uint64_t version) -> void;
@@ -64,7 +65,7 @@
     auto releaseWhenIdle() -> void;
 
     // What the owner follows
-    auto takeJobs(const RowPage &page) -> void;
+    auto takeJobs(const RowPage &page, TimePoint confirmedAt) -> void;
     auto takeWorkers(const RowPage &page, bool isWhole) -> void;
 
     FleetSettings m_settings;
@@ -86,6 +87,7 @@
     std::shared_ptr<const FleetConfiguration> m_configuration;
     std::set<std::string, std::less<>> m_listedWorkers;
     std::shared_ptr<bool> m_alive; ///< guards delayed calls against a duty that has ended
+    TimePoint m_jobsAsOf; ///< every job stored before this time was passed to the scheduler
     std::optional<CommitOrder> m_waitingCommit; ///< came while another was in flight
     bool m_isClaiming = false;
     bool m_isBegun = false; ///< the scheduler has the jobs
--- a/include/burdockspur/fleet/ownercommit.hpp
+++ b/include/burdockspur/fleet/ownercommit.hpp
@@ -49,11 +49,8 @@
         return m_row;
     }
 
-    /// @brief When the last commit that took effect was sent.
-    [[nodiscard]] auto storedAt() const noexcept -> TimePoint
-    {
-        return m_storedAt;
-    }
+    /// @brief The counts of waiting jobs as last stored; nothing before the first.
+    [[nodiscard]] auto waitingJobs() const -> std::optional<WaitingJobs>;
 
     /// @brief Stores a commit; only while idle.
     auto commit(const CommitOrder &order) -> void;
--- a/include/burdockspur/fleet/ownershipclaim.hpp
+++ b/include/burdockspur/fleet/ownershipclaim.hpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/fleet/fleetrows.hpp"
+#include "burdockspur/fleet/waitingjobs.hpp"
 #include "burdockspur/port/tablestore.hpp"
 
 #include <cstdint>
@@ -32,8 +33,10 @@
 
     /// @brief Takes the owner's row as it was read.
     /// @param row nothing when it is absent
+    /// @param sentAt when the read was sent
+    /// @param now when it was answered
     /// @returns the claim to write now, if one is due
-    [[nodiscard]] auto observe(const std::optional<TableRow> &row, TimePoint now) -> std::optional<ClaimAttempt>;
+    [[nodiscard]] auto observe(const std::optional<TableRow> &row, TimePoint sentAt, TimePoint now) -> std::optional<ClaimAttempt>;
 
     /// @brief The store did not answer.
     auto observeUnreachable() noexcept -> void;
@@ -44,11 +47,11 @@
         return m_owner;
     }
 
-    /// @brief When the row was first seen as it is.
-    [[nodiscard]] auto changedAt() const noexcept -> TimePoint
-    {
-        return m_changedAt;
-    }
+    /// @brief The counts of waiting jobs in the row; nothing while their age is not known.
+    ///
+    /// The row was written after the last read that saw another version, so the counts are at most as old as that read
+    /// and the age that the row tells. A row that was never seen to change may be of any age.
+    [[nodiscard]] auto waitingJobs() const -> std::optional<WaitingJobs>;
 
     /// @brief True for a row that this process has written.
     [[nodiscard]] auto isOurs(const FleetOwnerRow &row) const noexcept -> bool
@@ -62,7 +65,8 @@
     Milliseconds m_silence;
     std::uint64_t m_version = 0;
     std::optional<TimePoint> m_unchangedSince; ///< while the store answers
-    TimePoint m_changedAt;
+    std::optional<TimePoint> m_lastReadAt; ///< when the last read with an answer was sent
+    std::optional<TimePoint> m_writtenAfter; ///< the row as it is was written after this time
     FleetOwnerRow m_owner;
 };
 }
--- a/src/fleet/fleetduty.cpp
+++ b/src/fleet/fleetduty.cpp
@@ -67,6 +67,7 @@
 auto FleetDuty::on(OwnershipTaken &&input, TimePoint now) -> void
 {
     m_scheduler.begin(input.m_epoch, std::move(input.m_jobs), now, wallNow());
+    m_scheduler.noteJobsAsOf(input.m_asOf);
 }
 
 auto FleetDuty::on(OwnershipEnded &&input, TimePoint /*now*/) -> void
@@ -84,6 +85,7 @@
     for (const auto &id : input.m_cancelled) {
         m_scheduler.cancelJob(id, now);
     }
+    m_scheduler.noteJobsAsOf(input.m_asOf);
 }
 
 auto FleetDuty::on(PressuresStored &&input, TimePoint /*now*/) -> void
@@ -141,7 +143,7 @@
         const bool isSent = std::visit(
             [this](auto &content) {
                 using Content = std::remove_reference_t<decltype(content)>;
-                if constexpr (std::is_same_v<Content, CommitOrder>) {
+                if constexpr (std::is_same_v<Content, CommitOrder> || std::is_same_v<Content, OwnershipResigned>) {
                     return m_rings.m_store.tryPush(std::move(content));
                 } else {
                     return m_rings.m_workers.tryPush(std::move(content));
--- a/src/fleet/fleetrows.cpp
+++ b/src/fleet/fleetrows.cpp
@@ -293,13 +293,16 @@
     writer.Uint64(row.m_epoch);
     putName(writer, "commit");
     writer.Uint64(row.m_commit);
-    putName(writer, "pending");
-    writer.StartObject();
-    for (const auto &[queue, count] : row.m_pending) {
-        putNumber(writer, queue, count);
+    if (row.m_waitingAge) {
+        putNumber(writer, "waiting_age", row.m_waitingAge->count());
+        putName(writer, "waiting");
+        writer.StartObject();
+        for (const auto &[queue, count] : row.m_waiting) {
+            putNumber(writer, queue, count);
+        }
+        writer.EndObject();
     }
     writer.EndObject();
-    writer.EndObject();
     return JsonValue::textOf(buffer);
 }
 
@@ -415,9 +418,11 @@
     row.m_incarnation = text(document, "incarnation").value_or(std::string_view{});
     row.m_epoch = *epoch;
     row.m_commit = whole<std::uint64_t>(document, "commit").value_or(0);
-    if (const auto *const pending = member(document, "pending"); pending != nullptr && pending->is_object()) {
-        for (const auto &[name, count] : pending->items()) {
-            row.m_pending[name] = whole<std::uint32_t>(count).value_or(0);
+    const auto age = whole<std::int64_t>(document, "waiting_age");
+    if (const auto *const waiting = member(document, "waiting"); age && waiting != nullptr && waiting->is_object()) {
+        row.m_waitingAge = Milliseconds(*age);
+        for (const auto &[name, count] : waiting->items()) {
+            row.m_waiting[name] = whole<std::uint32_t>(count).value_or(0);
         }
     }
     return row;
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -47,6 +47,7 @@
 auto FleetScheduler::resign() -> void
 {
     m_epoch = 0;
+    m_jobsAsOf.reset();
     m_activeJobs.clear();
     m_jobs.clear();
     m_workers.clear();
@@ -271,15 +272,18 @@
     return std::min(next, pollWorkers(now));
 }
 
-auto FleetScheduler::pendingByQueue() const -> std::map<std::string, std::uint32_t>
+auto FleetScheduler::waitingJobs() const -> std::optional<WaitingJobs>
 {
-    std::map<std::string, std::uint32_t> pending;
+    if (!m_jobsAsOf) {
+        return std::nullopt;
+    }
+    WaitingJobs waiting{{}, *m_jobsAsOf};
     for (const auto &[id, job] : m_activeJobs) {
         if (!isFinal(job->progress().m_phase) && !job->hasBegun() && job->job().m_repeats == 0) {
-            ++pending[job->job().m_policy.m_name];
+            ++waiting.m_byQueue[job->job().m_policy.m_name];
         }
     }
-    return pending;
+    return waiting;
 }
 
 auto FleetScheduler::hasChanges() const -> bool
@@ -355,7 +359,7 @@
     }
     order.m_number = ++m_commitNumber;
     order.m_epoch = m_epoch;
-    order.m_pending = pendingByQueue();
+    order.m_waiting = waitingJobs();
     commit->m_number = order.m_number;
     commit->m_sentAt = now;
     commit->m_deletes = order.m_deletes;
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -100,6 +100,15 @@
     m_mustPlace = true;
 }
 
+auto FleetScheduler::resignFenced(const FleetWorker &worker) -> void
+{
+    logEvent(LogLevel::Warning, "ownership_fenced", {{"worker", worker.m_record.m_id}, {"epoch", m_epoch}});
+    const auto epoch = m_epoch;
+    resign();
+    // Without it the store would still count this host as the owner, until a commit that no longer comes.
+    m_commands.emplace_back(OwnershipResigned{epoch});
+}
+
 auto FleetScheduler::replaceIncarnation(FleetWorker &worker, const WorkerRecord &record, TimePoint now) -> void
 {
     loseRuns(worker, "worker_restarted", now);
@@ -159,8 +168,7 @@
     worker->m_reportInFlight = false;
     worker->m_reportDue = now;
     if (answer.m_outcome == OrderOutcome::Fenced) {
-        logEvent(LogLevel::Warning, "ownership_fenced", {{"worker", worker->m_record.m_id}, {"epoch", m_epoch}});
-        resign();
+        resignFenced(*worker);
         return;
     }
     if (answer.m_outcome == OrderOutcome::OtherIncarnation) {
@@ -357,8 +365,7 @@
         return;
     }
     if (answer.m_outcome == OrderOutcome::Fenced) {
-        logEvent(LogLevel::Warning, "ownership_fenced", {{"worker", worker->m_record.m_id}, {"epoch", m_epoch}});
-        resign();
+        resignFenced(*worker);
         return;
     }
     if (answer.m_clock) {
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -17,7 +17,7 @@
     static constexpr SettingRange period{1, 3'600'000};
     static constexpr SettingRange bytes{1'024, 1e8};
     static constexpr SettingRange seconds{1, 86'400};
-    static constexpr std::array<SettingsField<S>, 14> table{{
+    static constexpr std::array<SettingsField<S>, 15> table{{
         {"host.name", &S::m_hostName, Text, Required, name, "", "Name of this entry host"},
         {"host.zone", &S::m_zone, Text, Required, name, "", "Availability zone"},
         {"log.level", &S::m_logLevel, Text, Optional, name, "", "debug, info, warning or error"},
@@ -31,6 +31,13 @@
         {"config.apply_ms", &S::m_configApply, DurationMs, Optional, period, "ms", "Time in which a configuration is in force everywhere"},
         {"stop.grace_s", &S::m_graceSeconds, Number, Optional, seconds, "s", "Time from SIGTERM to SIGKILL"},
         {"jobs.retention_s", &S::m_retentionSeconds, Number, Optional, seconds, "s", "Time for which the final state of a job is known"},
+        {"jobs.visible_ms",
+         &S::m_jobVisible,
+         DurationMs,
+         Optional,
+         SettingRange{1'000, 60'000},
+         "ms",
+         "Time in which a job is counted and shown after its acceptance"},
         {"owner.silence_ms", &S::m_ownerSilence, DurationMs, Optional, period, "ms", "Silence after which the owner of the fleet is replaced"},
     }};
     return table;
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -18,8 +18,8 @@
 {
 /// Wait of the store for a change of the configuration; with the travel time, well within the time to apply one.
 constexpr Milliseconds configurationWait{800};
-/// Wait for new jobs; each answer costs a call, so it is long.
-constexpr Milliseconds jobsWait{2'000};
+/// Wait for new jobs; the counts of waiting jobs are as old as its last answer.
+constexpr Milliseconds jobsWait{1'000};
 /// Between two looks at the list of workers; each worker writes about once a second, so a wait would end at once.
 constexpr Milliseconds workersPause{400};
 /// Between two looks at the owner's row.
@@ -157,6 +157,13 @@
     commitWaiting();
 }
 
+auto FleetStoreDuty::on(OwnershipResigned &&resigned) -> void
+{
+    if (m_commits->isOwner() && m_commits->row().m_epoch == resigned.m_epoch) {
+        endOwnership();
+    }
+}
+
 auto FleetStoreDuty::commitWaiting() -> void
 {
     if (!m_waitingCommit || !m_commits->isOwner() || !m_commits->isIdle() || m_isReleased) {
@@ -225,10 +232,10 @@
     if (m_commits->isOwner()) {
         // Every commit of the owner checks the row, and the counts are its own.
         const auto &row = m_commits->row();
-        m_toGate->push(PendingCounts{row.m_pending, m_commits->storedAt(), row.m_host, row.m_epoch});
+        m_toGate->push(PendingCounts{m_commits->waitingJobs(), row.m_host, row.m_epoch});
         if (!m_isBegun && m_commits->isIdle()) {
             // A sign of life while the jobs are read, which can take long from a slow store.
-            m_commits->commit(CommitOrder{.m_epoch = m_commits->row().m_epoch, .m_pending = m_commits->row().m_pending});
+            m_commits->commit(CommitOrder{.m_epoch = row.m_epoch});
         }
         return;
     }
@@ -236,22 +243,21 @@
         return;
     }
     m_isClaiming = true;
-    m_store->read(fleetOwnerKey, [this](Result<std::vector<TableRow>> &&rows) {
+    m_store->read(fleetOwnerKey, [this, sentAt = Clock::now()](Result<std::vector<TableRow>> &&rows) {
         m_isClaiming = false;
-        takeOwnerRow(std::move(rows));
+        takeOwnerRow(std::move(rows), sentAt);
     });
 }
 
-auto FleetStoreDuty::takeOwnerRow(Result<std::vector<TableRow>> &&rows) -> void
+auto FleetStoreDuty::takeOwnerRow(Result<std::vector<TableRow>> &&rows, TimePoint sentAt) -> void
 {
     if (!rows) {
         m_claim.observeUnreachable();
         return;
     }
-    const auto attempt = m_claim.observe(rows->empty() ? std::nullopt : std::optional(rows->front()), Clock::now());
-    // The counts are as old as the row, which a dead owner leaves unchanged.
+    const auto attempt = m_claim.observe(rows->empty() ? std::nullopt : std::optional(rows->front()), sentAt, Clock::now());
     const auto &row = m_claim.ownerRow();
-    m_toGate->push(PendingCounts{row.m_pending, m_claim.changedAt(), row.m_host, row.m_epoch});
+    m_toGate->push(PendingCounts{m_claim.waitingJobs(), row.m_host, row.m_epoch});
     if (attempt && !m_isDraining) {
         claim(*attempt);
     }
@@ -277,6 +283,7 @@
     logEvent(LogLevel::Info, "ownership_taken", {{"epoch", row.m_epoch}, {"version", version}});
     m_commits->begin(row, version);
     m_isBegun = false;
+    m_jobsAsOf = Clock::now();
     m_jobStore->loadAll([this, epoch = row.m_epoch](Result<std::vector<StoredJob>> &&jobs, std::uint64_t jobsVersion) {
         if (m_commits->isOwner() && m_commits->row().m_epoch == epoch) {
             jobsLoaded(std::move(jobs), jobsVersion);
@@ -297,12 +304,12 @@
     m_store->read(modelKey, [this, epoch = m_commits->row().m_epoch](Result<std::vector<TableRow>> &&rows) {
         takeModel(epoch, std::move(rows));
     });
-    m_toScheduler->push(OwnershipTaken{m_commits->row().m_epoch, std::move(*jobs)});
+    m_toScheduler->push(OwnershipTaken{m_commits->row().m_epoch, std::move(*jobs), m_jobsAsOf});
     const auto wait = [this](Milliseconds pause, std::function<void()> call) {
         later(pause, std::move(call));
     };
-    const auto takePage = [this](const RowPage &page, TimePoint /*confirmedAt*/) {
-        takeJobs(page);
+    const auto takePage = [this](const RowPage &page, TimePoint confirmedAt) {
+        takeJobs(page, confirmedAt);
     };
     m_jobRows = std::make_unique<TableFollower>(*m_store,
                                                 FleetTables::jobs,
@@ -346,7 +353,7 @@
 
 auto FleetStoreDuty::reloadJobs() -> void
 {
-    m_jobStore->loadSubmissions([this, epoch = m_commits->row().m_epoch](Result<std::vector<StoredJob>> &&jobs, std::uint64_t version) {
+    m_jobStore->loadSubmissions([this, epoch = m_commits->row().m_epoch, sentAt = Clock::now()](Result<std::vector<StoredJob>> &&jobs, std::uint64_t version) {
         if (!m_commits->isOwner() || m_commits->row().m_epoch != epoch || !m_jobRows) {
             return;
         }
@@ -359,7 +366,9 @@
             });
             return;
         }
+        m_jobsAsOf = std::max(m_jobsAsOf, sentAt);
         JobsStored stored;
+        stored.m_asOf = m_jobsAsOf;
         for (auto &job : *jobs) {
             if (job.m_isCancelled) {
                 stored.m_cancelled.push_back(job.m_job.m_id);
@@ -384,9 +393,11 @@
     });
 }
 
-auto FleetStoreDuty::takeJobs(const RowPage &page) -> void
+auto FleetStoreDuty::takeJobs(const RowPage &page, TimePoint confirmedAt) -> void
 {
     JobsStored stored;
+    m_jobsAsOf = page.m_hasMore ? m_jobsAsOf : std::max(m_jobsAsOf, confirmedAt);
+    stored.m_asOf = m_jobsAsOf;
     for (const auto &change : page.m_rows) {
         const std::string name(rowName(change.m_row.m_key));
         if (change.m_isDropped) {
@@ -400,9 +411,7 @@
             logEvent(LogLevel::Error, "job_row_corrupt", {{"key", change.m_row.m_key}, {"version", change.m_row.m_version}, {"reason", job.error().m_message}});
         }
     }
-    if (!stored.m_jobs.empty() || !stored.m_cancelled.empty()) {
-        m_toScheduler->push(std::move(stored));
-    }
+    m_toScheduler->push(std::move(stored));
 }
 
 auto FleetStoreDuty::takeWorkers(const RowPage &page, bool isWhole) -> void
--- a/src/fleet/gateduty.cpp
+++ b/src/fleet/gateduty.cpp
@@ -24,6 +24,8 @@
 constexpr Milliseconds storeOverdue{1'250};
 /// Counts of waiting jobs may be 2 s old (platform's bound).
 constexpr Milliseconds pendingFresh{2'000};
+/// Of the time in which a job becomes visible, kept for the travel of an answer.
+constexpr Milliseconds visibleReserve{500};
 /// The balancer needs two refused questions, one a second, to send no more connections.
 constexpr Milliseconds leaveRotation{2'400};
 /// Time before the platform's kill that is kept for the last answers.
@@ -205,17 +207,19 @@
 auto GateDuty::servePending(ExchangeId exchange, const PendingCall &call, TimePoint receivedAt) -> void
 {
     const OpenCall open{exchange, "pending", {}, receivedAt};
-    if (receivedAt - m_pending.m_readAt > pendingFresh) {
-        refuse(open, Error{ErrorCode::Unavailable, "the counts of waiting jobs are too old"});
+    const auto &waiting = m_pending.m_waiting;
+    // A job may stay out of the counts until it is visible, so the view that was counted may be older than the counts.
+    if (!waiting || receivedAt - waiting->m_asOf > pendingFresh + m_settings.m_jobVisible - visibleReserve) {
+        refuse(open, Error{ErrorCode::Unavailable, waiting ? "the counts of waiting jobs are too old" : "the owner has not counted the waiting jobs yet"});
         return;
     }
-    const auto entry = m_pending.m_jobs.find(call.m_queue);
-    const std::uint32_t count = entry == m_pending.m_jobs.end() ? 0 : entry->second;
+    const auto entry = waiting->m_byQueue.find(call.m_queue);
+    const std::uint32_t count = entry == waiting->m_byQueue.end() ? 0 : entry->second;
     logEvent(LogLevel::Info,
              "pending_counted",
              {{"queue", call.m_queue},
               {"count", count},
-              {"age_ms", ageInMs(receivedAt, m_pending.m_readAt)},
+              {"age_ms", ageInMs(receivedAt, waiting->m_asOf)},
               {"counted_by", m_pending.m_countedBy},
               {"epoch", m_pending.m_epoch}});
     answer(open, m_codec->pendingResponse(count), "counted");
--- a/src/fleet/ownercommit.cpp
+++ b/src/fleet/ownercommit.cpp
@@ -40,13 +40,26 @@
     m_inFlight = false;
 }
 
+auto OwnerCommit::waitingJobs() const -> std::optional<WaitingJobs>
+{
+    if (!m_row.m_waitingAge) {
+        return std::nullopt;
+    }
+    return WaitingJobs{m_row.m_waiting, m_storedAt - *m_row.m_waitingAge};
+}
+
 auto OwnerCommit::commit(const CommitOrder &order) -> void
 {
     m_inFlight = true;
     m_sentAt = Clock::now();
     m_pendingRow = m_row;
     m_pendingRow.m_commit = order.m_number;
-    m_pendingRow.m_pending = order.m_pending;
+    m_pendingRow.m_waiting.clear();
+    m_pendingRow.m_waitingAge.reset();
+    if (order.m_waiting) {
+        m_pendingRow.m_waiting = order.m_waiting->m_byQueue;
+        m_pendingRow.m_waitingAge = std::chrono::duration_cast<Milliseconds>(m_sentAt - order.m_waiting->m_asOf);
+    }
     Transaction transaction;
     transaction.m_conditions.push_back({std::string(fleetOwnerKey), m_version});
     transaction.m_puts = order.m_puts;
--- a/src/fleet/ownershipclaim.cpp
+++ b/src/fleet/ownershipclaim.cpp
@@ -18,15 +18,24 @@
     m_unchangedSince.reset();
 }
 
-auto OwnershipClaim::observe(const std::optional<TableRow> &row, TimePoint now) -> std::optional<ClaimAttempt>
+auto OwnershipClaim::waitingJobs() const -> std::optional<WaitingJobs>
+{
+    if (!m_owner.m_waitingAge || !m_writtenAfter) {
+        return std::nullopt;
+    }
+    return WaitingJobs{m_owner.m_waiting, *m_writtenAfter - *m_owner.m_waitingAge};
+}
+
+auto OwnershipClaim::observe(const std::optional<TableRow> &row, TimePoint sentAt, TimePoint now) -> std::optional<ClaimAttempt>
 {
     const std::uint64_t version = row ? row->m_version : 0;
     if (!m_unchangedSince || version != m_version) {
         m_unchangedSince = now;
     }
     if (version != m_version) {
-        m_changedAt = now;
+        m_writtenAfter = m_lastReadAt;
     }
+    m_lastReadAt = sentAt;
     m_version = version;
     if (row) {
         if (auto decoded = decodeFleetOwnerRow(row->m_value)) {
@@ -49,7 +58,6 @@
     attempt.m_row.m_host = m_host;
     attempt.m_row.m_incarnation = m_incarnation;
     attempt.m_row.m_epoch = m_owner.m_epoch + 1;
-    attempt.m_row.m_pending = m_owner.m_pending;
     return attempt;
 }
 }
