Read the jobs of a takeover in bounded pages, and failed pages again

Cause: 17 lists were read at the same time, each answer up to 500 rows or 1 MB, with one time-out of 1.2 s for each call. Answers of 0.8 MB in all came through before it passed; from about 600 jobs on a host of 10 Mbit/s cannot end that, whatever it tries, and each attempt began anew. All rows were decoded in one go at the end, without signs of life.

Now four lists are read at a time, in pages whose size follows the time of the answers, a failed page is read again, and rows are decoded page by page.

Others guard the repeat of lost pages, the room for signs of life, large pages on a wide link, and a store that is silent.

--- a/include/burdockspur/fleet/fleetstoreduty.hpp
+++ b/include/burdockspur/fleet/fleetstoreduty.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/core/eventloopduty.hpp"
 #include "burdockspur/fleet/fleetrings.hpp"
 #include "burdockspur/fleet/fleetsettings.hpp"
+#include "burdockspur/fleet/jobload.hpp"
 #include "burdockspur/fleet/ownercommit.hpp"
 #include "burdockspur/fleet/ownershipclaim.hpp"
 #include "burdockspur/port/changestore.hpp"
@@ -57,7 +58,10 @@
     auto takeOwnerRow(Result<std::vector<TableRow>> &&rows, TimePoint sentAt) -> void;
     auto claim(const ClaimAttempt &attempt) -> void;
     auto beginOwnership(const FleetOwnerRow &row, std::uint64_t version) -> void;
-    auto jobsLoaded(Result<std::vector<StoredJob>> &&jobs, std::uint64_t version) -> void;
+    auto jobsLoaded(JobLoad::Jobs &&loaded) -> void;
+    auto loadFailed(const Error &error) -> void;
+    auto followFleet(std::uint64_t version) -> void;
+    auto takeReloaded(JobLoad::Jobs &&loaded, TimePoint sentAt) -> void;
     auto takeModel(Epoch epoch, Result<std::vector<TableRow>> &&rows) -> void;
     auto reloadJobs() -> void;
     auto endOwnership() -> void;
@@ -80,6 +84,7 @@
     std::unique_ptr<FleetCodec> m_codec;
     std::unique_ptr<JobStore> m_jobStore;
     std::unique_ptr<OwnerCommit> m_commits;
+    std::unique_ptr<JobLoad> m_jobLoad; ///< of a takeover, or after the history of the jobs was lost
     std::unique_ptr<TableFollower> m_configurationRows;
     std::unique_ptr<TableFollower> m_jobRows;
     std::unique_ptr<TableFollower> m_workerRows;
--- a/include/burdockspur/fleet/jobstore.hpp
+++ b/include/burdockspur/fleet/jobstore.hpp
@@ -1,15 +1,11 @@
 #pragma once
 
 #include "burdockspur/contract/taskjob.hpp"
-#include "burdockspur/fleet/fleetscheduler.hpp"
 #include "burdockspur/fleet/jobprogress.hpp"
 #include "burdockspur/port/changestore.hpp"
 
-#include <cstdint>
 #include <functional>
-#include <memory>
 #include <string_view>
-#include <vector>
 
 namespace Burdockspur
 {
@@ -21,7 +17,6 @@
 {
 public:
     using PhaseCallback = std::function<void(Result<JobPhase> &&)>;
-    using JobsCallback = std::function<void(Result<std::vector<StoredJob>> &&, std::uint64_t version)>;
 
     /// @param store outlives the object
     explicit JobStore(ChangeStore &store);
@@ -35,18 +30,9 @@
     /// @brief Stores the cancellation of a job.
     auto cancel(std::string_view id, PhaseCallback callback) -> void;
 
-    /// @brief Reads all jobs; the version is that from which the table of jobs can be followed.
-    auto loadAll(JobsCallback callback) -> void;
-
-    /// @brief Reads the submissions and cancellations only.
-    auto loadSubmissions(JobsCallback callback) -> void;
-
 private:
-    struct Load;
     auto confirmStored(std::string_view id, PhaseCallback callback) -> void;
     auto readSubmission(std::string_view id, PhaseCallback callback) -> void;
-    auto loadJobs(JobsCallback callback, bool withProgress) -> void;
-    auto loadPartition(const std::shared_ptr<Load> &load, std::string_view table, std::string_view partition, std::string_view after) -> void;
 
     ChangeStore &m_store;
 };
--- a/include/burdockspur/port/changestore.hpp
+++ b/include/burdockspur/port/changestore.hpp
@@ -38,8 +38,9 @@
     /// @param table name of the table
     /// @param partition of the table
     /// @param after only names greater than this one
+    /// @param limit most rows; 0 for as many as one answer may hold
     /// @param callback takes the rows; call again with the last name while there are more
-    virtual auto list(std::string_view table, std::string_view partition, std::string_view after, PageCallback callback) -> void = 0;
+    virtual auto list(std::string_view table, std::string_view partition, std::string_view after, std::uint32_t limit, PageCallback callback) -> void = 0;
 
     /// @brief Reads what has changed in all partitions of a table, as soon as there is something.
     /// @param table name of the table
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -105,6 +105,7 @@
     m_ownerTimer.reset();
     m_workerRows.reset();
     m_jobRows.reset();
+    m_jobLoad.reset();
     m_configurationRows.reset();
     m_commits.reset();
     m_jobStore.reset();
@@ -190,6 +191,7 @@
         return;
     }
     m_isReleased = true;
+    m_jobLoad.reset();
     m_jobRows.reset();
     m_workerRows.reset();
     if (!m_commits->isOwner()) {
@@ -284,27 +286,42 @@
     m_commits->begin(row, version);
     m_isBegun = false;
     m_jobsAsOf = Clock::now();
-    m_jobStore->loadAll([this, epoch = row.m_epoch](Result<std::vector<StoredJob>> &&jobs, std::uint64_t jobsVersion) {
-        if (m_commits->isOwner() && m_commits->row().m_epoch == epoch) {
-            jobsLoaded(std::move(jobs), jobsVersion);
-        }
-    });
+    m_jobLoad = std::make_unique<JobLoad>(*m_store,
+                                          JobLoad::Scope::Everything,
+                                          JobLoad::Listener{.m_loaded =
+                                                                [this](JobLoad::Jobs &&loaded) {
+                                                                    jobsLoaded(std::move(loaded));
+                                                                },
+                                                            .m_failed =
+                                                                [this](const Error &error) {
+                                                                    loadFailed(error);
+                                                                },
+                                                            .m_later =
+                                                                [this](Milliseconds pause, std::function<void()> call) {
+                                                                    later(pause, std::move(call));
+                                                                }});
 }
 
-auto FleetStoreDuty::jobsLoaded(Result<std::vector<StoredJob>> &&jobs, std::uint64_t version) -> void
+auto FleetStoreDuty::loadFailed(const Error &error) -> void
 {
-    if (!jobs) {
-        // Another host may reach the store; the row stays silent, so it is claimed again.
-        logEvent(LogLevel::Warning, "ownership_unusable", {{"epoch", m_commits->row().m_epoch}, {"reason", jobs.error().m_message}});
-        endOwnership();
-        return;
-    }
-    logEvent(LogLevel::Info, "ownership_begun", {{"epoch", m_commits->row().m_epoch}, {"jobs", jobs->size()}, {"version", version}});
+    // Another host may reach the store; the row stays silent, so it is claimed again.
+    logEvent(LogLevel::Warning, "ownership_unusable", {{"epoch", m_commits->row().m_epoch}, {"reason", error.m_message}});
+    endOwnership();
+}
+
+auto FleetStoreDuty::jobsLoaded(JobLoad::Jobs &&loaded) -> void
+{
+    logEvent(LogLevel::Info, "ownership_begun", {{"epoch", m_commits->row().m_epoch}, {"jobs", loaded.m_jobs.size()}, {"version", loaded.m_version}});
     m_isBegun = true;
     m_store->read(modelKey, [this, epoch = m_commits->row().m_epoch](Result<std::vector<TableRow>> &&rows) {
         takeModel(epoch, std::move(rows));
     });
-    m_toScheduler->push(OwnershipTaken{m_commits->row().m_epoch, std::move(*jobs), m_jobsAsOf});
+    m_toScheduler->push(OwnershipTaken{m_commits->row().m_epoch, std::move(loaded.m_jobs), m_jobsAsOf});
+    followFleet(loaded.m_version);
+}
+
+auto FleetStoreDuty::followFleet(std::uint64_t version) -> void
+{
     const auto wait = [this](Milliseconds pause, std::function<void()> call) {
         later(pause, std::move(call));
     };
@@ -353,31 +370,49 @@
 
 auto FleetStoreDuty::reloadJobs() -> void
 {
-    m_jobStore->loadSubmissions([this, epoch = m_commits->row().m_epoch, sentAt = Clock::now()](Result<std::vector<StoredJob>> &&jobs, std::uint64_t version) {
-        if (!m_commits->isOwner() || m_commits->row().m_epoch != epoch || !m_jobRows) {
-            return;
-        }
-        if (!jobs) {
-            logEvent(LogLevel::Warning, "table_unreachable", {{"table", FleetTables::jobs}, {"step", "reload"}, {"reason", jobs.error().m_message}});
-            later(reloadPause, [this] {
-                if (m_commits->isOwner() && m_jobRows) {
-                    reloadJobs();
-                }
-            });
-            return;
-        }
-        m_jobsAsOf = std::max(m_jobsAsOf, sentAt);
-        JobsStored stored;
-        stored.m_asOf = m_jobsAsOf;
-        for (auto &job : *jobs) {
-            if (job.m_isCancelled) {
-                stored.m_cancelled.push_back(job.m_job.m_id);
+    const auto retry = [this] {
+        later(reloadPause, [this] {
+            if (m_commits->isOwner() && m_jobRows) {
+                reloadJobs();
             }
-            stored.m_jobs.push_back(std::move(job.m_job));
+        });
+    };
+    m_jobLoad = std::make_unique<JobLoad>(
+        *m_store,
+        JobLoad::Scope::Submissions,
+        JobLoad::Listener{.m_loaded =
+                              [this, sentAt = Clock::now()](JobLoad::Jobs &&loaded) {
+                                  takeReloaded(std::move(loaded), sentAt);
+                              },
+                          .m_failed =
+                              [retry](const Error &error) {
+                                  logEvent(LogLevel::Warning,
+                                           "table_unreachable",
+                                           {{"table", FleetTables::jobs}, {"step", "reload"}, {"version", 0}, {"reason", error.m_message}});
+                                  retry();
+                              },
+                          .m_later =
+                              [this](Milliseconds pause, std::function<void()> call) {
+                                  later(pause, std::move(call));
+                              }});
+}
+
+auto FleetStoreDuty::takeReloaded(JobLoad::Jobs &&loaded, TimePoint sentAt) -> void
+{
+    if (!m_commits->isOwner() || !m_jobRows) {
+        return;
+    }
+    m_jobsAsOf = std::max(m_jobsAsOf, sentAt);
+    JobsStored stored;
+    stored.m_asOf = m_jobsAsOf;
+    for (auto &job : loaded.m_jobs) {
+        if (job.m_isCancelled) {
+            stored.m_cancelled.push_back(job.m_job.m_id);
         }
-        m_toScheduler->push(std::move(stored));
-        m_jobRows->startAfter(version);
-    });
+        stored.m_jobs.push_back(std::move(job.m_job));
+    }
+    m_toScheduler->push(std::move(stored));
+    m_jobRows->startAfter(loaded.m_version);
 }
 
 auto FleetStoreDuty::endOwnership() -> void
@@ -387,6 +422,7 @@
     // Not at once: this may run in a callback of one of them.
     later(Milliseconds{0}, [this] {
         if (!m_commits->isOwner()) {
+            m_jobLoad.reset();
             m_jobRows.reset();
             m_workerRows.reset();
         }
--- a/src/fleet/tablefollower.cpp
+++ b/src/fleet/tablefollower.cpp
@@ -38,7 +38,7 @@
 auto TableFollower::list(std::string_view after) -> void
 {
     const TimePoint sentAt = Clock::now();
-    m_store.list(m_table, {}, after, [this, alive = m_alive, sentAt](Result<RowPage> &&page) {
+    m_store.list(m_table, {}, after, 0, [this, alive = m_alive, sentAt](Result<RowPage> &&page) {
         if (!*alive) {
             return;
         }
--- a/tests/jobloadtest.cpp
+++ b/tests/jobloadtest.cpp
@@ -1,10 +1,12 @@
 #include "linkstore.hpp"
 
 #include "burdockspur/core/identifiers.hpp"
-#include "burdockspur/fleet/jobstore.hpp"
+#include "burdockspur/fleet/jobload.hpp"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <functional>
 #include <optional>
 
 using namespace Burdockspur;
@@ -12,6 +14,37 @@
 
 namespace
 {
+/// @brief A load and what became of it.
+struct Outcome {
+    Outcome(LinkStore &store, JobLoad::Scope scope)
+        : m_load(store,
+                 scope,
+                 {.m_loaded =
+                      [this, &store](JobLoad::Jobs &&jobs) {
+                          m_loaded = std::move(jobs);
+                          m_endedAt = store.now();
+                      },
+                  .m_failed =
+                      [this](const Error &error) {
+                          m_error = error;
+                      },
+                  .m_later =
+                      [&store](Milliseconds pause, std::function<void()> call) {
+                          store.later(pause, std::move(call));
+                      },
+                  .m_now =
+                      [&store] {
+                          return TimePoint{} + store.now();
+                      }})
+    {
+    }
+
+    std::optional<JobLoad::Jobs> m_loaded;
+    Error m_error{};
+    Milliseconds m_endedAt{0};
+    JobLoad m_load;
+};
+
 /// @brief Stores jobs of the users' sizes, each with a task that has begun.
 auto fill(LinkStore &store, std::uint64_t jobs) -> void
 {
@@ -46,13 +79,72 @@
     constexpr std::uint64_t jobs = 1'500;
     LinkStore store({});
     fill(store, jobs);
-    JobStore jobStore(store);
-    std::optional<Result<std::vector<StoredJob>>> loaded;
-    jobStore.loadAll([&loaded](Result<std::vector<StoredJob>> &&result, std::uint64_t /*version*/) {
-        loaded = std::move(result);
-    });
+    Outcome outcome(store, JobLoad::Scope::Everything);
+    store.run(std::chrono::seconds(30));
+    ASSERT_TRUE(outcome.m_loaded) << outcome.m_error.m_message;
+    EXPECT_EQ(outcome.m_loaded->m_jobs.size(), jobs);
+}
+
+// Guards against a read that begins anew after a lost answer, or gives up: what was read stays read.
+TEST(JobLoadTest, LostAnswersAreReadAgain)
+{
+    constexpr std::uint64_t jobs = 300;
+    LinkStore store({});
+    fill(store, jobs);
+    store.m_failEvery = 4;
+    Outcome outcome(store, JobLoad::Scope::Everything);
+    store.run(std::chrono::seconds(30));
+    ASSERT_TRUE(outcome.m_loaded) << outcome.m_error.m_message;
+    EXPECT_EQ(outcome.m_loaded->m_jobs.size(), jobs);
+    const auto &first = outcome.m_loaded->m_jobs.front();
+    ASSERT_TRUE(first.m_progress);
+    EXPECT_EQ(first.m_progress->m_open.front().m_steps[0].m_tasks[0].m_worker, "i-0123456789");
+}
+
+// Guards against a host that keeps the ownership while the store answers others only.
+TEST(JobLoadTest, ASilentStoreEndsTheRead)
+{
+    LinkStore store({});
+    fill(store, 10);
+    store.m_isSilent = true;
+    Outcome outcome(store, JobLoad::Scope::Everything);
+    store.run(std::chrono::seconds(30));
+    EXPECT_FALSE(outcome.m_loaded);
+    EXPECT_EQ(outcome.m_error.m_code, ErrorCode::Timeout);
+}
+
+// Guards against pages that hold up the owner's signs of life: a read beside them has to come back within a second.
+TEST(JobLoadTest, PagesLeaveTheLinkFreeForOtherCalls)
+{
+    LinkStore store({});
+    fill(store, 1'500);
+    Outcome outcome(store, JobLoad::Scope::Everything);
+    constexpr Milliseconds interval{400};
+    Milliseconds slowest{0};
+    int answered = 0;
+    std::function<void()> probe = [&] {
+        store.list("owner", ownerPartition, {}, 1, [&, sentAt = store.now()](Result<RowPage> &&page) {
+            answered += page ? 1 : 0;
+            slowest = std::max(slowest, store.now() - sentAt);
+        });
+        if (!outcome.m_loaded) {
+            store.later(interval, probe);
+        }
+    };
+    probe();
+    store.run(std::chrono::seconds(30));
+    ASSERT_TRUE(outcome.m_loaded);
+    EXPECT_GT(answered, 5);
+    EXPECT_LT(slowest, Milliseconds{1'000});
+}
+
+// Guards against a slow store that makes a takeover as slow as its smallest pages: pages grow while answers of a wide link are fast.
+TEST(JobLoadTest, PagesGrowOnAWideLink)
+{
+    LinkStore store({.m_bytesPerSecond = 25e6});
+    fill(store, 1'500);
+    Outcome outcome(store, JobLoad::Scope::Everything);
     store.run(std::chrono::seconds(30));
-    ASSERT_TRUE(loaded);
-    ASSERT_TRUE(*loaded) << loaded->error().m_message;
-    EXPECT_EQ((*loaded)->size(), jobs);
+    ASSERT_TRUE(outcome.m_loaded);
+    EXPECT_LT(outcome.m_endedAt, Milliseconds{500});
 }
--- a/tests/linkstore.hpp
+++ b/tests/linkstore.hpp
@@ -49,9 +49,9 @@
     {
     }
 
-    auto list(std::string_view table, std::string_view partition, std::string_view after, PageCallback callback) -> void override
+    auto list(std::string_view table, std::string_view partition, std::string_view after, std::uint32_t limit, PageCallback callback) -> void override
     {
-        begin(pageOf(table, partition, after, 500), std::move(callback));
+        begin(pageOf(table, partition, after, limit), std::move(callback));
     }
 
     auto follow(std::string_view /*table*/, std::uint64_t /*version*/, Milliseconds /*wait*/, PageCallback /*callback*/) -> void override
--- a/tests/platformcallstest.cpp
+++ b/tests/platformcallstest.cpp
@@ -120,12 +120,17 @@
 {
     m_stub.respondWith(200, R"({"rows":[{"table":"t","part":"p","key":"a","ver":1},{"table":"t","part":"p","key":"b","ver":2}],"has_more":true,"ver":9})");
     const auto page = HttpStub::await<Result<RowPage>>([&](auto callback) {
-        m_store.list("t", "p", "a", std::move(callback));
+        m_store.list("t", "p", "a", 0, std::move(callback));
     });
     EXPECT_EQ(lastRequest(), "GET /rows-get?table=t&part=p&from=a ");
     ASSERT_EQ(page->m_rows.size(), 1U);
     EXPECT_EQ(page->m_rows[0].m_row.m_key, "t/p/b");
     EXPECT_TRUE(page->m_hasMore);
+    // The row that is left out counts in the platform's limit.
+    static_cast<void>(HttpStub::await<Result<RowPage>>([&](auto callback) {
+        m_store.list("t", "p", "a", 20, std::move(callback));
+    }));
+    EXPECT_EQ(lastRequest(), "GET /rows-get?table=t&part=p&from=a&limit=21 ");
 }
 
 // Guards the calls to workers: the fencing token, the target and the lease must reach them.
--- a/tests/tablefollowertest.cpp
+++ b/tests/tablefollowertest.cpp
@@ -25,7 +25,8 @@
     {
     }
 
-    auto list(std::string_view /*table*/, std::string_view /*partition*/, std::string_view /*after*/, PageCallback callback) -> void override
+    auto list(std::string_view /*table*/, std::string_view /*partition*/, std::string_view /*after*/, std::uint32_t /*limit*/, PageCallback callback)
+        -> void override
     {
         m_calls.push_back(std::move(callback));
     }
