List a table in pages when its changes do not come in time

After two time-outs in a row the table is listed instead, in pages of 128 rows; the list of workers was one answer of up to 500 rows before.

TableFollowerTest.ListsInPagesWhenTheChangesDoNotComeInTime failed before.

--- a/include/burdockspur/fleet/tablefollower.hpp
+++ b/include/burdockspur/fleet/tablefollower.hpp
@@ -31,7 +31,7 @@
         std::function<void(const RowPage &, TimePoint confirmedAt)> m_listed;
         /// @brief Takes changes, none when the store has confirmed that there are none.
         std::function<void(const RowPage &, TimePoint confirmedAt)> m_changed;
-        /// @brief The history is gone, and the caller has to list; without it the follower lists by itself.
+        /// @brief The changes cannot be had, and the caller has to list; without it the follower lists by itself.
         std::function<void()> m_lost;
         /// @brief Calls after a time, from the event loop.
         std::function<void(Milliseconds, std::function<void()>)> m_later;
@@ -55,6 +55,7 @@
     auto follow() -> void;
     auto failed(std::string_view step, const Error &error) -> void;
     auto answered() -> void;
+    auto listAgain() -> void;
 
     ChangeStore &m_store;
     std::string m_table;
@@ -62,6 +63,7 @@
     Listener m_listener;
     RowPage m_listing;
     std::uint64_t m_version = 0;
+    std::uint32_t m_feedTimeouts = 0; ///< in a row
     std::optional<TimePoint> m_failingSince; ///< first failed call since the last answer
     std::shared_ptr<bool> m_alive;
 };
--- a/src/fleet/tablefollower.cpp
+++ b/src/fleet/tablefollower.cpp
@@ -9,6 +9,15 @@
 
 namespace Burdockspur
 {
+namespace
+{
+/// Rows of one page of a list; an answer of 500 rows of workers takes 0.3 s of a link of 10 Mbit/s that others use as well.
+constexpr std::uint32_t listRows = 128;
+/// An answer of the feed holds all changes, however many there are. One that did not come through in time so often in a row is
+/// too large for the link, and only a list can be read in parts.
+constexpr std::uint32_t mostFeedTimeouts = 2;
+}
+
 TableFollower::TableFollower(ChangeStore &store, std::string_view table, const TableFollowerOptions &options, Listener listener)
     : m_store(store)
     , m_table(table)
@@ -38,7 +47,7 @@
 auto TableFollower::list(std::string_view after) -> void
 {
     const TimePoint sentAt = Clock::now();
-    m_store.list(m_table, {}, after, 0, [this, alive = m_alive, sentAt](Result<RowPage> &&page) {
+    m_store.list(m_table, {}, after, listRows, [this, alive = m_alive, sentAt](Result<RowPage> &&page) {
         if (!*alive) {
             return;
         }
@@ -80,11 +89,7 @@
         answered();
         if (page->m_isHistoryGone) {
             logEvent(LogLevel::Warning, "table_history_gone", {{"table", m_table}, {"version", m_version}});
-            if (m_listener.m_lost) {
-                m_listener.m_lost();
-            } else {
-                start();
-            }
+            listAgain();
             return;
         }
         m_version = std::max(m_version, page->m_version);
@@ -105,8 +110,18 @@
     });
 }
 
+auto TableFollower::listAgain() -> void
+{
+    if (m_listener.m_lost) {
+        m_listener.m_lost();
+    } else {
+        start();
+    }
+}
+
 auto TableFollower::answered() -> void
 {
+    m_feedTimeouts = 0;
     if (const auto since = std::exchange(m_failingSince, std::nullopt)) {
         const auto away = std::chrono::duration_cast<Milliseconds>(Clock::now() - *since);
         logEvent(LogLevel::Info, "table_reachable", {{"table", m_table}, {"away_ms", away.count()}, {"version", m_version}});
@@ -119,12 +134,21 @@
         m_failingSince = Clock::now();
         logEvent(LogLevel::Warning, "table_unreachable", {{"table", m_table}, {"step", step}, {"version", m_version}, {"reason", error.m_message}});
     }
-    m_listener.m_later(m_options.m_retry, [this, alive = m_alive, step] {
+    const bool isFeed = step == "follow";
+    m_feedTimeouts = isFeed && error.m_code == ErrorCode::Timeout ? m_feedTimeouts + 1 : 0;
+    const bool isTooLarge = m_feedTimeouts >= mostFeedTimeouts;
+    if (isTooLarge) {
+        m_feedTimeouts = 0;
+        logEvent(LogLevel::Warning, "table_feed_too_slow", {{"table", m_table}, {"version", m_version}});
+    }
+    m_listener.m_later(m_options.m_retry, [this, alive = m_alive, isFeed, isTooLarge] {
         if (!*alive) {
             return;
         }
-        if (step == "list") {
+        if (!isFeed) {
             start();
+        } else if (isTooLarge) {
+            listAgain();
         } else {
             follow();
         }
--- a/tests/tablefollowertest.cpp
+++ b/tests/tablefollowertest.cpp
@@ -25,9 +25,10 @@
     {
     }
 
-    auto list(std::string_view /*table*/, std::string_view /*partition*/, std::string_view /*after*/, std::uint32_t /*limit*/, PageCallback callback)
+    auto list(std::string_view /*table*/, std::string_view /*partition*/, std::string_view /*after*/, std::uint32_t limit, PageCallback callback)
         -> void override
     {
+        m_listLimit = limit;
         m_calls.push_back(std::move(callback));
     }
 
@@ -47,6 +48,7 @@
 
     std::deque<PageCallback> m_calls;
     std::uint64_t m_followedFrom = 0;
+    std::uint32_t m_listLimit = 0; ///< of the last list
 };
 
 [[nodiscard]] auto pageAt(std::uint64_t version) -> RowPage
@@ -97,3 +99,36 @@
     EXPECT_EQ(count("event=table_reachable table=table away_ms="), 1U) << lines;
     EXPECT_EQ(store.m_followedFrom, 9U);
 }
+
+// Guards against a feed that fails for ever: its answer grows with all that has changed since, and a narrow link does not carry it within
+// a call's time-out (the cause of the incident of 2026-12-05 in another read).
+TEST(TableFollowerTest, ListsInPagesWhenTheChangesDoNotComeInTime)
+{
+    HeldStore store;
+    std::deque<std::function<void()>> later;
+    int listings = 0;
+    TableFollower follower(store,
+                           "table",
+                           {},
+                           {.m_listed =
+                                [&listings](const RowPage &, TimePoint) {
+                                    ++listings;
+                                },
+                            .m_changed = [](const RowPage &, TimePoint) {},
+                            .m_lost = nullptr,
+                            .m_later =
+                                [&later](Milliseconds, std::function<void()> call) {
+                                    later.push_back(std::move(call));
+                                }});
+    follower.startAfter(7);
+    for (int i = 0; i < 2; ++i) {
+        store.answer(failure(ErrorCode::Timeout, "no response in time"));
+        ASSERT_FALSE(later.empty());
+        later.front()();
+        later.pop_front();
+    }
+    EXPECT_GT(store.m_listLimit, 0U) << "a list of unbounded pages would not come through either";
+    store.answer(pageAt(30));
+    EXPECT_EQ(listings, 1);
+    EXPECT_EQ(store.m_followedFrom, 30U);
+}
