Take the late good end of a run that was counted as lost

Cause: an owner that is late counts the lease of a worker as lapsed while the report with the good end of its task waits to be read. The end came 0.1 s after the task was placed again (58.147 s, read at 58.248 s, started at 59.496 s), was ignored as that of an earlier run, and acknowledged.

Now such an end completes the task. An assignment that was not sent yet is dropped; a run that was sent is stopped, and the task is done whatever becomes of it.

--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -143,6 +143,8 @@
     auto resignFenced(const FleetWorker &worker) -> void;
     auto replaceIncarnation(FleetWorker &worker, const WorkerRecord &record, TimePoint now) -> void;
     auto takeEnds(FleetWorker &worker, std::span<const EndedTask> ended, TimePoint now) -> void;
+    /// @brief Takes the good end of a run that was counted as lost.
+    auto takeLateDone(const EndedTask &end, TimePoint now) -> void;
     auto takeRunning(FleetWorker &worker, const ReportAnswer &answer, TimePoint now) -> void;
     auto endRun(FleetWorker &worker, TaskRun &run, RunEnd how, std::string_view checkpoint, TimePoint now) -> void;
     auto endTask(FleetJob &job, const TaskId &id, RunEnd how, std::string_view checkpoint, TimePoint now) -> void;
@@ -184,6 +186,7 @@
     std::map<std::string, double, std::less<>> m_meanWork; ///< core seconds of a job, by queue
     std::map<std::string, TimePoint> m_servingWaits; ///< since when each serving task waits for room
     std::vector<std::pair<TimePoint, std::string>> m_finished; ///< when jobs became final, in order
+    std::unordered_set<std::string> m_lateDone; ///< tasks that an earlier run has ended well; the last run is being stopped
     std::unordered_set<std::string> m_deletes; ///< keys to delete with the next commit
     std::vector<FleetCommand> m_commands;
     std::unique_ptr<CommitInFlight> m_commit;
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -53,6 +53,7 @@
     m_workers.clear();
     m_servingWaits.clear();
     m_finished.clear();
+    m_lateDone.clear();
     m_deletes.clear();
     m_commands.clear();
     m_commit.reset();
@@ -180,11 +181,12 @@
     if (!checkpoint.empty()) {
         task->m_checkpoint = checkpoint;
     }
-    if (how == RunEnd::Done && !step.m_isServing) {
+    const bool isDone = how == RunEnd::Done || (!m_lateDone.empty() && m_lateDone.erase(id.text()) > 0);
+    if (isDone && !step.m_isServing) {
         task->m_phase = TaskPhase::Done;
         task->m_checkpoint.clear();
     }
-    if (how == RunEnd::Failed) {
+    if (how == RunEnd::Failed && !isDone) {
         ++task->m_failures;
         if (!step.m_isServing && task->m_failures >= policyOf(job).m_maxAttempts) {
             finish(job, JobPhase::Failed, now);
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -223,10 +223,43 @@
                   {"epoch", m_epoch}});
         if (isCurrent) {
             endRun(worker, *run, end.m_how, end.m_checkpoint, now);
+        } else if (end.m_how == RunEnd::Done) {
+            takeLateDone(end, now);
         }
     }
 }
 
+auto FleetScheduler::takeLateDone(const EndedTask &end, TimePoint now) -> void
+{
+    const auto entry = m_jobs.find(end.m_task.m_job);
+    auto *const task = entry == m_jobs.end() ? nullptr : entry->second->task(end.m_task);
+    if (task == nullptr || task->m_phase == TaskPhase::Done || isFinal(entry->second->progress().m_phase)) {
+        return;
+    }
+    auto &job = *entry->second;
+    const auto &step = job.stepOf(end.m_task);
+    if (step.m_isServing || step.m_isGang) {
+        return;
+    }
+    const auto name = end.m_task.text();
+    auto *const worker = task->m_phase == TaskPhase::Assigned ? workerNamed(task->m_worker) : nullptr;
+    auto *const run = worker == nullptr ? nullptr : worker->run(name);
+    const bool isSent = run != nullptr && run->m_stage != RunStage::Recorded;
+    logEvent(LogLevel::Info,
+             "late_end_taken",
+             {{"job", end.m_task.m_job}, {"task", name}, {"run", end.m_run}, {"last_run", task->m_run}, {"sent", isSent}, {"epoch", m_epoch}});
+    // The run was counted as lost; its end tells the truth, and the task must not run again.
+    if (isSent) {
+        m_lateDone.insert(name);
+        run->m_stopWanted = true;
+        return;
+    }
+    if (run != nullptr) {
+        worker->remove(name);
+    }
+    endTask(job, end.m_task, RunEnd::Done, {}, now);
+}
+
 auto FleetScheduler::endRun(FleetWorker &worker, TaskRun &run, RunEnd how, std::string_view checkpoint, TimePoint now) -> void
 {
     const TaskId id = run.m_task;
--- a/tests/fleetschedulertest.cpp
+++ b/tests/fleetschedulertest.cpp
@@ -176,6 +176,94 @@
     EXPECT_EQ(pending(now + Milliseconds{500}), 1U);
 }
 
+namespace
+{
+/// @brief Two workers and an owner whose messages the test carries by hand.
+class HandCarriedFleet
+{
+public:
+    HandCarriedFleet()
+    {
+        m_scheduler.begin(epoch, {}, m_now, FleetScheduler::WallTime{});
+        for (std::uint16_t port = 1; port <= 2; ++port) {
+            WorkerRecord record;
+            record.m_id = "worker-" + std::to_string(port);
+            record.m_endpoint = {"127.0.0.1", port};
+            record.m_incarnation = 5;
+            record.m_capacity = {16'000, 64'000, 0};
+            m_scheduler.updateWorkers(std::span(&record, 1), {}, m_now);
+        }
+    }
+
+    /// @brief Lets time pass, and stores every commit.
+    auto advance(Milliseconds length) -> void
+    {
+        m_now += length;
+        static_cast<void>(m_scheduler.advance(m_now, FleetScheduler::WallTime{}));
+        for (const auto &command : m_scheduler.takeCommands()) {
+            if (const auto *const commit = std::get_if<CommitOrder>(&command)) {
+                m_commits.push_back(*commit);
+            } else if (const auto *const start = std::get_if<RunStartOrder>(&command)) {
+                m_starts.push_back(*start);
+            }
+        }
+    }
+
+    auto storeCommits() -> void
+    {
+        for (const auto &commit : std::exchange(m_commits, {})) {
+            m_scheduler.take(CommitAnswer{commit.m_number, epoch, true}, m_now);
+        }
+        advance(Milliseconds{0});
+    }
+
+    /// @brief A report of a worker that runs or has ended a task.
+    auto report(std::uint16_t worker, std::vector<RunningTask> running, std::vector<EndedTask> ended) -> void
+    {
+        ReportAnswer answer{{"worker-" + std::to_string(worker), {"127.0.0.1", worker}, 5, epoch}, OrderOutcome::Accepted, {}, m_now, m_now};
+        answer.m_report.m_incarnation = 5;
+        answer.m_report.m_clock = std::chrono::duration_cast<Milliseconds>(m_now - TimePoint{});
+        answer.m_report.m_running = std::move(running);
+        answer.m_report.m_ended = std::move(ended);
+        m_scheduler.take(answer, m_now);
+    }
+
+    static constexpr Epoch epoch = 3;
+    TimePoint m_now = TimePoint{} + std::chrono::hours(1);
+    FleetScheduler m_scheduler{FleetLimits{}};
+    std::vector<CommitOrder> m_commits;
+    std::vector<RunStartOrder> m_starts;
+};
+}
+
+// Guards against a second run of a task whose good end is in a report that the owner reads late: it had counted the lease of the worker as
+// lapsed in the meantime and placed the task again (TWICE, worker-cuts with seed 380126113910, incident of 2026-12-05).
+TEST(FleetSchedulerTest, ALateGoodEndTakesBackAnAssignmentThatWasNotSent)
+{
+    HandCarriedFleet fleet;
+    fleet.report(1, {}, {});
+    fleet.m_scheduler.addJob(jobOf(1, 1, 1'000, Milliseconds{500}), fleet.m_now, FleetScheduler::WallTime{});
+    fleet.advance(Milliseconds{1});
+    fleet.storeCommits();
+    ASSERT_EQ(fleet.m_starts.size(), 1U);
+    const auto start = fleet.m_starts.front();
+    fleet.m_scheduler.take(StartAnswer{start.m_address, start.m_task, start.m_run, OrderOutcome::Accepted, {}}, fleet.m_now);
+    // No report of the worker is read for longer than its lease; the other worker takes the task.
+    fleet.advance(Milliseconds{6'000});
+    fleet.report(2, {}, {});
+    fleet.advance(Milliseconds{200});
+    fleet.storeCommits();
+    fleet.advance(Milliseconds{200});
+    ASSERT_FALSE(fleet.m_commits.empty()) << "the task was placed again, and that is being stored";
+    ASSERT_EQ(fleet.m_starts.size(), 1U);
+    fleet.report(1, {}, {EndedTask{1, start.m_task, start.m_run, RunEnd::Done, {}}});
+    for (int i = 0; i < 5; ++i) {
+        fleet.storeCommits();
+        fleet.advance(Milliseconds{200});
+    }
+    EXPECT_EQ(fleet.m_starts.size(), 1U) << "the task has ended well and must not run again";
+}
+
 // Guards against a host that has stopped scheduling and stays the owner in the eyes of its store thread: it was fenced by a worker and
 // noticed 5.6 s later that it had lost the ownership (incident of 2026-12-05).
 TEST(FleetSchedulerTest, AFencedOwnerGivesTheOwnershipUp)
