Renew leases by the answer of the last report, not by its age

Cause: a lease was renewed only within 1.6 s of the last report, to give a silent worker no more time. An owner with more reports than it can read in 1.6 s took its own delay for silence of the workers.

Now a worker whose last report was answered is renewed. A worker that falls silent is still found by the time-out of its report, and gets nothing after that.

--- a/include/burdockspur/fleet/fleetlimits.hpp
+++ b/include/burdockspur/fleet/fleetlimits.hpp
@@ -22,9 +22,6 @@
     /// hold up the tasks of a worker that is lost together with the owner.
     Milliseconds m_renewWithoutStore{4'000};
 
-    /// No lease is renewed for a worker that was last heard longer ago: the wait of a report and twice its travel.
-    Milliseconds m_renewUnheard{1'600};
-
     /// Clocks of workers may be 2% slow (platform's bound).
     double m_clockDrift = 0.02;
 
--- a/include/burdockspur/fleet/fleetworker.hpp
+++ b/include/burdockspur/fleet/fleetworker.hpp
@@ -40,6 +40,9 @@
     bool m_reportInFlight = false;
     TimePoint m_reportDue; ///< when to ask again
     TimePoint m_heardAt; ///< last report
+    /// False once a report had no answer. Leases are renewed by this and not by the time of the last report, which is also long ago
+    /// when the owner is late itself.
+    bool m_isAnswering = false;
     std::vector<ServingRoom> m_servingRooms; ///< kept from one decision to the next, see PaceController::fitOf()
     TimePoint m_roomsAt; ///< when they were computed; the epoch once the runs have changed
     bool m_hasForeignRuns = false; ///< runs something that no job explains; until it is gone, nothing is added
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -285,7 +285,7 @@
 
 auto FleetScheduler::sendStart(FleetWorker &worker, TaskRun &run, TimePoint now) -> void
 {
-    const bool mayRenew = now - m_storeConfirmedAt <= m_limits.m_renewWithoutStore && now - worker.m_heardAt <= m_limits.m_renewUnheard;
+    const bool mayRenew = now - m_storeConfirmedAt <= m_limits.m_renewWithoutStore && worker.m_isAnswering;
     const auto lease = mayRenew ? worker.m_life.extend(m_limits.m_lease, now) : std::nullopt;
     const bool mayStart = !run.m_stopWanted && worker.m_isListed && !worker.m_record.m_leavesIn && !isFinal(run.m_job->progress().m_phase);
     if (run.m_stage == RunStage::Recorded && (!lease || !mayStart)) {
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -150,7 +150,7 @@
         order.m_ackedEnd = worker.m_durableEnd;
         order.m_wait = waitsForStore || !worker.m_isTaken ? Milliseconds{0} : m_limits.m_reportWait;
         // A worker that does not answer must not be given more time, or its tasks would never count as lost.
-        if (mayRenew && now - worker.m_heardAt <= m_limits.m_renewUnheard) {
+        if (mayRenew && worker.m_isAnswering) {
             order.m_leaseUntil = worker.m_life.extend(m_limits.m_lease, now);
         }
         worker.m_reportInFlight = true;
@@ -167,6 +167,7 @@
     }
     worker->m_reportInFlight = false;
     worker->m_reportDue = now;
+    worker->m_isAnswering = answer.m_outcome == OrderOutcome::Accepted;
     if (answer.m_outcome == OrderOutcome::Fenced) {
         resignFenced(*worker);
         return;
--- a/tests/fleetschedulertest.cpp
+++ b/tests/fleetschedulertest.cpp
@@ -264,6 +264,45 @@
     EXPECT_EQ(fleet.m_starts.size(), 1U) << "the task has ended well and must not run again";
 }
 
+// Guards against tasks that an owner loses because it is late itself: a worker that answered its last report is renewed, however long ago
+// the owner came to read that (LOST, worker-cuts with seed 380126113910, incident of 2026-12-05).
+TEST(FleetSchedulerTest, ALateOwnerRenewsTheLeasesOfWorkersThatAnswer)
+{
+    HandCarriedFleet fleet;
+    fleet.report(1, {}, {});
+    fleet.m_scheduler.addJob(servingJob(1, "image"), fleet.m_now, FleetScheduler::WallTime{});
+    fleet.advance(Milliseconds{1});
+    fleet.storeCommits();
+    ASSERT_EQ(fleet.m_starts.size(), 3U);
+    std::vector<RunningTask> running;
+    for (const auto &start : fleet.m_starts) {
+        fleet.m_scheduler.take(StartAnswer{start.m_address, start.m_task, start.m_run, OrderOutcome::Accepted, {}}, fleet.m_now);
+        running.push_back({start.m_task, start.m_run, {}, 100.0, 10.0});
+    }
+    // The owner comes to each worker every 2 s: later than a report counts as fresh for a start, and well within the lease.
+    for (int i = 0; i < 6; ++i) {
+        fleet.advance(Milliseconds{2'000});
+        fleet.storeCommits();
+        fleet.report(1, running, {});
+    }
+    EXPECT_EQ(fleet.m_scheduler.waitingCount(), 0U) << "a run was counted as lost";
+    EXPECT_EQ(fleet.m_starts.size(), 3U);
+}
+
+// Guards against assignments that a late owner takes back because it has not read a report for a while: each cost a commit, and none was
+// started (SHORT, worker-cuts with seed 380126113910: `run_returned reason=no_lease`, incident of 2026-12-05).
+TEST(FleetSchedulerTest, ALateOwnerStartsWhatItHasStored)
+{
+    HandCarriedFleet fleet;
+    fleet.report(1, {}, {});
+    fleet.m_scheduler.addJob(jobOf(1, 3, 1'000, Milliseconds{500}), fleet.m_now, FleetScheduler::WallTime{});
+    fleet.advance(Milliseconds{1});
+    // The answer to the commit comes 2 s later, and no report was read meanwhile.
+    fleet.advance(Milliseconds{2'000});
+    fleet.storeCommits();
+    EXPECT_EQ(fleet.m_starts.size(), 3U);
+}
+
 // Guards against a host that has stopped scheduling and stays the owner in the eyes of its store thread: it was fenced by a worker and
 // noticed 5.6 s later that it had lost the ownership (incident of 2026-12-05).
 TEST(FleetSchedulerTest, AFencedOwnerGivesTheOwnershipUp)
