--- a/src/fleet/ownerload.cpp
+++ b/src/fleet/ownerload.cpp
@@ -13,6 +13,9 @@
 {
 /// One line a second stays small against the lines of the decisions.
 constexpr Milliseconds logInterval{1'000};
+/// Share of the time spent in rounds from which on the host is too slow for the fleet. The line is a warning then, which the bound of
+/// log lines never leaves out: a busy owner reaches that bound.
+constexpr double overloaded = 0.9;
 
 [[nodiscard]] auto inMs(Duration duration) -> std::int64_t
 {
@@ -51,7 +54,8 @@
 auto OwnerLoad::log(const FleetScheduler &scheduler, TimePoint now) -> void
 {
     const Sums sums = std::exchange(m_sums, {});
-    logEvent(LogLevel::Info,
+    const bool isOverloaded = m_loggedAt != TimePoint{} && sums.m_busy > (now - m_loggedAt) * overloaded;
+    logEvent(isOverloaded ? LogLevel::Warning : LogLevel::Info,
              "owner_load",
              {{"epoch", scheduler.epoch()},
               {"over_ms", m_loggedAt == TimePoint{} ? 0 : inMs(now - m_loggedAt)},
