Let hosts know what they can carry

Processors and link of a host come from optional settings, which the platform's template fills; without them all hosts are alike. The owner's row carries the capacity of its owner and the best one known lately, and a row is added in which a strong host can offer to relieve a weak owner. Nothing decides by them yet.

--- a/include/burdockspur/fleet/fleetrows.hpp
+++ b/include/burdockspur/fleet/fleetrows.hpp
@@ -4,7 +4,9 @@
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/core/error.hpp"
 #include "burdockspur/core/identifiers.hpp"
+#include "burdockspur/fleet/hostcapacity.hpp"
 #include "burdockspur/fleet/jobprogress.hpp"
+#include "burdockspur/fleet/knowncapacity.hpp"
 #include "burdockspur/fleet/pressuremodel.hpp"
 
 #include <cstdint>
@@ -67,6 +69,11 @@
     /// Age of the view of the jobs that was counted when the row was sent; nothing while the owner has not counted.
     /// A duration, because the clocks of two hosts differ.
     std::optional<Milliseconds> m_waitingAge;
+    HostCapacity m_capacity; ///< of the owner; after a release, of the former one
+    KnownCapacity m_best; ///< of the owners and candidates lately
+    std::string m_successor; ///< host to which the ownership was released; empty when any host may claim
+    std::string m_successorIncarnation;
+    bool m_hasFailed = false; ///< released because the owner could not read the jobs
 
     [[nodiscard]] auto operator==(const FleetOwnerRow &) const -> bool = default;
 };
--- a/include/burdockspur/fleet/fleetsettings.hpp
+++ b/include/burdockspur/fleet/fleetsettings.hpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/fleet/fleetlimits.hpp"
+#include "burdockspur/fleet/hostcapacity.hpp"
 #include "burdockspur/operations/settingstable.hpp"
 
 #include <cstdint>
@@ -14,6 +15,9 @@
 struct FleetSettings {
     std::string m_hostName;
     std::string m_zone;
+    double m_cpuShare = 0; ///< of each processor; 0 when not known
+    double m_cores = 1;
+    double m_linkMbps = 0; ///< 0 when not known
     std::string m_logLevel = "info";
     std::uint64_t m_logLines = 2'000; ///< a second; hosts of 66 workers wrote up to 1,138 on a day of high load
     std::string m_callersEndpoint; ///< ADDRESS:PORT
@@ -37,4 +41,7 @@
 
 /// @brief Limits of the decisions, with what the settings say of the deployment.
 [[nodiscard]] auto fleetLimitsOf(const FleetSettings &settings) noexcept -> FleetLimits;
+
+/// @brief What the host can carry by its settings.
+[[nodiscard]] auto hostCapacityOf(const FleetSettings &settings) noexcept -> HostCapacity;
 }
--- a/src/fleet/fleetrows.cpp
+++ b/src/fleet/fleetrows.cpp
@@ -1,5 +1,6 @@
 #include "burdockspur/fleet/fleetrows.hpp"
 
+#include "burdockspur/fleet/fleetcandidaterow.hpp"
 #include "burdockspur/impl/jsonvalue.hpp"
 
 #include <algorithm>
@@ -194,6 +195,29 @@
     return occurrence;
 }
 
+/// A capacity is [processors, Mbit/s]; one that is not known is left out.
+auto writeCapacity(Writer &writer, std::string_view name, const HostCapacity &capacity) -> void
+{
+    if (!capacity.isKnown()) {
+        return;
+    }
+    putName(writer, name);
+    writer.StartArray();
+    writer.Double(capacity.m_processors);
+    writer.Double(capacity.m_linkMbps);
+    writer.EndArray();
+}
+
+[[nodiscard]] auto readCapacity(const Value &value, std::string_view name) -> HostCapacity
+{
+    using namespace JsonValue;
+    const auto *const columns = array(value, name);
+    if (columns == nullptr || columns->size() != 2) {
+        return {};
+    }
+    return {number((*columns)[0]).value_or(0), number((*columns)[1]).value_or(0)};
+}
+
 [[nodiscard]] auto keyOf(std::string_view table, std::string_view partition, std::string_view name, std::string_view suffix = {}) -> std::string
 {
     std::string key(table);
@@ -302,6 +326,31 @@
         }
         writer.EndObject();
     }
+    writeCapacity(writer, "capacity", row.m_capacity);
+    writeCapacity(writer, "best", row.m_best.m_capacity);
+    putNumber(writer, "best_age", row.m_best.m_age.count());
+    if (!row.m_successor.empty()) {
+        putText(writer, "successor", row.m_successor);
+        putText(writer, "successor_incarnation", row.m_successorIncarnation);
+    }
+    if (row.m_hasFailed) {
+        putName(writer, "failed");
+        writer.Bool(true);
+    }
+    writer.EndObject();
+    return JsonValue::textOf(buffer);
+}
+
+auto encodeRow(const FleetCandidateRow &row) -> std::string
+{
+    rapidjson::StringBuffer buffer;
+    Writer writer(buffer);
+    writer.StartObject();
+    putText(writer, "host", row.m_host);
+    putText(writer, "incarnation", row.m_incarnation);
+    putName(writer, "epoch");
+    writer.Uint64(row.m_epoch);
+    writeCapacity(writer, "capacity", row.m_capacity);
     writer.EndObject();
     return JsonValue::textOf(buffer);
 }
@@ -425,6 +474,29 @@
             row.m_waiting[name] = whole<std::uint32_t>(count).value_or(0);
         }
     }
+    row.m_capacity = readCapacity(document, "capacity");
+    row.m_best = {readCapacity(document, "best"), Milliseconds(whole<std::int64_t>(document, "best_age").value_or(0))};
+    row.m_successor = text(document, "successor").value_or(std::string_view{});
+    row.m_successorIncarnation = text(document, "successor_incarnation").value_or(std::string_view{});
+    row.m_hasFailed = boolean(document, "failed").value_or(false);
+    return row;
+}
+
+auto decodeFleetCandidateRow(std::string_view value) -> Result<FleetCandidateRow>
+{
+    using namespace JsonValue;
+    JsonValue::Value document;
+    const bool isObject = parseObject(document, value);
+    const auto epoch = isObject ? whole<std::uint64_t>(document, "epoch") : std::nullopt;
+    const auto host = isObject ? text(document, "host") : std::nullopt;
+    if (!epoch || !host) {
+        return failure(ErrorCode::AnswerCorrupt, "the candidate row cannot be read");
+    }
+    FleetCandidateRow row;
+    row.m_host = *host;
+    row.m_incarnation = text(document, "incarnation").value_or(std::string_view{});
+    row.m_capacity = readCapacity(document, "capacity");
+    row.m_epoch = *epoch;
     return row;
 }
 }
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -17,9 +17,12 @@
     static constexpr SettingRange period{1, 3'600'000};
     static constexpr SettingRange bytes{1'024, 1e8};
     static constexpr SettingRange seconds{1, 86'400};
-    static constexpr std::array<SettingsField<S>, 15> table{{
+    static constexpr std::array<SettingsField<S>, 18> table{{
         {"host.name", &S::m_hostName, Text, Required, name, "", "Name of this entry host"},
         {"host.zone", &S::m_zone, Text, Required, name, "", "Availability zone"},
+        {"host.cpu_share", &S::m_cpuShare, Number, Optional, SettingRange{0, 1e3}, "", "Part of each processor that the host may use; 0 if not known"},
+        {"host.cores", &S::m_cores, Number, Optional, SettingRange{0, 1e4}, "", "Processors of the host"},
+        {"host.link_mbps", &S::m_linkMbps, Number, Optional, SettingRange{0, 1e7}, "Mbit/s", "Link of the host; 0 if not known"},
         {"log.level", &S::m_logLevel, Text, Optional, name, "", "debug, info, warning or error"},
         {"log.lines_per_s", &S::m_logLines, Integer, Optional, SettingRange{0, 1e6}, "lines", "Most log lines a second below warnings; 0 for no bound"},
         {"callers.endpoint", &S::m_callersEndpoint, Text, Required, endpoint, "", "ADDRESS:PORT for callers"},
@@ -90,4 +93,9 @@
     limits.m_retention = std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(settings.m_retentionSeconds)) + lateRepeats;
     return limits;
 }
+
+auto hostCapacityOf(const FleetSettings &settings) noexcept -> HostCapacity
+{
+    return {settings.m_cpuShare * settings.m_cores, settings.m_linkMbps};
+}
 }
--- a/tests/fleetrowstest.cpp
+++ b/tests/fleetrowstest.cpp
@@ -1,4 +1,5 @@
 #include "burdockspur/fleet/fleetrows.hpp"
+#include "burdockspur/fleet/fleetcandidaterow.hpp"
 
 #include <gtest/gtest.h>
 
@@ -68,6 +69,28 @@
     EXPECT_EQ(*decoded, row);
 }
 
+// Guards against a successor that does not know of itself, and against hosts that forget which host was strong.
+TEST(FleetRowsTest, CapacitiesAndSuccessorSurviveTheirRows)
+{
+    FleetOwnerRow row{.m_host = {}, .m_incarnation = "1", .m_epoch = 3};
+    row.m_capacity = {0.12, 10};
+    row.m_best = {{0.5, 200}, Milliseconds{1'700}};
+    row.m_successor = "host-2";
+    row.m_successorIncarnation = "2";
+    row.m_hasFailed = true;
+    const auto decoded = decodeFleetOwnerRow(encodeRow(row));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(*decoded, row);
+    const FleetCandidateRow candidate{"host-2", "2", {0.5, 200}, 3};
+    const auto offer = decodeFleetCandidateRow(encodeRow(candidate));
+    ASSERT_TRUE(offer);
+    EXPECT_EQ(*offer, candidate);
+    const auto earlier = decodeFleetOwnerRow(R"({"host":"h","incarnation":"1","epoch":3,"capacity":[1],"best":"all"})");
+    ASSERT_TRUE(earlier) << "a row without a capacity that can be read is of a host that does not know it";
+    EXPECT_EQ(earlier->m_capacity, HostCapacity{});
+    EXPECT_EQ(earlier->m_best, KnownCapacity{});
+}
+
 // Guards against an owner without counts that seems to have counted no waiting job (MIXED, incident of 2026-12-05).
 TEST(FleetRowsTest, CountsWithoutAnAgeAreNoCounts)
 {
@@ -98,6 +121,7 @@
         EXPECT_FALSE(decodeProgressRow(value)) << value;
         EXPECT_FALSE(decodeFleetOwnerRow(value)) << value;
         EXPECT_FALSE(decodePressureRow(value)) << value;
+        EXPECT_FALSE(decodeFleetCandidateRow(value)) << value;
     }
     EXPECT_FALSE(decodeProgressRow(R"({"state":"running","next":1,"open":[{"k":0,"steps":[[[9,1,0,"w",1,""]]]}]})"));
     EXPECT_FALSE(decodeProgressRow(R"({"state":"unheard","next":1,"open":[]})"));
