Let the ownership follow what hosts can carry

- A host much weaker than the best capacity known lately waits 1.2 s longer for a silent owner and 0.6 s for a released row.
- A strong host offers to relieve a weak owner; the owner releases the row to it, and the others leave the row to the named successor for 0.8 s.
- A takeover whose reads give up releases the row and holds back for 3 s.
A row of this process is claimed again at once only when it has the epoch of a claim whose answer was lost.

--- a/include/burdockspur/fleet/fleetstoreduty.hpp
+++ b/include/burdockspur/fleet/fleetstoreduty.hpp
@@ -3,8 +3,10 @@
 #include "burdockspur/core/eventloopduty.hpp"
 #include "burdockspur/fleet/fleetrings.hpp"
 #include "burdockspur/fleet/fleetsettings.hpp"
+#include "burdockspur/fleet/handover.hpp"
 #include "burdockspur/fleet/jobload.hpp"
 #include "burdockspur/fleet/ownercommit.hpp"
+#include "burdockspur/fleet/ownershipcandidate.hpp"
 #include "burdockspur/fleet/ownershipclaim.hpp"
 #include "burdockspur/port/changestore.hpp"
 
@@ -55,6 +57,7 @@
 
     // Ownership
     auto watchOwner() -> void;
+    auto readOwner() -> void;
     auto takeOwnerRow(Result<std::vector<TableRow>> &&rows, TimePoint sentAt) -> void;
     auto claim(const ClaimAttempt &attempt) -> void;
     auto beginOwnership(const FleetOwnerRow &row, std::uint64_t version) -> void;
@@ -67,6 +70,14 @@
     auto endOwnership() -> void;
     auto commitWaiting() -> void;
     auto releaseWhenIdle() -> void;
+    auto forgetFleet() -> void;
+
+    // Hand-over
+    auto volunteer(const FleetOwnerRow &row) -> void;
+    auto offer(const CandidateAttempt &attempt) -> void;
+    auto pollWhileExpecting() -> void;
+    auto lookForSuccessor() -> void;
+    auto giveUp(OwnershipRelease &&release) -> void;
 
     // What the owner follows
     auto takeJobs(const RowPage &page, TimePoint confirmedAt) -> void;
@@ -77,6 +88,8 @@
     std::string m_incarnation;
     FleetRings &m_rings;
     OwnershipClaim m_claim;
+    OwnershipCandidate m_candidate;
+    HandOver m_handOver;
     std::unique_ptr<RingOutbox<GateInput>> m_toGate;
     std::unique_ptr<RingOutbox<FleetInput>> m_toScheduler;
     std::unique_ptr<HttpClient> m_client;
@@ -97,6 +110,8 @@
     bool m_isClaiming = false;
     bool m_isBegun = false; ///< the scheduler has the jobs
     bool m_isDraining = false;
+    std::optional<OwnershipRelease> m_release; ///< to be written as soon as no commit is in flight
+    bool m_isExpecting = false; ///< polls fast for a hand-over
     bool m_isReleased = false;
     std::vector<FleetStoreInput> m_inputs;
 };
--- a/include/burdockspur/fleet/ownercommit.hpp
+++ b/include/burdockspur/fleet/ownercommit.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockspur/fleet/fleetanswer.hpp"
+#include "burdockspur/fleet/fleetcandidaterow.hpp"
 #include "burdockspur/fleet/fleetcommand.hpp"
 #include "burdockspur/fleet/fleetrows.hpp"
 #include "burdockspur/port/changestore.hpp"
@@ -11,6 +12,13 @@
 
 namespace Burdockspur
 {
+/// @brief How an owner gives the ownership up.
+struct OwnershipRelease {
+    std::optional<FleetCandidateRow> m_successor; ///< host that claims first, if one is named
+    bool m_hasFailed = false; ///< the owner could not read the jobs
+    KnownCapacity m_best; ///< of the owners and candidates lately
+};
+
 /// @brief Writes the commits of the owner, one after the other.
 ///
 /// Each commit requires the version of the owner's row that the one before left. After a commit whose outcome is not
@@ -53,11 +61,14 @@
     [[nodiscard]] auto waitingJobs() const -> std::optional<WaitingJobs>;
 
     /// @brief Stores a commit; only while idle.
-    auto commit(const CommitOrder &order) -> void;
+    /// @param order of the scheduler
+    /// @param best capacity known lately
+    auto commit(const CommitOrder &order, const KnownCapacity &best) -> void;
 
     /// @brief Gives the ownership up, so that a successor need not wait; only while idle.
+    /// @param release how it is given up
     /// @param done called when the row was written or could not be
-    auto release(std::function<void()> done) -> void;
+    auto release(const OwnershipRelease &release, std::function<void()> done) -> void;
 
 private:
     auto settle(std::uint64_t number, std::uint64_t generation) -> void;
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -24,6 +24,8 @@
 constexpr Milliseconds workersPause{400};
 /// Between two looks at the owner's row.
 constexpr Milliseconds ownerInterval{400};
+/// Between two looks of a host that may be handed the ownership at any moment.
+constexpr Milliseconds expectingInterval{100};
 /// Connections to the store: three waiting calls, one commit, and callers' calls.
 constexpr std::size_t storeConnections = 12;
 constexpr Milliseconds connectTimeout{1'000};
@@ -45,7 +47,9 @@
     , m_platform(platform)
     , m_incarnation(incarnation)
     , m_rings(rings)
-    , m_claim(settings.m_hostName, incarnation, settings.m_ownerSilence)
+    , m_claim(settings.m_hostName, incarnation, settings.m_ownerSilence, hostCapacityOf(settings))
+    , m_candidate(settings.m_hostName, incarnation, hostCapacityOf(settings))
+    , m_handOver(settings.m_hostName, hostCapacityOf(settings))
 {
 }
 
@@ -172,7 +176,7 @@
     }
     const auto order = *std::exchange(m_waitingCommit, std::nullopt);
     if (order.m_epoch == m_commits->row().m_epoch) {
-        m_commits->commit(order);
+        m_commits->commit(order, m_handOver.best(Clock::now()));
     }
 }
 
@@ -187,20 +191,31 @@
 
 auto FleetStoreDuty::releaseWhenIdle() -> void
 {
-    if (!m_isDraining || m_isReleased || !m_commits->isIdle()) {
+    if ((!m_isDraining && !m_release) || m_isReleased || !m_commits->isIdle()) {
         return;
     }
-    m_isReleased = true;
-    m_jobLoad.reset();
-    m_jobRows.reset();
-    m_workerRows.reset();
+    m_isReleased = m_isDraining;
+    auto release = std::exchange(m_release, std::nullopt).value_or(OwnershipRelease{});
+    forgetFleet();
+    const auto noteReleased = [this, isStopping = m_isReleased] {
+        if (isStopping) {
+            m_toGate->push(StoreDrained{});
+        }
+    };
     if (!m_commits->isOwner()) {
-        m_toGate->push(StoreDrained{});
+        noteReleased();
         return;
     }
-    m_commits->release([this] {
-        m_toGate->push(StoreDrained{});
-    });
+    if (const auto &successor = release.m_successor) {
+        logEvent(LogLevel::Info,
+                 "ownership_handed_over",
+                 {{"successor", successor->m_host},
+                  {"epoch", m_commits->row().m_epoch},
+                  {"capacity", m_commits->row().m_capacity.text()},
+                  {"successor_capacity", successor->m_capacity.text()}});
+    }
+    release.m_best = m_handOver.best(Clock::now());
+    m_commits->release(release, noteReleased);
 }
 
 auto FleetStoreDuty::takeConfiguration(const RowPage &page, TimePoint confirmedAt) -> void
@@ -235,13 +250,19 @@
         // Every commit of the owner checks the row, and the counts are its own.
         const auto &row = m_commits->row();
         m_toGate->push(PendingCounts{m_commits->waitingJobs(), row.m_host, row.m_epoch});
-        if (!m_isBegun && m_commits->isIdle()) {
+        if (!m_isBegun && !m_release && m_commits->isIdle()) {
             // A sign of life while the jobs are read, which can take long from a slow store.
-            m_commits->commit(CommitOrder{.m_epoch = row.m_epoch});
+            m_commits->commit(CommitOrder{.m_epoch = row.m_epoch}, m_handOver.best(Clock::now()));
         }
+        lookForSuccessor();
         return;
     }
-    if (m_isClaiming) {
+    readOwner();
+}
+
+auto FleetStoreDuty::readOwner() -> void
+{
+    if (m_isClaiming || m_commits->isOwner()) {
         return;
     }
     m_isClaiming = true;
@@ -255,14 +276,84 @@
 {
     if (!rows) {
         m_claim.observeUnreachable();
+        m_candidate.observeUnreachable();
         return;
     }
     const auto attempt = m_claim.observe(rows->empty() ? std::nullopt : std::optional(rows->front()), sentAt, Clock::now());
     const auto &row = m_claim.ownerRow();
     m_toGate->push(PendingCounts{m_claim.waitingJobs(), row.m_host, row.m_epoch});
-    if (attempt && !m_isDraining) {
+    if (m_isDraining) {
+        return;
+    }
+    if (attempt) {
         claim(*attempt);
+        return;
+    }
+    volunteer(row);
+}
+
+auto FleetStoreDuty::volunteer(const FleetOwnerRow &row) -> void
+{
+    if (!m_candidate.observeOwner(row, Clock::now())) {
+        return;
     }
+    m_store->read(fleetCandidateKey, [this](Result<std::vector<TableRow>> &&rows) {
+        if (!rows || m_commits->isOwner() || m_isDraining) {
+            return;
+        }
+        if (const auto attempt = m_candidate.observeCandidate(rows->empty() ? std::nullopt : std::optional(rows->front()), Clock::now())) {
+            offer(*attempt);
+        }
+    });
+}
+
+auto FleetStoreDuty::offer(const CandidateAttempt &attempt) -> void
+{
+    Transaction transaction;
+    transaction.m_conditions.push_back({std::string(fleetCandidateKey), attempt.m_expectedVersion});
+    transaction.m_puts.push_back({std::string(fleetCandidateKey), encodeRow(attempt.m_row)});
+    m_store->commit(transaction, [this](CommitResult &&result) {
+        // After a conflict another host is the candidate, and this one has nothing to wait for.
+        if (result.m_status != CommitResult::Status::Conflict && !m_isExpecting) {
+            m_isExpecting = true;
+            pollWhileExpecting();
+        }
+    });
+}
+
+auto FleetStoreDuty::pollWhileExpecting() -> void
+{
+    later(expectingInterval, [this] {
+        m_isExpecting = m_candidate.isExpecting(Clock::now()) && !m_commits->isOwner() && !m_isDraining;
+        if (m_isExpecting) {
+            readOwner();
+            pollWhileExpecting();
+        }
+    });
+}
+
+auto FleetStoreDuty::lookForSuccessor() -> void
+{
+    if (!m_isBegun || m_isDraining || m_release || !m_handOver.isLookDue(Clock::now())) {
+        return;
+    }
+    m_store->read(fleetCandidateKey, [this, epoch = m_commits->row().m_epoch](Result<std::vector<TableRow>> &&rows) {
+        if (!rows || !m_commits->isOwner() || m_commits->row().m_epoch != epoch || m_isDraining || m_release) {
+            return;
+        }
+        if (auto successor = m_handOver.observeCandidate(rows->empty() ? std::nullopt : std::optional(rows->front()), Clock::now())) {
+            giveUp({.m_successor = std::move(successor)});
+        }
+    });
+}
+
+auto FleetStoreDuty::giveUp(OwnershipRelease &&release) -> void
+{
+    m_release = std::move(release);
+    m_claim.holdBack(Clock::now());
+    m_candidate.holdBack(Clock::now());
+    m_toScheduler->push(OwnershipEnded{m_commits->row().m_epoch});
+    releaseWhenIdle();
 }
 
 auto FleetStoreDuty::claim(const ClaimAttempt &attempt) -> void
@@ -275,6 +366,7 @@
         m_isClaiming = false;
         // A claim whose answer was lost shows in the row: it is then silent until it is claimed again.
         if (result.m_status == CommitResult::Status::Committed && !result.m_rows.empty()) {
+            m_claim.noteTaken();
             beginOwnership(row, result.m_rows.front().m_version);
         }
     });
@@ -284,6 +376,8 @@
 {
     logEvent(LogLevel::Info, "ownership_taken", {{"epoch", row.m_epoch}, {"version", version}});
     m_commits->begin(row, version);
+    m_handOver.begin(row, Clock::now());
+    m_release.reset();
     m_isBegun = false;
     m_jobsAsOf = Clock::now();
     m_jobLoad = std::make_unique<JobLoad>(*m_store,
@@ -304,9 +398,9 @@
 
 auto FleetStoreDuty::loadFailed(const Error &error) -> void
 {
-    // Another host may reach the store; the row stays silent, so it is claimed again.
+    // Another host may reach the store better.
     logEvent(LogLevel::Warning, "ownership_unusable", {{"epoch", m_commits->row().m_epoch}, {"reason", error.m_message}});
-    endOwnership();
+    giveUp({.m_hasFailed = true});
 }
 
 auto FleetStoreDuty::jobsLoaded(JobLoad::Jobs &&loaded) -> void
@@ -419,6 +513,13 @@
 {
     m_toScheduler->push(OwnershipEnded{m_commits->row().m_epoch});
     m_commits->end();
+    m_release.reset();
+    m_candidate.holdBack(Clock::now());
+    forgetFleet();
+}
+
+auto FleetStoreDuty::forgetFleet() -> void
+{
     // Not at once: this may run in a callback of one of them.
     later(Milliseconds{0}, [this] {
         if (!m_commits->isOwner()) {
--- a/src/fleet/ownercommit.cpp
+++ b/src/fleet/ownercommit.cpp
@@ -48,12 +48,13 @@
     return WaitingJobs{m_row.m_waiting, m_storedAt - *m_row.m_waitingAge};
 }
 
-auto OwnerCommit::commit(const CommitOrder &order) -> void
+auto OwnerCommit::commit(const CommitOrder &order, const KnownCapacity &best) -> void
 {
     m_inFlight = true;
     m_sentAt = Clock::now();
     m_pendingRow = m_row;
     m_pendingRow.m_commit = order.m_number;
+    m_pendingRow.m_best = best;
     m_pendingRow.m_waiting.clear();
     m_pendingRow.m_waitingAge.reset();
     if (order.m_waiting) {
@@ -123,16 +124,23 @@
     m_listener.m_answered(CommitAnswer{number, m_row.m_epoch, isStored});
 }
 
-auto OwnerCommit::release(std::function<void()> done) -> void
+auto OwnerCommit::release(const OwnershipRelease &release, std::function<void()> done) -> void
 {
     FleetOwnerRow released = m_row;
     released.m_host.clear();
+    released.m_best = release.m_best;
+    released.m_hasFailed = release.m_hasFailed;
+    if (release.m_successor) {
+        released.m_successor = release.m_successor->m_host;
+        released.m_successorIncarnation = release.m_successor->m_incarnation;
+    }
     Transaction transaction;
     transaction.m_conditions.push_back({std::string(fleetOwnerKey), m_version});
     transaction.m_puts.push_back({std::string(fleetOwnerKey), encodeRow(released)});
     end();
-    m_store.commit(transaction, [epoch = m_row.m_epoch, done = std::move(done)](CommitResult &&result) {
-        logEvent(LogLevel::Info, "ownership_released", {{"epoch", epoch}, {"stored", result.m_status == CommitResult::Status::Committed}});
+    m_store.commit(transaction, [epoch = m_row.m_epoch, successor = released.m_successor, done = std::move(done)](CommitResult &&result) {
+        logEvent(
+            LogLevel::Info, "ownership_released", {{"epoch", epoch}, {"successor", successor}, {"stored", result.m_status == CommitResult::Status::Committed}});
         done();
     });
 }
--- a/src/fleet/ownershipclaim.cpp
+++ b/src/fleet/ownershipclaim.cpp
@@ -6,10 +6,24 @@
 
 namespace Burdockspur
 {
-OwnershipClaim::OwnershipClaim(std::string_view host, std::string_view incarnation, Milliseconds silence)
+namespace
+{
+/// More wait of a weak host after the silence of an owner. A strong host looks every 0.4 s and its call may take as long as the store's
+/// usual time-out, so it has claimed by then if it can.
+constexpr Milliseconds weakWaitAfterSilence{1'200};
+/// More wait of a weak host for a released row: one look of a strong host, and the time of its write.
+constexpr Milliseconds weakWaitAfterRelease{600};
+/// For the successor that a release names; it looks every 0.1 s, so it has claimed by then unless it has failed.
+constexpr Milliseconds successorGrace{800};
+/// After this host gave the ownership up: each other host has looked and waited its turn by then.
+constexpr Milliseconds holdBackTime{3'000};
+}
+
+OwnershipClaim::OwnershipClaim(std::string_view host, std::string_view incarnation, Milliseconds silence, const HostCapacity &capacity)
     : m_host(host)
     , m_incarnation(incarnation)
     , m_silence(silence)
+    , m_capacity(capacity)
 {
 }
 
@@ -18,6 +32,28 @@
     m_unchangedSince.reset();
 }
 
+auto OwnershipClaim::holdBack(TimePoint now) noexcept -> void
+{
+    m_heldBackUntil = now + holdBackTime;
+}
+
+auto OwnershipClaim::requiredWait() const noexcept -> Milliseconds
+{
+    if (isAnswerLost()) {
+        return Milliseconds{0};
+    }
+    const bool isWeak = m_owner.m_best.m_capacity.isMuchStrongerThan(m_capacity);
+    if (!m_owner.m_host.empty()) {
+        return m_silence + (isWeak ? weakWaitAfterSilence : Milliseconds{0});
+    }
+    if (m_owner.m_successor == m_host && m_owner.m_successorIncarnation == m_incarnation) {
+        return Milliseconds{0};
+    }
+    // Where a host has failed, others that are no stronger would fail too.
+    const bool isLikelyToFail = m_owner.m_hasFailed && m_owner.m_capacity.isKnown() && !m_capacity.isMuchStrongerThan(m_owner.m_capacity);
+    return (m_owner.m_successor.empty() ? Milliseconds{0} : successorGrace) + (isWeak || isLikelyToFail ? weakWaitAfterRelease : Milliseconds{0});
+}
+
 auto OwnershipClaim::waitingJobs() const -> std::optional<WaitingJobs>
 {
     if (!m_owner.m_waitingAge || !m_writtenAfter) {
@@ -44,20 +80,29 @@
             logEvent(LogLevel::Error, "owner_row_corrupt", {{"version", version}, {"reason", decoded.error().m_message}});
         }
     }
-    // A row of this process, which is not the owner, is left from a claim whose answer was lost or that came to nothing.
-    const bool isFree = !row || m_owner.m_host.empty() || isOurs(m_owner);
     const auto silentFor = std::chrono::duration_cast<Milliseconds>(now - *m_unchangedSince);
-    if (!isFree && silentFor < m_silence) {
+    const auto wait = row ? requiredWait() : Milliseconds{0};
+    if (silentFor < wait || now < m_heldBackUntil) {
         return std::nullopt;
     }
     logEvent(LogLevel::Info,
              "ownership_claim",
-             {{"previous", m_owner.m_host}, {"previous_epoch", m_owner.m_epoch}, {"version", version}, {"silent_ms", silentFor.count()}});
+             {{"previous", m_owner.m_host},
+              {"previous_epoch", m_owner.m_epoch},
+              {"version", version},
+              {"silent_ms", silentFor.count()},
+              {"wait_ms", wait.count()},
+              {"capacity", m_capacity.text()},
+              {"previous_capacity", m_owner.m_capacity.text()},
+              {"best_capacity", m_owner.m_best.m_capacity.text()}});
     ClaimAttempt attempt;
     attempt.m_expectedVersion = version;
     attempt.m_row.m_host = m_host;
     attempt.m_row.m_incarnation = m_incarnation;
     attempt.m_row.m_epoch = m_owner.m_epoch + 1;
+    attempt.m_row.m_capacity = m_capacity;
+    attempt.m_row.m_best = m_owner.m_best.after(silentFor, m_capacity);
+    m_unansweredEpoch = attempt.m_row.m_epoch;
     return attempt;
 }
 }
--- a/tests/fleethosttest.cpp
+++ b/tests/fleethosttest.cpp
@@ -1,6 +1,7 @@
 #include "burdockspur/fleet/fleethost.hpp"
 #include "burdockspur/fleet/fleetrows.hpp"
 #include "burdockspur/link/httpclient.hpp"
+#include "burdockspur/port/changestore.hpp"
 #include "platform/platform.hpp"
 
 #include "linktesting.hpp"
@@ -31,9 +32,11 @@
 class Host
 {
 public:
-    Host(std::string_view name, std::uint16_t storePort)
+    Host(std::string_view name, std::uint16_t storePort, const HostCapacity &capacity = {})
         : m_platform(65'536)
     {
+        m_settings.m_cpuShare = capacity.m_processors;
+        m_settings.m_linkMbps = capacity.m_linkMbps;
         const auto endpoint = [](std::uint16_t port) {
             return "127.0.0.1:" + std::to_string(port);
         };
@@ -123,9 +126,25 @@
         }
     }
 
+    /// @brief The owner's row, as it is in the store.
+    auto readOwner() -> FleetOwnerRow
+    {
+        std::optional<Result<std::vector<TableRow>>> answer;
+        m_store->read(fleetOwnerKey, [&answer](Result<std::vector<TableRow>> &&rows) {
+            answer.emplace(std::move(rows));
+        });
+        Testing::waitUntil([&answer] {
+            return answer.has_value();
+        });
+        return *answer && !(*answer)->empty() ? decodeFleetOwnerRow((*answer)->front().m_value).value_or(FleetOwnerRow{}) : FleetOwnerRow{};
+    }
+
     // Timers of the stand-in need the application, so it comes first.
     const bool m_hasApplication = (Testing::requireApplication(), true);
     FleetStandin m_platform{2};
+    HttpClient m_client{HttpClientLimits{}};
+    std::unique_ptr<ChangeStore> m_store =
+        Platform::TablePlatform(65'536).makeStore(m_client, HttpEndpoint{"127.0.0.1", m_platform.storePort()}, std::chrono::seconds(5));
 };
 }
 
@@ -161,6 +180,43 @@
     awaitState(second, "/jobs/5c0e7a21d94b36f9", "completed");
 }
 
+// Guards against a fleet that stays with a weak owner while a strong host lives, and against tasks that a hand-over starts twice or loses.
+TEST_F(FleetHostTest, AWeakOwnerHandsOverToAStrongHost)
+{
+    Host small("small", m_platform.storePort(), {0.12, 10});
+    small.awaitReady(true);
+    while (readOwner().m_host != "small") {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 20);
+    }
+    Host large("large", m_platform.storePort(), {0.5, 200});
+    large.awaitReady(true);
+    std::vector<std::string> jobs;
+    const TimePoint until = Clock::now() + std::chrono::seconds(20);
+    // Jobs arrive before, during and for a second after the hand-over.
+    std::optional<TimePoint> handedOverAt;
+    while (Clock::now() < until && (!handedOverAt || Clock::now() - *handedOverAt < std::chrono::seconds(1))) {
+        const std::string target = "/jobs/5c0e7a21d94b" + std::to_string(1'000 + jobs.size());
+        ASSERT_EQ(small.call("POST", target, twoSteps)->m_status, 200);
+        jobs.push_back(target);
+        const auto owner = readOwner();
+        handedOverAt = owner.m_host == "large" && !handedOverAt ? std::optional(Clock::now()) : handedOverAt;
+        const TimePoint next = Clock::now() + Milliseconds{100};
+        while (Clock::now() < next) {
+            QCoreApplication::processEvents(QEventLoop::AllEvents, 20);
+        }
+    }
+    ASSERT_TRUE(handedOverAt) << "the weak host is still the owner";
+    for (const auto &job : jobs) {
+        awaitState(small, job, "completed");
+    }
+    EXPECT_EQ(readOwner().m_host, "large");
+    EXPECT_EQ(readOwner().m_epoch, 2U) << "one hand-over";
+    EXPECT_EQ(m_platform.starts().size(), 5 * jobs.size());
+    for (const auto &[task, count] : m_platform.starts()) {
+        EXPECT_EQ(count, 1) << task;
+    }
+}
+
 // Guards against a takeover that passes the counts of a dead owner on as fresh ones (MIXED, incident of 2026-12-05).
 TEST_F(FleetHostTest, DoesNotAnswerWithTheWaitingJobsOfADeadOwner)
 {
