--- a/bench/promptfleet.cpp
+++ b/bench/promptfleet.cpp
@@ -269,6 +269,15 @@
     m_answers.emplace_back(PaceAnswer{order.m_address, order.m_task, order.m_run, order.m_percent, OrderOutcome::Accepted});
 }
 
+auto PromptFleet::carryOut(const ArchiveOrder &order) -> void
+{
+    std::vector<std::string> moved;
+    for (const auto &job : order.m_jobs) {
+        moved.push_back(job.m_id);
+    }
+    m_scheduler.noteArchived(moved, m_now);
+}
+
 auto PromptFleet::carryOut(const CommitOrder &order) -> void
 {
     m_commits.push_back({order.m_number, order.m_epoch, true});
--- a/bench/promptfleet.hpp
+++ b/bench/promptfleet.hpp
@@ -77,6 +77,7 @@
     auto carryOut(const RunStopOrder &order) -> void;
     auto carryOut(const RunPaceOrder &order) -> void;
     auto carryOut(const CommitOrder &order) -> void;
+    auto carryOut(const ArchiveOrder &order) -> void;
 
     [[nodiscard]] auto workerAt(const WorkerAddress &address) noexcept -> Worker &;
     [[nodiscard]] auto stepOf(const TaskId &task) const -> const TaskStep &;
--- a/include/burdockspur/fleet/fleetcommand.hpp
+++ b/include/burdockspur/fleet/fleetcommand.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/contract/taskid.hpp"
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/core/identifiers.hpp"
+#include "burdockspur/fleet/jobprogress.hpp"
 #include "burdockspur/fleet/waitingjobs.hpp"
 #include "burdockspur/link/httpclient.hpp"
 #include "burdockspur/port/tablestore.hpp"
@@ -65,11 +66,23 @@
     std::optional<WaitingJobs> m_waiting; ///< nothing while they are not counted
 };
 
+/// @brief A job whose final state is stored as its progress.
+struct FinalJob {
+    std::string m_id;
+    JobPhase m_phase = JobPhase::Completed;
+};
+
+/// @brief Moves jobs out of the table of jobs; see JobArchive.
+struct ArchiveOrder {
+    Epoch m_epoch = 0;
+    std::vector<FinalJob> m_jobs;
+};
+
 /// @brief The scheduler has stopped, because a worker takes the orders of a later owner.
 struct OwnershipResigned {
     Epoch m_epoch = 0;
 };
 
 /// @brief What the scheduler wants done.
-using FleetCommand = std::variant<ReportOrder, RunStartOrder, RunStopOrder, RunPaceOrder, CommitOrder, OwnershipResigned>;
+using FleetCommand = std::variant<ReportOrder, RunStartOrder, RunStopOrder, RunPaceOrder, CommitOrder, ArchiveOrder, OwnershipResigned>;
 }
--- a/include/burdockspur/fleet/fleetduty.hpp
+++ b/include/burdockspur/fleet/fleetduty.hpp
@@ -30,6 +30,7 @@
     auto on(OwnershipTaken &&input, TimePoint now) -> void;
     auto on(OwnershipEnded &&input, TimePoint now) -> void;
     auto on(JobsStored &&input, TimePoint now) -> void;
+    auto on(JobsArchived &&input, TimePoint now) -> void;
     auto on(PressuresStored &&input, TimePoint now) -> void;
     auto on(WorkersChanged &&input, TimePoint now) -> void;
     auto on(ConfigurationConfirmed &&input, TimePoint now) -> void;
--- a/include/burdockspur/fleet/fleetrings.hpp
+++ b/include/burdockspur/fleet/fleetrings.hpp
@@ -27,7 +27,7 @@
 struct DrainBegun {
 };
 
-using FleetStoreInput = std::variant<StoreRequest, CommitOrder, OwnershipResigned, DrainBegun>;
+using FleetStoreInput = std::variant<StoreRequest, CommitOrder, ArchiveOrder, OwnershipResigned, DrainBegun>;
 
 /// @brief The configuration in force, confirmed by the store.
 struct ConfigurationConfirmed {
@@ -59,6 +59,7 @@
     Epoch m_epoch = 0;
     std::vector<StoredJob> m_jobs;
     TimePoint m_asOf; ///< every job stored before this time is among them
+    std::vector<std::string> m_archived; ///< jobs that a former owner moved, and whose progress it did not delete
 };
 
 /// @brief This host is the owner no more.
@@ -73,6 +74,12 @@
     TimePoint m_asOf; ///< with these, every job stored before this time is known
 };
 
+/// @brief Jobs whose rows stand in the table of ended jobs and not in the table of jobs.
+struct JobsArchived {
+    Epoch m_epoch = 0; ///< of the owner that moved them
+    std::vector<std::string> m_ids;
+};
+
 /// @brief What a previous owner had learned.
 struct PressuresStored {
     std::vector<PressurePair> m_pairs;
@@ -87,6 +94,7 @@
 using FleetInput = std::variant<OwnershipTaken,
                                 OwnershipEnded,
                                 JobsStored,
+                                JobsArchived,
                                 PressuresStored,
                                 WorkersChanged,
                                 ConfigurationConfirmed,
--- a/include/burdockspur/fleet/fleetrows.hpp
+++ b/include/burdockspur/fleet/fleetrows.hpp
@@ -22,6 +22,7 @@
 {
 inline constexpr std::string_view jobs = "jobs"; ///< submissions and cancellations, written by every entry host
 inline constexpr std::string_view progress = "progress"; ///< written by the owner only
+inline constexpr std::string_view final = "final"; ///< jobs that have ended, moved here from `jobs` by the owner
 inline constexpr std::string_view owner = "owner"; ///< one row
 inline constexpr std::string_view model = "model"; ///< one row, what the owner has learned
 }
@@ -45,6 +46,10 @@
 /// @brief The part of a key after its table and partition.
 [[nodiscard]] auto rowName(std::string_view key) noexcept -> std::string_view;
 
+/// @brief Partition of the rows of a job in `jobs` and `final`; ids of other forms than a job's go to the first.
+/// @returns a view into jobPartitions
+[[nodiscard]] auto jobPartition(std::string_view id) noexcept -> std::string_view;
+
 /// @brief Key of a submission.
 [[nodiscard]] auto jobKey(std::string_view id) -> std::string;
 
@@ -54,6 +59,17 @@
 /// @brief Key of a job's progress.
 [[nodiscard]] auto progressKey(std::string_view id) -> std::string;
 
+/// @brief Key of a job that has ended and whose submission was removed.
+[[nodiscard]] auto finalKey(std::string_view id) -> std::string;
+
+/// @brief What stays of a job that has ended, until its retention has passed.
+struct FinalRow {
+    JobPhase m_phase = JobPhase::Completed;
+    TaskJob::WallTime m_endedAt; ///< by the clock of the host that wrote the row
+
+    [[nodiscard]] auto operator==(const FinalRow &) const -> bool = default;
+};
+
 /// @brief The row that decides who schedules; every commit of the owner rewrites it.
 ///
 /// Because each commit requires the version that the one before left, a commit whose answer was lost cannot take
@@ -74,12 +90,14 @@
 /// @brief Encodes a row's value; the format is the product's own JSON.
 [[nodiscard]] auto encodeRow(const TaskJob &job) -> std::string;
 [[nodiscard]] auto encodeRow(const JobProgress &progress) -> std::string;
+[[nodiscard]] auto encodeRow(const FinalRow &row) -> std::string;
 [[nodiscard]] auto encodeRow(const FleetOwnerRow &row) -> std::string;
 [[nodiscard]] auto encodeRow(std::span<const PressurePair> pressures) -> std::string;
 
 /// @brief Decodes a value; ErrorCode::AnswerCorrupt for bytes that are no such row.
 [[nodiscard]] auto decodeJobRow(std::string_view value) -> Result<TaskJob>;
 [[nodiscard]] auto decodeProgressRow(std::string_view value) -> Result<JobProgress>;
+[[nodiscard]] auto decodeFinalRow(std::string_view value) -> Result<FinalRow>;
 [[nodiscard]] auto decodeFleetOwnerRow(std::string_view value) -> Result<FleetOwnerRow>;
 [[nodiscard]] auto decodePressureRow(std::string_view value) -> Result<std::vector<PressurePair>>;
 }
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -9,6 +9,7 @@
 #include "burdockspur/fleet/pacecontroller.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -73,7 +74,11 @@
 
     auto configure(std::shared_ptr<const FleetConfiguration> configuration) -> void;
     auto addJob(TaskJob &&job, TimePoint now, WallTime wallNow) -> void;
-    auto cancelJob(std::string_view id, TimePoint now) -> void;
+    auto cancelJob(std::string_view id) -> void;
+
+    /// @brief Takes jobs that were moved to the table of ended jobs: their progress is deleted, and only their ids are kept.
+    /// @param ids known to be stored there
+    auto noteArchived(std::span<const std::string> ids, TimePoint now) -> void;
 
     /// @brief Every job stored before a time was given to begin() or addJob().
     auto noteJobsAsOf(TimePoint time) noexcept -> void
@@ -126,11 +131,13 @@
 
     // Jobs
     auto restoreRuns(FleetJob &job, TimePoint now) -> void;
-    auto finish(FleetJob &job, JobPhase phase, TimePoint now) -> void;
-    auto afterChange(FleetJob &job, TimePoint now) -> void;
+    auto finish(FleetJob &job, JobPhase phase) -> void;
+    auto afterChange(FleetJob &job) -> void;
     auto wantStops(const FleetJob &job) -> void;
     auto beginDueOccurrences(TimePoint now, WallTime wallNow) -> TimePoint;
     auto forgetOldJobs(TimePoint now) -> void;
+    auto dropJob(std::string_view id) -> void;
+    auto orderArchiving(std::span<const std::string> ids) -> void;
 
     /// @brief Leaves out of further decisions what is final and stored; it stays known until it is forgotten.
     auto settleJobs() -> void;
@@ -145,9 +152,9 @@
     auto takeEnds(FleetWorker &worker, std::span<const EndedTask> ended, TimePoint now) -> void;
     auto takeRunning(FleetWorker &worker, const ReportAnswer &answer, TimePoint now) -> void;
     auto endRun(FleetWorker &worker, TaskRun &run, RunEnd how, std::string_view checkpoint, TimePoint now) -> void;
-    auto endTask(FleetJob &job, const TaskId &id, RunEnd how, std::string_view checkpoint, TimePoint now) -> void;
-    auto returnRun(FleetWorker &worker, TaskRun &run, std::string_view reason, TimePoint now) -> void;
-    auto loseRuns(FleetWorker &worker, std::string_view reason, TimePoint now) -> void;
+    auto endTask(FleetJob &job, const TaskId &id, RunEnd how, std::string_view checkpoint) -> void;
+    auto returnRun(FleetWorker &worker, TaskRun &run, std::string_view reason) -> void;
+    auto loseRuns(FleetWorker &worker, std::string_view reason) -> void;
     auto pollWorkers(TimePoint now) -> TimePoint;
     auto stopRuns(FleetWorker &worker, TimePoint now) -> TimePoint;
     auto leaveWorker(FleetWorker &worker, TimePoint now) -> void;
@@ -183,7 +190,8 @@
     PaceController m_paces; ///< kept over ownerships: what it has learned stays true
     std::map<std::string, double, std::less<>> m_meanWork; ///< core seconds of a job, by queue
     std::map<std::string, TimePoint> m_servingWaits; ///< since when each serving task waits for room
-    std::vector<std::pair<TimePoint, std::string>> m_finished; ///< when jobs became final, in order
+    std::unordered_set<std::string> m_archived; ///< a list of jobs that was read before the move still holds them
+    std::deque<std::pair<TimePoint, std::string>> m_archivedAt; ///< in order of time
     std::unordered_set<std::string> m_deletes; ///< keys to delete with the next commit
     std::vector<FleetCommand> m_commands;
     std::unique_ptr<CommitInFlight> m_commit;
--- a/include/burdockspur/fleet/fleetstoreduty.hpp
+++ b/include/burdockspur/fleet/fleetstoreduty.hpp
@@ -18,6 +18,7 @@
 
 namespace Burdockspur
 {
+class ArchiveCalls;
 class FleetCodec;
 class FleetPlatform;
 class HttpClient;
@@ -46,6 +47,7 @@
     auto takeInputs() -> void;
     auto on(StoreRequest &&request) -> void;
     auto on(CommitOrder &&order) -> void;
+    auto on(ArchiveOrder &&order) -> void;
     auto on(OwnershipResigned &&resigned) -> void;
     auto on(DrainBegun &&drain) -> void;
     auto later(Milliseconds pause, std::function<void()> call) -> void;
@@ -84,6 +86,7 @@
     std::unique_ptr<FleetCodec> m_codec;
     std::unique_ptr<JobStore> m_jobStore;
     std::unique_ptr<OwnerCommit> m_commits;
+    std::unique_ptr<ArchiveCalls> m_archive; ///< of the owner's ended jobs
     std::unique_ptr<JobLoad> m_jobLoad; ///< of a takeover, or after the history of the jobs was lost
     std::unique_ptr<TableFollower> m_configurationRows;
     std::unique_ptr<TableFollower> m_jobRows;
--- a/include/burdockspur/fleet/jobload.hpp
+++ b/include/burdockspur/fleet/jobload.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -37,6 +38,7 @@
     struct Jobs {
         std::vector<StoredJob> m_jobs;
         std::uint64_t m_version = 0; ///< from which the table of jobs can be followed
+        std::vector<std::string> m_archived; ///< jobs with final progress whose submission was moved away
     };
 
     struct Listener {
@@ -73,6 +75,7 @@
     auto decodeSubmission(const TableRow &row) -> void;
     auto decodeProgress(const TableRow &row) -> void;
     [[nodiscard]] auto join() -> std::vector<StoredJob>;
+    [[nodiscard]] auto archived() const -> std::vector<std::string>;
     auto log(std::string_view outcome) const -> void;
 
     ChangeStore &m_store;
@@ -84,6 +87,7 @@
     std::vector<std::string> m_cancelled;
     std::map<std::string, JobProgress, std::less<>> m_progress;
     std::vector<std::string> m_corrupt; ///< jobs whose progress cannot be read
+    std::set<std::string, std::less<>> m_corruptJobs; ///< jobs whose submission cannot be read
     std::optional<std::uint64_t> m_version; ///< of the oldest page
     TimePoint m_beganAt;
     TimePoint m_answeredAt; ///< last page
--- a/include/burdockspur/fleet/jobstore.hpp
+++ b/include/burdockspur/fleet/jobstore.hpp
@@ -4,6 +4,7 @@
 #include "burdockspur/fleet/jobprogress.hpp"
 #include "burdockspur/port/changestore.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <string_view>
 
@@ -21,18 +22,21 @@
     /// @param store outlives the object
     explicit JobStore(ChangeStore &store);
 
-    /// @brief Stores a job unless its id is known already; both are a success.
+    /// @brief Stores a job unless its id is known already, also as that of an ended job; both are a success.
     auto submit(const TaskJob &job, PhaseCallback callback) -> void;
 
     /// @brief Reads the state of a job.
     auto readPhase(std::string_view id, PhaseCallback callback) -> void;
 
-    /// @brief Stores the cancellation of a job.
+    /// @brief Stores the cancellation of a job; that of an ended job is a success that stores nothing.
     auto cancel(std::string_view id, PhaseCallback callback) -> void;
 
 private:
     auto confirmStored(std::string_view id, PhaseCallback callback) -> void;
     auto readSubmission(std::string_view id, PhaseCallback callback) -> void;
+    auto readFinal(std::string_view id, PhaseCallback callback) -> void;
+    auto storeCancellation(std::string_view id, std::uint64_t version, PhaseCallback callback) -> void;
+    auto confirmEnded(std::string_view id, PhaseCallback callback) -> void;
 
     ChangeStore &m_store;
 };
--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -29,6 +29,7 @@
 
 class AdminDuty;
 class AdminServer;
+class ArchiveCalls;
 class BestFit;
 class BestFitSpread;
 class BurnMeter;
@@ -73,6 +74,7 @@
 class IdempotencyTable;
 class InterferenceController;
 class InterferenceModel;
+class JobArchive;
 class JobQueue;
 class JobRouter;
 class JobStore;
--- a/src/fleet/fleetduty.cpp
+++ b/src/fleet/fleetduty.cpp
@@ -67,6 +67,7 @@
 auto FleetDuty::on(OwnershipTaken &&input, TimePoint now) -> void
 {
     m_scheduler.begin(input.m_epoch, std::move(input.m_jobs), now, wallNow());
+    m_scheduler.noteArchived(input.m_archived, now);
     m_scheduler.noteJobsAsOf(input.m_asOf);
 }
 
@@ -83,11 +84,18 @@
         m_scheduler.addJob(std::move(job), now, wallNow());
     }
     for (const auto &id : input.m_cancelled) {
-        m_scheduler.cancelJob(id, now);
+        m_scheduler.cancelJob(id);
     }
     m_scheduler.noteJobsAsOf(input.m_asOf);
 }
 
+auto FleetDuty::on(JobsArchived &&input, TimePoint now) -> void
+{
+    if (input.m_epoch == m_scheduler.epoch()) {
+        m_scheduler.noteArchived(input.m_ids, now);
+    }
+}
+
 auto FleetDuty::on(PressuresStored &&input, TimePoint /*now*/) -> void
 {
     m_scheduler.restorePressures(input.m_pairs);
@@ -143,7 +151,7 @@
         const bool isSent = std::visit(
             [this](auto &content) {
                 using Content = std::remove_reference_t<decltype(content)>;
-                if constexpr (std::is_same_v<Content, CommitOrder> || std::is_same_v<Content, OwnershipResigned>) {
+                if constexpr (std::is_same_v<Content, CommitOrder> || std::is_same_v<Content, ArchiveOrder> || std::is_same_v<Content, OwnershipResigned>) {
                     return m_rings.m_store.tryPush(std::move(content));
                 } else {
                     return m_rings.m_workers.tryPush(std::move(content));
--- a/src/fleet/fleetrows.cpp
+++ b/src/fleet/fleetrows.cpp
@@ -200,14 +200,21 @@
     return key.append("/").append(partition).append("/").append(name).append(suffix);
 }
 
-/// @brief Partition of a job; ids of other forms than a job's go to the first.
-[[nodiscard]] auto jobPartition(std::string_view id) -> std::string_view
+[[nodiscard]] auto readPhase(const Value &document) -> std::optional<JobPhase>
+{
+    constexpr std::array phases{JobPhase::Queued, JobPhase::Running, JobPhase::Completed, JobPhase::Failed, JobPhase::Cancelled};
+    const auto state = JsonValue::text(document, "state").value_or(std::string_view{});
+    const auto *const phase = std::ranges::find(phases, state, phaseName);
+    return phase == phases.end() ? std::nullopt : std::optional(*phase);
+}
+}
+
+auto jobPartition(std::string_view id) noexcept -> std::string_view
 {
     const auto digit = id.empty() ? '0' : static_cast<char>(std::tolower(static_cast<unsigned char>(id.front())));
     const auto index = jobPartitions.find(digit);
     return jobPartitions.substr(index == std::string_view::npos ? 0 : index, 1);
 }
-}
 
 auto rowName(std::string_view key) noexcept -> std::string_view
 {
@@ -231,6 +238,11 @@
     return keyOf(FleetTables::progress, ownerPartition, id);
 }
 
+auto finalKey(std::string_view id) -> std::string
+{
+    return keyOf(FleetTables::final, jobPartition(id), id);
+}
+
 auto encodeRow(const TaskJob &job) -> std::string
 {
     rapidjson::StringBuffer buffer;
@@ -282,6 +294,17 @@
     return JsonValue::textOf(buffer);
 }
 
+auto encodeRow(const FinalRow &row) -> std::string
+{
+    rapidjson::StringBuffer buffer;
+    Writer writer(buffer);
+    writer.StartObject();
+    putText(writer, "state", phaseName(row.m_phase));
+    putNumber(writer, "ended", row.m_endedAt.time_since_epoch().count());
+    writer.EndObject();
+    return JsonValue::textOf(buffer);
+}
+
 auto encodeRow(const FleetOwnerRow &row) -> std::string
 {
     rapidjson::StringBuffer buffer;
@@ -385,12 +408,10 @@
     if (!parseObject(document, value)) {
         return failure(ErrorCode::AnswerCorrupt, "a progress row is no JSON object");
     }
-    constexpr std::array phases{JobPhase::Queued, JobPhase::Running, JobPhase::Completed, JobPhase::Failed, JobPhase::Cancelled};
-    const auto state = text(document, "state").value_or(std::string_view{});
-    const auto *const phase = std::ranges::find(phases, state, phaseName);
+    const auto phase = readPhase(document);
     const auto next = whole<std::uint32_t>(document, "next");
     const auto *const open = array(document, "open");
-    if (phase == phases.end() || !next || open == nullptr) {
+    if (!phase || !next || open == nullptr) {
         return failure(ErrorCode::AnswerCorrupt, "a progress row lacks its state");
     }
     JobProgress progress{*phase, *next, {}};
@@ -404,6 +425,18 @@
     return progress;
 }
 
+auto decodeFinalRow(std::string_view value) -> Result<FinalRow>
+{
+    using namespace JsonValue;
+    JsonValue::Value document;
+    const bool isObject = parseObject(document, value);
+    const auto phase = isObject ? readPhase(document) : std::nullopt;
+    if (!phase || !isFinal(*phase)) {
+        return failure(ErrorCode::AnswerCorrupt, "the row of an ended job lacks its final state");
+    }
+    return FinalRow{*phase, TaskJob::WallTime(Milliseconds(whole<std::int64_t>(document, "ended").value_or(0)))};
+}
+
 auto decodeFleetOwnerRow(std::string_view value) -> Result<FleetOwnerRow>
 {
     using namespace JsonValue;
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -23,6 +23,7 @@
     m_storeConfirmedAt = now;
     m_nextCommit = now;
     m_nextModel = now + m_limits.m_modelInterval;
+    std::vector<std::string> ended; ///< stored as such by the previous owner
     for (auto &stored : jobs) {
         auto job = std::make_unique<FleetJob>(std::move(stored.m_job), now, wallNow);
         if (stored.m_progress && !job->restore(std::move(*stored.m_progress))) {
@@ -37,10 +38,14 @@
             entry.setPhase(JobPhase::Cancelled);
         }
         if (isFinal(entry.progress().m_phase)) {
-            m_finished.emplace_back(now, entry.job().m_id);
             wantStops(entry);
+            entry.dropTasksWhenIdle();
+        }
+        if (entry.isSettled()) {
+            ended.push_back(entry.job().m_id);
         }
     }
+    orderArchiving(ended);
     m_mustPlace = true;
 }
 
@@ -52,7 +57,8 @@
     m_jobs.clear();
     m_workers.clear();
     m_servingWaits.clear();
-    m_finished.clear();
+    m_archived.clear();
+    m_archivedAt.clear();
     m_deletes.clear();
     m_commands.clear();
     m_commit.reset();
@@ -81,7 +87,7 @@
         auto &worker = m_workers.try_emplace(task.m_worker, record, m_limits, now + m_limits.m_unknownLease).first->second;
         if (task.m_incarnation < worker.m_record.m_incarnation) {
             // A later incarnation was used, so this one has ended.
-            endTask(job, id, RunEnd::LeaseLapsed, task.m_checkpoint, now);
+            endTask(job, id, RunEnd::LeaseLapsed, task.m_checkpoint);
             continue;
         }
         if (task.m_incarnation > worker.m_record.m_incarnation) {
@@ -114,7 +120,7 @@
 
 auto FleetScheduler::addJob(TaskJob &&job, TimePoint now, WallTime wallNow) -> void
 {
-    if (!isOwner() || m_jobs.contains(job.m_id)) {
+    if (!isOwner() || m_jobs.contains(job.m_id) || m_archived.contains(job.m_id)) {
         return;
     }
     const std::string id = job.m_id;
@@ -130,19 +136,18 @@
     m_mustPlace = true;
 }
 
-auto FleetScheduler::cancelJob(std::string_view id, TimePoint now) -> void
+auto FleetScheduler::cancelJob(std::string_view id) -> void
 {
     const auto entry = m_jobs.find(id);
     if (entry != m_jobs.end() && !isFinal(entry->second->progress().m_phase)) {
-        finish(*entry->second, JobPhase::Cancelled, now);
+        finish(*entry->second, JobPhase::Cancelled);
     }
 }
 
-auto FleetScheduler::finish(FleetJob &job, JobPhase phase, TimePoint now) -> void
+auto FleetScheduler::finish(FleetJob &job, JobPhase phase) -> void
 {
     job.setPhase(phase);
     logEvent(LogLevel::Info, "job_final", {{"job", job.job().m_id}, {"state", phaseName(job.progress().m_phase)}, {"epoch", m_epoch}});
-    m_finished.emplace_back(now, job.job().m_id);
     wantStops(job);
     job.dropTasksWhenIdle();
     m_mustPlace = true;
@@ -157,17 +162,17 @@
     }
 }
 
-auto FleetScheduler::afterChange(FleetJob &job, TimePoint now) -> void
+auto FleetScheduler::afterChange(FleetJob &job) -> void
 {
     job.touch();
     if (job.closeDone()) {
-        finish(job, JobPhase::Completed, now);
+        finish(job, JobPhase::Completed);
     }
     job.dropTasksWhenIdle();
     m_mustPlace = true;
 }
 
-auto FleetScheduler::endTask(FleetJob &job, const TaskId &id, RunEnd how, std::string_view checkpoint, TimePoint now) -> void
+auto FleetScheduler::endTask(FleetJob &job, const TaskId &id, RunEnd how, std::string_view checkpoint) -> void
 {
     auto *const task = job.task(id);
     if (task == nullptr || task->m_phase == TaskPhase::Done) {
@@ -187,10 +192,10 @@
     if (how == RunEnd::Failed) {
         ++task->m_failures;
         if (!step.m_isServing && task->m_failures >= policyOf(job).m_maxAttempts) {
-            finish(job, JobPhase::Failed, now);
+            finish(job, JobPhase::Failed);
         }
     }
-    afterChange(job, now);
+    afterChange(job);
 }
 
 auto FleetScheduler::beginDueOccurrences(TimePoint now, WallTime wallNow) -> TimePoint
@@ -209,31 +214,63 @@
     return next;
 }
 
-auto FleetScheduler::forgetOldJobs(TimePoint now) -> void
+auto FleetScheduler::noteArchived(std::span<const std::string> ids, TimePoint now) -> void
 {
-    const auto isOld = [&](const auto &entry) {
-        return now - entry.first >= m_limits.m_retention;
-    };
-    std::size_t old = 0;
-    for (; old < m_finished.size() && isOld(m_finished[old]); ++old) {
-        const std::string &id = m_finished[old].second;
-        const auto entry = m_jobs.find(id);
-        if (entry == m_jobs.end()) {
-            continue;
+    if (!isOwner()) {
+        return;
+    }
+    for (const auto &id : ids) {
+        if (m_archived.insert(id).second) {
+            m_archivedAt.emplace_back(now, id);
         }
-        const bool isRunning = std::ranges::any_of(m_workers, [&](const auto &worker) {
-            return std::ranges::any_of(worker.second.m_runs, [&](const auto &run) {
-                return run.second.m_job == entry->second.get();
-            });
-        });
-        if (isRunning) {
-            break;
+        m_deletes.insert(progressKey(id));
+        dropJob(id);
+    }
+}
+
+auto FleetScheduler::orderArchiving(std::span<const std::string> ids) -> void
+{
+    ArchiveOrder order;
+    order.m_epoch = m_epoch;
+    for (const auto &id : ids) {
+        if (const auto job = m_jobs.find(id); job != m_jobs.end() && job->second->isSettled()) {
+            order.m_jobs.push_back({id, job->second->progress().m_phase});
         }
-        m_deletes.insert({jobKey(id), cancelKey(id), progressKey(id)});
-        m_activeJobs.erase(id);
+    }
+    if (!order.m_jobs.empty()) {
+        m_commands.emplace_back(std::move(order));
+    }
+}
+
+auto FleetScheduler::dropJob(std::string_view id) -> void
+{
+    const auto entry = m_jobs.find(id);
+    if (entry == m_jobs.end()) {
+        return;
+    }
+    const bool isRunning = std::ranges::any_of(m_workers, [&](const auto &worker) {
+        return std::ranges::any_of(worker.second.m_runs, [&](const auto &run) {
+            return run.second.m_job == entry->second.get();
+        });
+    });
+    // A run refers to its job, which is then dropped when the retention has passed.
+    if (!isRunning) {
+        m_activeJobs.erase(entry->first);
         m_jobs.erase(entry);
     }
-    m_finished.erase(m_finished.begin(), m_finished.begin() + static_cast<std::ptrdiff_t>(old));
+}
+
+auto FleetScheduler::forgetOldJobs(TimePoint now) -> void
+{
+    while (!m_archivedAt.empty() && now - m_archivedAt.front().first >= m_limits.m_retention) {
+        const std::string &id = m_archivedAt.front().second;
+        dropJob(id);
+        if (m_jobs.contains(id)) {
+            return;
+        }
+        m_archived.erase(id);
+        m_archivedAt.pop_front();
+    }
 }
 
 auto FleetScheduler::settleJobs() -> void
@@ -255,7 +292,7 @@
         leaveWorker(worker, now);
         next = std::min(next, stopRuns(worker, now));
         if (!worker.m_runs.empty() && now >= worker.m_life.endsBy()) {
-            loseRuns(worker, "lease_lapsed", now);
+            loseRuns(worker, "lease_lapsed");
         }
     }
     std::erase_if(m_workers, [](const auto &entry) {
@@ -389,6 +426,7 @@
         return;
     }
     m_storeConfirmedAt = commit->m_sentAt;
+    orderArchiving(commit->m_jobs);
     for (const auto &ack : commit->m_acks) {
         auto *const worker = workerNamed(ack.m_worker);
         if (worker != nullptr && worker->m_record.m_incarnation == ack.m_incarnation) {
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -289,7 +289,7 @@
     const auto lease = mayRenew ? worker.m_life.extend(m_limits.m_lease, now) : std::nullopt;
     const bool mayStart = !run.m_stopWanted && worker.m_isListed && !worker.m_record.m_leavesIn && !isFinal(run.m_job->progress().m_phase);
     if (run.m_stage == RunStage::Recorded && (!lease || !mayStart)) {
-        returnRun(worker, run, !lease ? "no_lease" : "no_longer_wanted", now);
+        returnRun(worker, run, !lease ? "no_lease" : "no_longer_wanted");
         return;
     }
     if (!lease || !mayStart) {
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -111,13 +111,13 @@
 
 auto FleetScheduler::replaceIncarnation(FleetWorker &worker, const WorkerRecord &record, TimePoint now) -> void
 {
-    loseRuns(worker, "worker_restarted", now);
+    loseRuns(worker, "worker_restarted");
     const auto id = worker.m_record.m_id;
     worker = FleetWorker(record, m_limits, now);
     worker.m_record.m_id = id;
 }
 
-auto FleetScheduler::loseRuns(FleetWorker &worker, std::string_view reason, TimePoint now) -> void
+auto FleetScheduler::loseRuns(FleetWorker &worker, std::string_view reason) -> void
 {
     const auto runs = worker.takeRuns();
     for (const auto &[name, run] : runs) {
@@ -126,7 +126,7 @@
                  {{"job", run.m_task.m_job}, {"task", name}, {"run", run.m_run}, {"worker", worker.m_record.m_id}, {"reason", reason}, {"epoch", m_epoch}});
     }
     for (const auto &[name, run] : runs) {
-        endTask(*run.m_job, run.m_task, RunEnd::LeaseLapsed, run.m_checkpoint, now);
+        endTask(*run.m_job, run.m_task, RunEnd::LeaseLapsed, run.m_checkpoint);
     }
 }
 
@@ -172,7 +172,7 @@
         return;
     }
     if (answer.m_outcome == OrderOutcome::OtherIncarnation) {
-        loseRuns(*worker, "other_incarnation", now);
+        loseRuns(*worker, "other_incarnation");
         worker->m_isTaken = false;
         worker->m_reportDue = now + m_limits.m_reportRetry;
         return;
@@ -244,11 +244,11 @@
         for (std::uint32_t index = 0; index < step.m_count; ++index) {
             TaskId member = id;
             member.m_index = index;
-            endTask(job, member, how, {}, now);
+            endTask(job, member, how, {});
         }
         return;
     }
-    endTask(job, id, how, checkpoint, now);
+    endTask(job, id, how, checkpoint);
 }
 
 auto FleetScheduler::takeRunning(FleetWorker &worker, const ReportAnswer &answer, TimePoint now) -> void
@@ -297,7 +297,7 @@
         const bool cannotBegin = run->m_stopAcceptedAt != TimePoint{} && answer.m_sentAt > run->m_stopAcceptedAt;
         if (neverBegan || cannotBegin) {
             // This owner's order excludes those of earlier owners, and an accepted stop excludes the run itself.
-            returnRun(worker, *run, neverBegan ? "never_started" : "stopped_before_start", now);
+            returnRun(worker, *run, neverBegan ? "never_started" : "stopped_before_start");
         } else if (run->m_stage == RunStage::Running && answer.m_sentAt > run->m_confirmedAt) {
             run->m_stopWanted = true;
         }
@@ -347,7 +347,7 @@
     }
 }
 
-auto FleetScheduler::returnRun(FleetWorker &worker, TaskRun &run, std::string_view reason, TimePoint now) -> void
+auto FleetScheduler::returnRun(FleetWorker &worker, TaskRun &run, std::string_view reason) -> void
 {
     FleetJob &job = *run.m_job;
     const TaskId id = run.m_task;
@@ -355,7 +355,7 @@
              "run_returned",
              {{"job", id.m_job}, {"task", id.text()}, {"run", run.m_run}, {"worker", worker.m_record.m_id}, {"reason", reason}, {"epoch", m_epoch}});
     worker.remove(id.text());
-    endTask(job, id, RunEnd::Stopped, {}, now);
+    endTask(job, id, RunEnd::Stopped, {});
 }
 
 auto FleetScheduler::take(const StartAnswer &answer, TimePoint now) -> void
@@ -391,7 +391,7 @@
         run->m_confirmedAt = now;
         return;
     case OrderOutcome::OtherIncarnation:
-        loseRuns(*worker, "other_incarnation", now);
+        loseRuns(*worker, "other_incarnation");
         return;
     case OrderOutcome::NoAnswer:
         ++run->m_unanswered;
@@ -410,7 +410,7 @@
     }
     const bool isCertain = answer.m_outcome != OrderOutcome::NoAnswer && answer.m_outcome != OrderOutcome::Superseded;
     if (isCertain && run->m_unanswered == 0) {
-        returnRun(*worker, *run, outcomeName(answer.m_outcome), now);
+        returnRun(*worker, *run, outcomeName(answer.m_outcome));
     } else {
         // An order without an answer may still be carried out; only a stop excludes that.
         run->m_stopWanted = true;
@@ -462,7 +462,7 @@
         m_commands.emplace_back(RunStopOrder{addressOf(worker), run.m_task, run.m_run});
     }
     for (auto *const run : unsent) {
-        returnRun(worker, *run, "not_sent", now);
+        returnRun(worker, *run, "not_sent");
     }
     return next;
 }
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -1,6 +1,7 @@
 #include "burdockspur/fleet/fleetstoreduty.hpp"
 
 #include "burdockspur/core/identifiers.hpp"
+#include "burdockspur/fleet/archivecalls.hpp"
 #include "burdockspur/fleet/jobstore.hpp"
 #include "burdockspur/fleet/tablefollower.hpp"
 #include "burdockspur/host/ringoutbox.hpp"
@@ -82,6 +83,13 @@
                                                                             endOwnership();
                                                                         },
                                                                     .m_later = wait});
+    m_archive = std::make_unique<ArchiveCalls>(*m_store,
+                                               fleetLimitsOf(m_settings).m_retention,
+                                               ArchiveCalls::Listener{.m_archived =
+                                                                          [this](std::vector<std::string> &&ids) {
+                                                                              m_toScheduler->push(JobsArchived{m_commits->row().m_epoch, std::move(ids)});
+                                                                          },
+                                                                      .m_later = wait});
     const auto takePage = [this](const RowPage &page, TimePoint confirmedAt) {
         takeConfiguration(page, confirmedAt);
     };
@@ -107,6 +115,7 @@
     m_jobRows.reset();
     m_jobLoad.reset();
     m_configurationRows.reset();
+    m_archive.reset();
     m_commits.reset();
     m_jobStore.reset();
     m_store.reset();
@@ -158,6 +167,13 @@
     commitWaiting();
 }
 
+auto FleetStoreDuty::on(ArchiveOrder &&order) -> void
+{
+    if (m_isBegun && m_commits->isOwner() && order.m_epoch == m_commits->row().m_epoch) {
+        m_archive->add(order.m_jobs);
+    }
+}
+
 auto FleetStoreDuty::on(OwnershipResigned &&resigned) -> void
 {
     if (m_commits->isOwner() && m_commits->row().m_epoch == resigned.m_epoch) {
@@ -191,6 +207,7 @@
         return;
     }
     m_isReleased = true;
+    m_archive->end();
     m_jobLoad.reset();
     m_jobRows.reset();
     m_workerRows.reset();
@@ -316,7 +333,8 @@
     m_store->read(modelKey, [this, epoch = m_commits->row().m_epoch](Result<std::vector<TableRow>> &&rows) {
         takeModel(epoch, std::move(rows));
     });
-    m_toScheduler->push(OwnershipTaken{m_commits->row().m_epoch, std::move(loaded.m_jobs), m_jobsAsOf});
+    m_archive->begin();
+    m_toScheduler->push(OwnershipTaken{m_commits->row().m_epoch, std::move(loaded.m_jobs), m_jobsAsOf, std::move(loaded.m_archived)});
     followFleet(loaded.m_version);
 }
 
@@ -419,6 +437,7 @@
 {
     m_toScheduler->push(OwnershipEnded{m_commits->row().m_epoch});
     m_commits->end();
+    m_archive->end();
     // Not at once: this may run in a callback of one of them.
     later(Milliseconds{0}, [this] {
         if (!m_commits->isOwner()) {
--- a/src/fleet/jobload.cpp
+++ b/src/fleet/jobload.cpp
@@ -91,7 +91,8 @@
         m_isOver = true;
         log("loaded");
         // Last, because it may end the object.
-        m_listener.m_loaded({join(), *m_version});
+        auto orphans = archived();
+        m_listener.m_loaded({join(), *m_version, std::move(orphans)});
     }
 }
 
@@ -123,6 +124,7 @@
         m_jobs.emplace(name, StoredJob{std::move(*job), std::nullopt, false});
     } else {
         logEvent(LogLevel::Error, "job_row_corrupt", {{"key", row.m_key}, {"version", row.m_version}, {"reason", job.error().m_message}});
+        m_corruptJobs.emplace(name);
     }
 }
 
@@ -137,6 +139,19 @@
     }
 }
 
+auto JobLoad::archived() const -> std::vector<std::string>
+{
+    // A submission is only ever deleted together with the put of its final row, so final progress without a submission
+    // has its final row stored, whichever of the lists was read first.
+    std::vector<std::string> ids;
+    for (const auto &[id, progress] : m_progress) {
+        if (isFinal(progress.m_phase) && !m_jobs.contains(id) && !m_corruptJobs.contains(id)) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
 auto JobLoad::join() -> std::vector<StoredJob>
 {
     for (const auto &id : m_corrupt) {
--- a/src/fleet/jobstore.cpp
+++ b/src/fleet/jobstore.cpp
@@ -17,6 +17,7 @@
 {
     Transaction transaction;
     transaction.m_conditions.push_back({jobKey(job.m_id), 0});
+    transaction.m_conditions.push_back({finalKey(job.m_id), 0});
     transaction.m_puts.push_back({jobKey(job.m_id), encodeRow(job)});
     m_store.commit(transaction, [this, id = job.m_id, callback = std::move(callback)](CommitResult &&result) mutable {
         switch (result.m_status) {
@@ -36,18 +37,26 @@
 
 auto JobStore::confirmStored(std::string_view id, PhaseCallback callback) -> void
 {
-    m_store.read(jobKey(id), [callback = std::move(callback)](Result<std::vector<TableRow>> &&rows) {
+    m_store.read(jobKey(id), [this, id = std::string(id), callback = std::move(callback)](Result<std::vector<TableRow>> &&rows) mutable {
         if (rows && !rows->empty()) {
             callback(JobPhase::Queued);
-        } else {
-            // An absent row may still be written by the call whose answer was lost.
-            callback(failure(ErrorCode::OutcomeUnknown, "the store did not confirm the submission"));
+            return;
         }
+        // A short job may have ended and been moved meanwhile.
+        readFinal(id, [callback = std::move(callback)](Result<JobPhase> &&phase) {
+            if (phase) {
+                callback(JobPhase::Queued);
+            } else {
+                // Absent rows may still be written by the call whose answer was lost.
+                callback(failure(ErrorCode::OutcomeUnknown, "the store did not confirm the submission"));
+            }
+        });
     });
 }
 
 auto JobStore::readPhase(std::string_view id, PhaseCallback callback) -> void
 {
+    // Progress, then submission, then final row: the move deletes a row only when a later one of these is stored.
     m_store.read(progressKey(id), [this, id = std::string(id), callback = std::move(callback)](Result<std::vector<TableRow>> &&rows) mutable {
         if (!rows) {
             callback(failure(ErrorCode::Unavailable, rows.error().m_message));
@@ -68,11 +77,11 @@
 
 auto JobStore::readSubmission(std::string_view id, PhaseCallback callback) -> void
 {
-    m_store.scan(jobKey(id), {}, 2, [id = std::string(id), callback = std::move(callback)](Result<std::vector<TableRow>> &&rows) {
+    m_store.scan(jobKey(id), {}, 2, [this, id = std::string(id), callback = std::move(callback)](Result<std::vector<TableRow>> &&rows) mutable {
         if (!rows) {
             callback(failure(ErrorCode::Unavailable, rows.error().m_message));
         } else if (rows->empty()) {
-            callback(failure(ErrorCode::UnknownJob, "no job " + id));
+            readFinal(id, std::move(callback));
         } else {
             const bool isCancelled = rows->back().m_key == cancelKey(id);
             callback(isCancelled ? JobPhase::Cancelled : JobPhase::Queued);
@@ -80,24 +89,67 @@
     });
 }
 
+auto JobStore::readFinal(std::string_view id, PhaseCallback callback) -> void
+{
+    m_store.read(finalKey(id), [id = std::string(id), callback = std::move(callback)](Result<std::vector<TableRow>> &&rows) {
+        if (!rows) {
+            callback(failure(ErrorCode::Unavailable, rows.error().m_message));
+            return;
+        }
+        if (rows->empty()) {
+            callback(failure(ErrorCode::UnknownJob, "no job " + id));
+            return;
+        }
+        const auto row = decodeFinalRow(rows->front().m_value);
+        if (row) {
+            callback(row->m_phase);
+        } else {
+            callback(failure(ErrorCode::Unavailable, row.error().m_message));
+        }
+    });
+}
+
 auto JobStore::cancel(std::string_view id, PhaseCallback callback) -> void
 {
     m_store.read(jobKey(id), [this, id = std::string(id), callback = std::move(callback)](Result<std::vector<TableRow>> &&rows) mutable {
-        if (!rows || rows->empty()) {
-            callback(rows ? failure(ErrorCode::UnknownJob, "no job " + id) : failure(ErrorCode::Unavailable, rows.error().m_message));
+        if (!rows) {
+            callback(failure(ErrorCode::Unavailable, rows.error().m_message));
+        } else if (rows->empty()) {
+            confirmEnded(id, std::move(callback));
+        } else {
+            storeCancellation(id, rows->front().m_version, std::move(callback));
+        }
+    });
+}
+
+auto JobStore::storeCancellation(std::string_view id, std::uint64_t version, PhaseCallback callback) -> void
+{
+    Transaction transaction;
+    transaction.m_conditions.push_back({jobKey(id), version});
+    transaction.m_puts.push_back({cancelKey(id), "{}"});
+    m_store.commit(transaction, [this, id = std::string(id), callback = std::move(callback)](CommitResult &&result) mutable {
+        switch (result.m_status) {
+        case CommitResult::Status::Committed:
+            callback(JobPhase::Cancelled);
+            return;
+        case CommitResult::Status::Conflict: // A submission never changes, so it was moved after the read.
+            confirmEnded(id, std::move(callback));
+            return;
+        case CommitResult::Status::NotApplied:
+            callback(failure(ErrorCode::Unavailable, result.m_error.m_message));
+            return;
+        case CommitResult::Status::Unknown:
+            callback(failure(ErrorCode::OutcomeUnknown, result.m_error.m_message));
             return;
         }
-        Transaction transaction;
-        transaction.m_conditions.push_back({jobKey(id), rows->front().m_version});
-        transaction.m_puts.push_back({cancelKey(id), "{}"});
-        m_store.commit(transaction, [callback = std::move(callback)](CommitResult &&result) {
-            if (result.m_status == CommitResult::Status::Committed) {
-                callback(JobPhase::Cancelled);
-            } else {
-                const bool isUnknown = result.m_status == CommitResult::Status::Unknown;
-                callback(failure(isUnknown ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable, result.m_error.m_message));
-            }
-        });
+    });
+}
+
+auto JobStore::confirmEnded(std::string_view id, PhaseCallback callback) -> void
+{
+    readFinal(id, [callback = std::move(callback)](Result<JobPhase> &&phase) {
+        // Nothing of an ended job runs, so there is nothing left to cancel.
+        callback(phase ? Result<JobPhase>(JobPhase::Cancelled) : std::move(phase));
     });
 }
 }
--- a/standins/fleetstandin.cpp
+++ b/standins/fleetstandin.cpp
@@ -200,6 +200,13 @@
     answerFeeds();
 }
 
+auto FleetStandin::hasRow(std::string_view table, std::string_view part, std::string_view key) const -> bool
+{
+    return std::ranges::any_of(m_rows, [&](const Row &row) {
+        return !row.m_isDropped && row.name() == std::tie(table, part, key);
+    });
+}
+
 auto FleetStandin::delayReads(std::string_view table, std::chrono::milliseconds delay) -> void
 {
     m_readDelays.insert_or_assign(std::string(table), delay);
@@ -237,12 +244,18 @@
             return row.m_table == textIn(entry, "table") && row.m_part == textIn(entry, "part") && row.m_key == textIn(entry, "key");
         });
     };
+    constexpr std::size_t mostEntries = 100;
+    std::size_t entries = 0;
     std::set<std::string> parts;
     for (const auto *const list : {"expected_rev", "writes", "remove"}) {
         for (const auto &entry : *JsonValue::array(document, list)) {
             parts.insert(textIn(entry, "part"));
+            ++entries;
         }
     }
+    if (entries > mostEntries) {
+        return jsonResponse(400, R"({"error":"too many entries"})");
+    }
     if (parts.size() > 1) {
         return jsonResponse(400, R"({"error":"several parts"})");
     }
--- a/standins/fleetstandin.hpp
+++ b/standins/fleetstandin.hpp
@@ -44,6 +44,8 @@
     /// @brief Writes a row as the operator or a worker does.
     auto put(std::string_view table, std::string_view part, std::string_view key, std::string_view value) -> void;
 
+    [[nodiscard]] auto hasRow(std::string_view table, std::string_view part, std::string_view key) const -> bool;
+
     /// @brief While set, every call to the store is answered with 503.
     auto setStoreDown(bool isDown) noexcept -> void
     {
--- a/tests/fleethosttest.cpp
+++ b/tests/fleethosttest.cpp
@@ -123,6 +123,15 @@
         }
     }
 
+    /// @brief Waits until only the final row of a job is left.
+    auto awaitMove(std::string_view id) -> void
+    {
+        const auto part = id.substr(0, 1);
+        while (m_platform.hasRow("jobs", part, id) || m_platform.hasRow("progress", "fleet", id) || !m_platform.hasRow("final", part, id)) {
+            QCoreApplication::processEvents(QEventLoop::AllEvents, 20);
+        }
+    }
+
     // Timers of the stand-in need the application, so it comes first.
     const bool m_hasApplication = (Testing::requireApplication(), true);
     FleetStandin m_platform{2};
@@ -242,3 +251,56 @@
     EXPECT_EQ(host.call("DELETE", "/jobs/5c0e7a21d94b36f8")->m_status, 200);
     awaitState(host, "/jobs/5c0e7a21d94b36f8", "cancelled");
 }
+
+// Guards against a job that is forgotten or runs again (TWICE) once its rows were moved away, through any host and after a takeover.
+TEST_F(FleetHostTest, AMovedJobStaysKnownAndRunsNoMore)
+{
+    const std::string id = "5c0e7a21d94b36f8";
+    const auto target = "/jobs/" + id;
+    Host first("host-1", m_platform.storePort());
+    first.awaitReady(true);
+    Host second("host-2", m_platform.storePort());
+    second.awaitReady(true);
+    EXPECT_EQ(first.call("POST", target, twoSteps)->m_status, 200);
+    awaitState(second, target, "completed");
+    awaitMove(id);
+    for (auto *const host : {&first, &second}) {
+        EXPECT_EQ(host->call("GET", target)->m_body, R"({"state":"completed"})");
+        EXPECT_EQ(host->call("POST", target, twoSteps)->m_status, 200);
+        EXPECT_EQ(host->call("DELETE", target)->m_status, 200);
+    }
+    first.stop();
+    EXPECT_EQ(second.call("POST", target, twoSteps)->m_status, 200);
+    // When a later job is completed, the new owner has seen every row of the first one.
+    EXPECT_EQ(second.call("POST", "/jobs/5c0e7a21d94b36f9", twoSteps)->m_status, 200);
+    awaitState(second, "/jobs/5c0e7a21d94b36f9", "completed");
+    EXPECT_EQ(second.call("GET", target)->m_body, R"({"state":"completed"})");
+    EXPECT_EQ(m_platform.starts().size(), 10U);
+    for (const auto &[task, count] : m_platform.starts()) {
+        EXPECT_EQ(count, 1) << task;
+    }
+    EXPECT_FALSE(m_platform.hasRow("jobs", "5", id));
+}
+
+// Guards against rows of ended jobs that stay in the store when their owner is lost between the end of a job and its move, or
+// between the move and the deletion of its progress.
+TEST_F(FleetHostTest, ASuccessorEndsTheMoves)
+{
+    TaskJob job;
+    job.m_id = "5c0e7a21d94b36f8";
+    job.m_policy.m_name = "queue";
+    job.m_steps.push_back({.m_count = 1, .m_demand = {.m_cpuMillis = 500, .m_memoryMb = 64}});
+    const auto ended = encodeRow(JobProgress{JobPhase::Completed, 1, {}});
+    m_platform.put("jobs", "5", job.m_id, encodeRow(job));
+    m_platform.put("progress", "fleet", job.m_id, ended);
+    const std::string moved = "6c0e7a21d94b36f8";
+    m_platform.put("final", "6", moved, encodeRow(FinalRow{JobPhase::Completed, {}}));
+    m_platform.put("progress", "fleet", moved, ended);
+    Host host("host-1", m_platform.storePort());
+    host.awaitReady(true);
+    awaitMove(job.m_id);
+    awaitMove(moved);
+    EXPECT_EQ(host.call("GET", "/jobs/" + job.m_id)->m_body, R"({"state":"completed"})");
+    EXPECT_EQ(host.call("GET", "/jobs/" + moved)->m_body, R"({"state":"completed"})");
+    EXPECT_TRUE(m_platform.starts().empty());
+}
--- a/tests/fleetrowstest.cpp
+++ b/tests/fleetrowstest.cpp
@@ -115,3 +115,13 @@
     EXPECT_EQ(rowName("servers//worker"), "worker");
     EXPECT_EQ(rowName("broken"), "");
 }
+
+// Guards against final rows that another partition than their submission's holds, or that lose their state.
+TEST(FleetRowsTest, FinalRowsKeepTheirStateBesideTheirSubmission)
+{
+    EXPECT_EQ(finalKey("5c0e7a21d94b36f8"), "final/5/5c0e7a21d94b36f8");
+    const FinalRow row{JobPhase::Failed, TaskJob::WallTime(Milliseconds{1'800'000'000'000})};
+    EXPECT_EQ(decodeFinalRow(encodeRow(row)).value(), row);
+    EXPECT_FALSE(decodeFinalRow(encodeRow(FinalRow{JobPhase::Running, {}})));
+    EXPECT_FALSE(decodeFinalRow("{}"));
+}
--- a/tests/fleetschedulerpropertytest.cpp
+++ b/tests/fleetschedulerpropertytest.cpp
@@ -15,7 +15,7 @@
 };
 
 /// Each fault alone, then together; a scheduler that relies on an answer, a clock or a lease wrongly doubles a task in one.
-const std::array<Scenario, 8> scenarios{{
+const std::array<Scenario, 10> scenarios{{
     {"calm", {}},
     {"answers_lost", {.m_answerLost = 0.1}},
     {"orders_late", {.m_orderLate = 0.1}},
@@ -23,6 +23,8 @@
     {"commits_fail", {.m_commitFails = 0.2, .m_commitLate = 0.2}},
     {"workers_lost", {.m_crashesPerSecond = 0.3, .m_darkPerSecond = 0.3}},
     {"takeovers", {.m_orderLate = 0.05, .m_takeoversPerSecond = 0.3}},
+    {"moves_unanswered", {.m_moveUnanswered = 0.5, .m_reloadsPerSecond = 1.0}},
+    {"takeovers_and_moves", {.m_takeoversPerSecond = 0.5, .m_moveUnanswered = 0.5, .m_reloadsPerSecond = 1.0}},
     {"all",
      {.m_answerLost = 0.05,
       .m_orderLate = 0.05,
@@ -31,7 +33,9 @@
       .m_commitLate = 0.1,
       .m_crashesPerSecond = 0.2,
       .m_darkPerSecond = 0.2,
-      .m_takeoversPerSecond = 0.2}},
+      .m_takeoversPerSecond = 0.2,
+      .m_moveUnanswered = 0.2,
+      .m_reloadsPerSecond = 0.5}},
 }};
 
 class FleetSchedulerProperty : public ::testing::TestWithParam<Scenario>
@@ -56,6 +60,8 @@
         for (const auto &id : world.m_jobs) {
             const auto phase = world.phaseOf(id);
             EXPECT_TRUE(isFinal(phase) || world.startsOf(id) > 0) << "seed " << seed << ": job " << id << " never started";
+            // A successor would read them again and again.
+            EXPECT_EQ(world.isArchived(id), isFinal(phase)) << "seed " << seed << ": rows of the ended job " << id << " stay";
         }
     }
 }
--- a/tests/fleetworld.cpp
+++ b/tests/fleetworld.cpp
@@ -45,6 +45,7 @@
 
 FleetWorld::FleetWorld(std::uint64_t seed, std::size_t workers, const FleetFaults &faults)
     : m_random(seed)
+    , m_moveRandom(~seed)
     , m_faults(faults)
     , m_now(TimePoint{} + std::chrono::hours(1))
 {
@@ -159,31 +160,143 @@
     m_store.find(id)->second.m_isCancelled = true;
     m_cancelledAt.emplace(id, m_now);
     after(travel(), [this, id = std::string(id)] {
-        m_owners.back()->cancelJob(id, m_now);
+        m_owners.back()->cancelJob(id);
     });
 }
 
-auto FleetWorld::takeOver() -> void
+auto FleetWorld::takeOver(Milliseconds reading) -> void
 {
     if (!m_owners.empty()) {
         // The previous owner finds out later, by a worker or by the store.
-        after(Milliseconds(100 + m_random.below(3'000)), [owner = m_owners.back().get()] {
+        after(Milliseconds(100 + m_random.below(3'000)), [this, owner = m_owners.back().get()] {
             owner->resign();
+            m_archives.at(owner).end();
         });
     }
     m_lateCommit.reset();
-    m_owners.push_back(std::make_unique<FleetScheduler>(FleetLimits{}));
-    std::vector<StoredJob> jobs;
-    jobs.reserve(m_store.size());
+    auto &owner = *m_owners.emplace_back(std::make_unique<FleetScheduler>(FleetLimits{}));
+    m_archives.emplace(&owner, FleetLimits{}.m_retention);
+    const Epoch epoch = ++m_epoch;
+    if (reading.count() == 0) {
+        beginOwner(owner, epoch, readSubmissions(), readProgress());
+        return;
+    }
+    // Either list may be read first, while moves of the former owner still take effect.
+    const bool isProgressFirst = m_moveRandom.below(2) == 0;
+    after(reading, [this, &owner, epoch, isProgressFirst, jobs = readSubmissions(), progress = readProgress()] {
+        if (epoch == m_epoch) {
+            beginOwner(owner, epoch, isProgressFirst ? readSubmissions() : jobs, isProgressFirst ? progress : readProgress());
+        }
+    });
+}
+
+auto FleetWorld::readSubmissions() const -> std::map<std::string, StoredJob>
+{
+    std::map<std::string, StoredJob> rows;
+    for (const auto &[id, job] : m_store) {
+        if (!m_finals.contains(id)) {
+            rows.emplace(id, StoredJob{job.m_job, std::nullopt, job.m_isCancelled});
+        }
+    }
+    return rows;
+}
+
+auto FleetWorld::readProgress() const -> std::map<std::string, JobProgress>
+{
+    std::map<std::string, JobProgress> rows;
     for (const auto &[id, job] : m_store) {
-        jobs.push_back(job);
+        if (job.m_progress) {
+            rows.emplace(id, *job.m_progress);
+        }
     }
-    m_owners.back()->begin(++m_epoch, std::move(jobs), m_now, wallNow);
+    return rows;
+}
+
+auto FleetWorld::beginOwner(FleetScheduler &owner,
+                            Epoch epoch,
+                            std::map<std::string, StoredJob> submissions,
+                            const std::map<std::string, JobProgress> &progress) -> void
+{
+    std::vector<std::string> archived;
+    for (const auto &[id, row] : progress) {
+        if (const auto job = submissions.find(id); job != submissions.end()) {
+            job->second.m_progress = row;
+        } else if (isFinal(row.m_phase)) {
+            archived.push_back(id);
+        }
+    }
+    std::vector<StoredJob> jobs;
+    for (auto &[id, job] : submissions) {
+        jobs.push_back(std::move(job));
+    }
+    owner.begin(epoch, std::move(jobs), m_now, wallNow);
+    owner.noteArchived(archived, m_now);
+    m_archives.at(&owner).begin(m_now);
+    // What was submitted or cancelled while the lists were read comes with the feed.
+    reloadJobs(owner, Milliseconds(1 + m_moveRandom.below(8)));
     for (std::size_t i = 0; i < m_workers.size(); ++i) {
         list(i);
     }
 }
 
+auto FleetWorld::reloadJobs(FleetScheduler &owner, Milliseconds delay) -> void
+{
+    after(delay, [this, &owner, listed = readSubmissions()] {
+        for (const auto &[id, job] : listed) {
+            owner.addJob(TaskJob(job.m_job), m_now, wallNow);
+            if (job.m_isCancelled) {
+                owner.cancelJob(id);
+            }
+        }
+    });
+}
+
+auto FleetWorld::carryOutArchive(FleetScheduler &owner) -> void
+{
+    for (const auto &call : m_archives.at(&owner).advance(m_now)) {
+        if (const auto *const write = std::get_if<ArchiveWrite>(&call)) {
+            move(owner, *write);
+        } else {
+            m_archives.at(&owner).take(std::get<ArchiveRead>(call).m_number, Result<RowPage>(RowPage{}), m_now);
+        }
+    }
+}
+
+auto FleetWorld::move(FleetScheduler &owner, const ArchiveWrite &write) -> void
+{
+    constexpr Milliseconds timeout{1'200};
+    const bool isUnanswered = m_faults.m_moveUnanswered > 0 && m_moveRandom.unit() < m_faults.m_moveUnanswered;
+    const auto fate = isUnanswered ? m_moveRandom.below(3) : 0;
+    const Milliseconds way(1 + m_moveRandom.below(8));
+    if (fate != 2) {
+        after(fate == 1 ? Milliseconds(1'000 + m_moveRandom.below(6'000)) : way, [this, transaction = write.m_transaction] {
+            store(transaction);
+        });
+    }
+    CommitResult result;
+    result.m_status = isUnanswered ? CommitResult::Status::Unknown : CommitResult::Status::Committed;
+    after(isUnanswered ? timeout : 2 * way, [this, &owner, number = write.m_number, epoch = owner.epoch(), result] {
+        const auto moved = m_archives.at(&owner).take(number, result, m_now);
+        if (owner.epoch() == epoch) {
+            owner.noteArchived(moved, m_now);
+        }
+    });
+}
+
+auto FleetWorld::store(const Transaction &transaction) -> void
+{
+    for (const auto &put : transaction.m_puts) {
+        const std::string id(rowName(put.m_key));
+        const auto row = decodeFinalRow(put.m_value);
+        const auto &progress = m_store.find(id)->second.m_progress;
+        const bool isKnown = m_finals.contains(id) || (progress && progress->m_phase == row.value_or(FinalRow{}).m_phase && progress->m_open.empty());
+        if (!row || !isKnown) {
+            violate("moved_before_its_end", id);
+        }
+        m_finals.insert_or_assign(id, row.value_or(FinalRow{}).m_phase);
+    }
+}
+
 auto FleetWorld::list(std::size_t worker) -> void
 {
     after(travel(), [this, worker] {
@@ -221,7 +334,10 @@
         darken(m_random.below(static_cast<std::uint32_t>(m_workers.size())), Milliseconds(500 + m_random.below(20'000)));
     }
     if (chance(m_faults.m_takeoversPerSecond * share)) {
-        takeOver();
+        takeOver(Milliseconds(1 + m_moveRandom.below(300)));
+    }
+    if (m_faults.m_reloadsPerSecond > 0 && m_moveRandom.unit() < m_faults.m_reloadsPerSecond * share) {
+        reloadJobs(*m_owners.back(), Milliseconds(1 + m_moveRandom.below(3'000)));
     }
     after(faultInterval, [this] {
         causeFaults();
@@ -253,6 +369,7 @@
     for (const auto &command : owner.takeCommands()) {
         send(owner, command);
     }
+    carryOutArchive(owner);
 }
 
 auto FleetWorld::send(FleetScheduler &owner, const FleetCommand &command) -> void
@@ -261,10 +378,14 @@
         commit(owner, *order);
         return;
     }
+    if (const auto *const order = std::get_if<ArchiveOrder>(&command)) {
+        m_archives.at(&owner).add(order->m_jobs, m_now, wallNow);
+        return;
+    }
     std::visit(
         [&](const auto &order) {
             using Order = std::remove_cvref_t<decltype(order)>;
-            if constexpr (!std::is_same_v<Order, CommitOrder> && !std::is_same_v<Order, OwnershipResigned>) {
+            if constexpr (!std::is_same_v<Order, CommitOrder> && !std::is_same_v<Order, ArchiveOrder> && !std::is_same_v<Order, OwnershipResigned>) {
                 auto &worker = *m_workers[order.m_address.m_endpoint.m_port - 1U];
                 const bool isLost = chance(m_faults.m_orderLost) || m_now < worker.m_darkUntil;
                 const bool isLate = !isLost && chance(m_faults.m_orderLate);
@@ -370,11 +491,21 @@
                 }
             }
         }
+        if (m_finals.contains(job->first)) {
+            violate("progress_after_the_move", job->first);
+        }
         if (isFinal(progress->m_phase)) {
             m_finalAt.try_emplace(job->first, m_now);
         }
         job->second.m_progress = std::move(*progress);
     }
+    for (const auto &key : order.m_deletes) {
+        const std::string id(rowName(key));
+        if (!m_finals.contains(id)) {
+            violate("progress_deleted_before_the_move", id);
+        }
+        m_store.find(id)->second.m_progress.reset();
+    }
 }
 
 auto FleetWorld::clockOf(const SimulatedWorker &worker) const -> Milliseconds
@@ -509,6 +640,9 @@
             violate("runs_twice", name);
         }
     }
+    if (m_finals.contains(order.m_task.m_job)) {
+        violate("started_after_the_move", name);
+    }
     if (m_doneNoted.contains(name)) {
         violate("started_after_done", name);
     }
@@ -563,6 +697,9 @@
 
 auto FleetWorld::phaseOf(std::string_view id) const -> JobPhase
 {
+    if (const auto final = m_finals.find(id); final != m_finals.end()) {
+        return final->second;
+    }
     const auto job = m_store.find(id);
     return job == m_store.end() || !job->second.m_progress ? JobPhase::Queued : job->second.m_progress->m_phase;
 }
@@ -573,6 +710,11 @@
     return final == m_finalAt.end() ? std::nullopt : std::optional(final->second);
 }
 
+auto FleetWorld::isArchived(std::string_view id) const -> bool
+{
+    return m_finals.contains(id) && !m_store.find(id)->second.m_progress;
+}
+
 auto FleetWorld::workersOf(std::string_view job) const -> std::set<std::string>
 {
     std::set<std::string> names;
--- a/tests/fleetworld.hpp
+++ b/tests/fleetworld.hpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/core/randomsource.hpp"
 #include "burdockspur/fleet/fleetscheduler.hpp"
+#include "burdockspur/fleet/jobarchive.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -26,6 +27,8 @@
     double m_crashesPerSecond = 0; ///< workers that restart at once
     double m_darkPerSecond = 0; ///< workers that are unreachable for seconds
     double m_takeoversPerSecond = 0;
+    double m_moveUnanswered = 0; ///< of moves of ended jobs: no answer; a third each was carried out, will be seconds later, or never is
+    double m_reloadsPerSecond = 0; ///< lists of the jobs that the owner reads again, and takes up to 3 s later
 };
 
 /// @brief Workers, a store and owners in virtual time, with the truth about every run.
@@ -50,7 +53,8 @@
     auto cancel(std::string_view id) -> void;
 
     /// @brief Lets a new owner begin; the previous one does not know at first.
-    auto takeOver() -> void;
+    /// @param reading time from the first list that the new owner reads to the last; changes happen meanwhile
+    auto takeOver(Milliseconds reading = Milliseconds{0}) -> void;
 
     /// @brief Makes a worker unreachable, in both directions, for a time.
     auto darken(std::size_t worker, Milliseconds length) -> void;
@@ -81,6 +85,9 @@
     /// @brief When a job was stored as final; nothing while it is not.
     [[nodiscard]] auto finalSince(std::string_view id) const -> std::optional<TimePoint>;
 
+    /// @brief True when only the final row of a job is left.
+    [[nodiscard]] auto isArchived(std::string_view id) const -> bool;
+
     /// @brief Names of the workers that run tasks of a job.
     [[nodiscard]] auto workersOf(std::string_view job) const -> std::set<std::string>;
 
@@ -115,6 +122,14 @@
     auto send(FleetScheduler &owner, const FleetCommand &command) -> void;
     auto commit(FleetScheduler &owner, const CommitOrder &order) -> void;
     auto store(const CommitOrder &order) -> void;
+    auto carryOutArchive(FleetScheduler &owner) -> void;
+    auto move(FleetScheduler &owner, const ArchiveWrite &write) -> void;
+    auto store(const Transaction &transaction) -> void;
+    auto beginOwner(FleetScheduler &owner, Epoch epoch, std::map<std::string, StoredJob> submissions, const std::map<std::string, JobProgress> &progress)
+        -> void;
+    [[nodiscard]] auto readSubmissions() const -> std::map<std::string, StoredJob>;
+    [[nodiscard]] auto readProgress() const -> std::map<std::string, JobProgress>;
+    auto reloadJobs(FleetScheduler &owner, Milliseconds delay) -> void;
     [[nodiscard]] auto chance(double share) -> bool;
     [[nodiscard]] auto travel() -> Milliseconds;
     auto causeFaults() -> void;
@@ -135,6 +150,7 @@
     auto note(std::string_view task, std::string_view event) -> void;
 
     RandomSource m_random;
+    RandomSource m_moveRandom; ///< of its own, so that moves leave the other faults of a seed as they are
     FleetFaults m_faults;
     TimePoint m_now;
     std::uint64_t m_eventNumber = 0;
@@ -143,6 +159,8 @@
     std::deque<std::unique_ptr<FleetScheduler>> m_owners; ///< the last one is the owner by the store
     Epoch m_epoch = 0;
     std::map<std::string, StoredJob, std::less<>> m_store;
+    std::map<std::string, JobPhase, std::less<>> m_finals; ///< jobs whose submission was moved away
+    std::map<const FleetScheduler *, JobArchive> m_archives;
     std::optional<CommitOrder> m_lateCommit;
     std::map<std::string, TaskJob, std::less<>> m_truth;
     std::set<std::string, std::less<>> m_doneNoted; ///< tasks whose good end was acknowledged
--- a/tests/jobloadtest.cpp
+++ b/tests/jobloadtest.cpp
@@ -148,3 +148,43 @@
     ASSERT_TRUE(outcome.m_loaded);
     EXPECT_LT(outcome.m_endedAt, Milliseconds{500});
 }
+
+// Guards against a takeover whose read grows with all jobs of the last 150 s (incident of 2026-12-05): 5,000 ended jobs that were moved
+// must not be read, and the progress of a moved job that the former owner did not delete has to be told.
+TEST(JobLoadTest, ReadsOnlyWhatIsActive)
+{
+    constexpr std::uint64_t active = 200;
+    constexpr std::uint64_t ended = 5'000;
+    LinkStore alone({});
+    fill(alone, active);
+    Outcome expected(alone, JobLoad::Scope::Everything);
+    alone.run(std::chrono::seconds(30));
+
+    LinkStore store({});
+    fill(store, active);
+    for (std::uint64_t i = active; i < active + ended; ++i) {
+        store.put(finalKey(hexOf(i * 0x9E3779B97F4A7C15U)), encodeRow(FinalRow{JobPhase::Completed, {}}));
+    }
+    Outcome outcome(store, JobLoad::Scope::Everything);
+    store.run(std::chrono::seconds(30));
+    ASSERT_TRUE(outcome.m_loaded) << outcome.m_error.m_message;
+    EXPECT_EQ(outcome.m_loaded->m_jobs.size(), active);
+    EXPECT_TRUE(outcome.m_loaded->m_archived.empty());
+    EXPECT_EQ(store.m_bytes, alone.m_bytes);
+}
+
+// Guards against progress rows that stay for ever because the owner that moved their jobs was lost, and against progress that is
+// deleted while the submission stands, e.g. as a row that cannot be read: the job would run again.
+TEST(JobLoadTest, TellsTheMovedJobsWhoseProgressIsLeft)
+{
+    LinkStore store({});
+    const auto ended = encodeRow(JobProgress{JobPhase::Completed, 1, {}});
+    store.put(progressKey("10"), ended);
+    store.put(progressKey("20"), ended);
+    store.put(jobKey("20"), "no row");
+    store.put(progressKey("30"), encodeRow(JobProgress{JobPhase::Running, 1, {}}));
+    Outcome outcome(store, JobLoad::Scope::Everything);
+    store.run(std::chrono::seconds(30));
+    ASSERT_TRUE(outcome.m_loaded);
+    EXPECT_EQ(outcome.m_loaded->m_archived, std::vector<std::string>{"10"});
+}
--- /dev/null
+++ b/tests/jobstoretest.cpp
@@ -0,0 +1,145 @@
+#include "memorystore.hpp"
+
+#include "burdockspur/fleet/jobstore.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace Burdockspur;
+using namespace Burdockspur::Testing;
+
+namespace
+{
+constexpr std::string_view id = "5c0e7a21d94b36f8";
+
+[[nodiscard]] auto sampleJob() -> TaskJob
+{
+    TaskJob job;
+    job.m_id = id;
+    job.m_steps.resize(1);
+    job.m_steps.front().m_count = 1;
+    return job;
+}
+
+/// @brief The steps in which a job ends and is moved, in the order in which the owner takes them.
+auto takeStep(MemoryStore &store, int step) -> void
+{
+    switch (step) {
+    case 0:
+        store.put(progressKey(id), encodeRow(JobProgress{JobPhase::Completed, 1, {}}));
+        return;
+    case 1:
+        store.put(finalKey(id), encodeRow(FinalRow{JobPhase::Completed, {}}));
+        store.drop(jobKey(id));
+        return;
+    default:
+        store.drop(progressKey(id));
+        return;
+    }
+}
+constexpr int steps = 3;
+
+class JobStoreTest : public testing::Test
+{
+protected:
+    auto awaitResult() -> Result<JobPhase>
+    {
+        m_store.run(std::chrono::seconds(10));
+        return m_result.value_or(failure(ErrorCode::Internal, "no answer"));
+    }
+
+    auto keep() -> JobStore::PhaseCallback
+    {
+        m_result.reset();
+        return [this](Result<JobPhase> &&result) {
+            m_result = std::move(result);
+        };
+    }
+
+    /// @brief Stores the job, and takes all steps of its end and its move.
+    auto archive() -> void
+    {
+        m_store.put(jobKey(id), encodeRow(sampleJob()));
+        for (int step = 0; step < steps; ++step) {
+            takeStep(m_store, step);
+        }
+    }
+
+    MemoryStore m_store;
+    JobStore m_jobs{m_store};
+    std::optional<Result<JobPhase>> m_result;
+};
+}
+
+// Guards against an accepted job that is told to be unknown (LOST) because it is moved between two reads of one answer.
+TEST_F(JobStoreTest, ReadsTheStateAtAnyStepOfAMove)
+{
+    // Each step of the move comes before the read of this number, in order.
+    for (int first = 0; first <= 3; ++first) {
+        for (int second = first; second <= 3; ++second) {
+            for (int third = second; third <= 3; ++third) {
+                MemoryStore store;
+                JobStore jobs(store);
+                store.put(jobKey(id), encodeRow(sampleJob()));
+                int reads = 0;
+                int taken = 0;
+                const std::array<int, steps> at{first, second, third};
+                store.m_beforeRead = [&] {
+                    while (taken < steps && at[static_cast<std::size_t>(taken)] <= reads) {
+                        takeStep(store, taken++);
+                    }
+                    ++reads;
+                };
+                std::optional<Result<JobPhase>> result;
+                jobs.readPhase(id, [&result](Result<JobPhase> &&given) {
+                    result = std::move(given);
+                });
+                store.run(std::chrono::seconds(1));
+                ASSERT_TRUE(result && *result) << first << second << third << ": " << (result ? result->error().m_message : "no answer");
+                EXPECT_TRUE(**result == JobPhase::Queued || **result == JobPhase::Completed);
+            }
+        }
+    }
+}
+
+// Guards against a second run of a job whose submission comes again after its move (TWICE).
+TEST_F(JobStoreTest, AnEndedJobIsNotStoredAgain)
+{
+    archive();
+    m_jobs.submit(sampleJob(), keep());
+    EXPECT_TRUE(awaitResult()) << "the submission was accepted before";
+    EXPECT_FALSE(m_store.contains(jobKey(id)));
+    EXPECT_TRUE(m_store.m_violations.empty());
+}
+
+// Guards against a caller that is told 504 for a job that was stored, has ended and was moved before the answer was read back.
+TEST_F(JobStoreTest, ConfirmsASubmissionThatWasMoved)
+{
+    archive();
+    m_store.m_nextFault = [] {
+        return MemoryStore::Fault::AnswerLost;
+    };
+    m_jobs.submit(sampleJob(), keep());
+    EXPECT_TRUE(awaitResult());
+}
+
+// Guards against a cancellation that is refused for ever, or stored for a job that is no more, after a move before or during the call.
+TEST_F(JobStoreTest, CancelsAnEndedJob)
+{
+    archive();
+    m_jobs.cancel(id, keep());
+    EXPECT_EQ(awaitResult().value_or(JobPhase::Queued), JobPhase::Cancelled);
+    EXPECT_FALSE(m_store.contains(cancelKey(id)));
+
+    m_store.drop(finalKey(id));
+    m_jobs.cancel(id, keep());
+    EXPECT_EQ(awaitResult().error().m_code, ErrorCode::UnknownJob);
+
+    m_store.put(jobKey(id), encodeRow(sampleJob()));
+    m_store.m_nextFault = [this] {
+        archive();
+        return MemoryStore::Fault::None;
+    };
+    m_jobs.cancel(id, keep());
+    EXPECT_EQ(awaitResult().value_or(JobPhase::Queued), JobPhase::Cancelled);
+    EXPECT_FALSE(m_store.contains(cancelKey(id)));
+}
