--- a/include/burdockspur/fleet/fleetstoreduty.hpp
+++ b/include/burdockspur/fleet/fleetstoreduty.hpp
@@ -20,6 +20,7 @@
 
 namespace Burdockspur
 {
+class ArchiveCalls;
 class FleetCodec;
 class FleetPlatform;
 class HttpClient;
@@ -48,6 +49,7 @@
     auto takeInputs() -> void;
     auto on(StoreRequest &&request) -> void;
     auto on(CommitOrder &&order) -> void;
+    auto on(ArchiveOrder &&order) -> void;
     auto on(OwnershipResigned &&resigned) -> void;
     auto on(DrainBegun &&drain) -> void;
     auto later(Milliseconds pause, std::function<void()> call) -> void;
@@ -97,6 +99,7 @@
     std::unique_ptr<FleetCodec> m_codec;
     std::unique_ptr<JobStore> m_jobStore;
     std::unique_ptr<OwnerCommit> m_commits;
+    std::unique_ptr<ArchiveCalls> m_archive; ///< of the owner's ended jobs
     std::unique_ptr<JobLoad> m_jobLoad; ///< of a takeover, or after the history of the jobs was lost
     std::unique_ptr<TableFollower> m_configurationRows;
     std::unique_ptr<TableFollower> m_jobRows;
