--- a/bench/fleetcosts.cpp
+++ b/bench/fleetcosts.cpp
@@ -35,9 +35,62 @@
     return cpuOfStart(workers, load);
 }
 
-constexpr std::array<MeasuredCost, 2> costs{{
+/// Waiting tasks on a grown deployment: few, as after a short overload, and as after an owner that did not keep up.
+constexpr std::array<double, 3> backlogSizes{500, 5'000, 20'000};
+constexpr std::size_t grownWorkers = 490;
+constexpr Milliseconds backlogWarmUp{2'000};
+constexpr Milliseconds backlogMeasured{1'000};
+
+/// The users' grown deployment with full workers while a given number of tasks waits.
+[[nodiscard]] auto grownFleet(double waiting) -> PromptFleet
+{
+    PromptLoad load;
+    load.m_shortTasks = 10;
+    load.m_shortCpu = 2'800;
+    load.m_fillTasks = 20;
+    load.m_servingTasks = 14;
+    load.m_images = 18;
+    load.m_demandSpread = 0.5;
+    load.m_spreadEvery = 7;
+    load.m_shortJobs = 0;
+    load.m_fillJobs = 0;
+    load.m_waitingTasks = static_cast<std::size_t>(waiting);
+    return PromptFleet(grownWorkers, load);
+}
+
+[[nodiscard]] auto cpuOfRound(double waiting) -> double
+{
+    auto fleet = grownFleet(waiting);
+    fleet.run(backlogWarmUp);
+    fleet.restartMeasurement();
+    fleet.run(backlogMeasured);
+    return fleet.decisionNanoseconds() / static_cast<double>(fleet.rounds()) / nanosecondsPerMicrosecond;
+}
+
+[[nodiscard]] auto cpuOfStartWhileTasksWait(double waiting) -> double
+{
+    auto fleet = grownFleet(waiting);
+    fleet.run(backlogWarmUp);
+    fleet.restartMeasurement();
+    fleet.run(backlogMeasured);
+    return fleet.decisionNanoseconds() / static_cast<double>(fleet.starts()) / nanosecondsPerMicrosecond;
+}
+
+[[nodiscard]] auto startsWhileTasksWait(double waiting) -> double
+{
+    auto fleet = grownFleet(waiting);
+    fleet.run(backlogWarmUp);
+    fleet.restartMeasurement();
+    fleet.run(backlogMeasured);
+    return static_cast<double>(fleet.starts());
+}
+
+constexpr std::array<MeasuredCost, 5> costs{{
     {"decisions of the owner, for each task started", "us", "workers", workerCounts, cpuOfStartAtUsualLoad},
     {"decisions of the owner with a backlog of filling tasks, for each task started", "us", "workers", workerCounts, cpuOfStartWithBacklog},
+    {"round of the owner of 490 full workers", "us", "waiting tasks", backlogSizes, cpuOfRound},
+    {"round of the owner of 490 full workers, for each task started", "us", "waiting tasks", backlogSizes, cpuOfStartWhileTasksWait},
+    {"round of the owner of 490 full workers, starts in a second", "starts", "waiting tasks", backlogSizes, startsWhileTasksWait},
 }};
 }
 
--- a/bench/promptfleet.cpp
+++ b/bench/promptfleet.cpp
@@ -18,9 +18,9 @@
 constexpr std::int64_t workerCpu = 16'000;
 constexpr std::int64_t workerMemory = 64'000;
 constexpr std::size_t workersPerRack = 8;
-constexpr std::uint32_t servingTasks = 6;
 constexpr std::int64_t servingCpu = 3'200;
-constexpr int images = 5;
+/// Jobs of a backlog: one of short work for so many of filling work, by the rates of the users' grown deployments.
+constexpr std::uint64_t backlogJobsOfAKind = 3;
 constexpr Milliseconds tailTarget{50};
 /// Headroom of a serving task without neighbours, how far its load moves that, and what a full worker of filling tasks takes.
 constexpr double freeHeadroom = 2.2;
@@ -29,6 +29,14 @@
 constexpr double pressure = 3.0;
 constexpr double allPercent = 100.0;
 
+/// @brief A demand that differs from its mean by up to a share, by the number of a job.
+[[nodiscard]] auto spreadAround(std::int64_t mean, double share, std::uint64_t number) noexcept -> std::int64_t
+{
+    constexpr std::uint64_t steps = 101;
+    const double place = static_cast<double>(number % steps) / (steps - 1) * 2 - 1;
+    return static_cast<std::int64_t>(static_cast<double>(mean) * (1 + share * place));
+}
+
 [[nodiscard]] auto pacedLoad(const TaskStep &step, int pace) noexcept -> double
 {
     return static_cast<double>(step.m_demand.m_cpuMillis) * pace / allPercent;
@@ -75,7 +83,7 @@
     }
     m_scheduler.updateWorkers(records, {}, m_now);
     const double reserved = m_load.m_servingShare * static_cast<double>(workers) * workerCpu;
-    submitServing(static_cast<std::size_t>(reserved / (servingTasks * servingCpu)));
+    submitServing(static_cast<std::size_t>(reserved / static_cast<double>(m_load.m_servingTasks * servingCpu)));
 }
 
 PromptFleet::~PromptFleet() = default;
@@ -91,6 +99,7 @@
 {
     m_now += tickLength;
     submitDue();
+    submitBacklog();
     endDueRuns();
     answerReports();
     const auto answers = std::exchange(m_answers, {});
@@ -107,6 +116,7 @@
         m_scheduler.take(commit, m_now);
     }
     static_cast<void>(m_scheduler.advance(m_now, wallNow));
+    ++m_rounds;
     const auto commands = m_scheduler.takeCommands();
     m_nanoseconds += threadCpuNanoseconds() - begin;
     for (const auto &command : commands) {
@@ -134,6 +144,15 @@
     }
 }
 
+auto PromptFleet::submitBacklog() -> void
+{
+    for (std::size_t waiting = m_scheduler.waitingCount(); waiting < m_load.m_waitingTasks;) {
+        const bool fills = m_submitted % backlogJobsOfAKind != 0;
+        submit(fills);
+        waiting += fills ? m_load.m_fillTasks : m_load.m_shortTasks;
+    }
+}
+
 auto PromptFleet::submit(bool fills) -> void
 {
     TaskJob job;
@@ -148,10 +167,14 @@
     const std::uint32_t steps = fills ? 2 : 1 + static_cast<std::uint32_t>(m_submitted % 2);
     for (std::uint32_t i = 0; i < steps; ++i) {
         TaskStep step;
-        step.m_count = fills ? 8 : 6;
-        step.m_demand = fills ? Resources{1'800, 3'200, 0} : Resources{1'600, 3'200, 0};
+        step.m_count = fills ? m_load.m_fillTasks : m_load.m_shortTasks;
+        // Factors without a common divisor, so that processors and memory vary apart.
+        step.m_demand = {spreadAround(fills ? 1'800 : m_load.m_shortCpu, m_load.m_demandSpread, (m_submitted + i) * 37),
+                         spreadAround(3'200, m_load.m_demandSpread, (m_submitted + i) * 59),
+                         0};
+        step.m_maxPerWorker = !fills && m_load.m_spreadEvery != 0 && m_submitted / backlogJobsOfAKind % m_load.m_spreadEvery == 0 ? 2 : 0;
         step.m_estimate = fills ? Milliseconds{1'700} : Milliseconds{800};
-        step.m_image = (fills ? "fill-" : "short-") + std::to_string(m_submitted % images);
+        step.m_image = (fills ? "fill-" : "short-") + std::to_string(m_submitted % static_cast<std::uint64_t>(m_load.m_images));
         step.m_fills = fills;
         if (i > 0) {
             step.m_after = {i - 1};
@@ -171,9 +194,9 @@
         job.m_id = "serving-" + std::to_string(i);
         job.m_policy = {.m_name = "serving", .m_host = {}, .m_prefix = {}, .m_pool = "pool", .m_priority = 0, .m_maxAttempts = 3, .m_stretch = 2.0};
         TaskStep step;
-        step.m_count = servingTasks;
+        step.m_count = m_load.m_servingTasks;
         step.m_demand = {servingCpu, 6'400, 0};
-        step.m_image = "serving-" + std::to_string(i % images);
+        step.m_image = "serving-" + std::to_string(i % static_cast<std::size_t>(m_load.m_images));
         step.m_isServing = true;
         step.m_tailTarget = tailTarget;
         job.m_steps.push_back(std::move(step));
--- a/bench/promptfleet.hpp
+++ b/bench/promptfleet.hpp
@@ -16,6 +16,14 @@
     double m_shortJobs = 0.076; ///< a second; one or two steps of six tasks of 0.8 s on 1.6 cores
     double m_fillJobs = 0.13; ///< a second; two steps of eight filling tasks of 1.7 s on 1.8 cores
     double m_servingShare = 0.5; ///< of the processors that serving tasks reserve
+    std::uint32_t m_shortTasks = 6; ///< of a step
+    std::int64_t m_shortCpu = 1'600; ///< of a task, in thousandths of a core
+    std::uint32_t m_fillTasks = 8; ///< of a step
+    std::uint32_t m_servingTasks = 6; ///< of a job
+    int m_images = 5; ///< of each kind
+    double m_demandSpread = 0; ///< demands differ from job to job by up to this share
+    std::uint64_t m_spreadEvery = 0; ///< of so many jobs of short work, one allows two tasks on a worker only; 0 for none
+    std::size_t m_waitingTasks = 0; ///< jobs are submitted on top of the rates until so many tasks wait
 };
 
 /// @brief Workers and a store that obey a FleetScheduler at once, in virtual time, to measure what its decisions cost.
@@ -38,9 +46,16 @@
     auto restartMeasurement() noexcept -> void
     {
         m_starts = 0;
+        m_rounds = 0;
         m_nanoseconds = 0;
     }
 
+    /// @brief Rounds of the scheduler: inputs, decisions, commands.
+    [[nodiscard]] auto rounds() const noexcept -> std::uint64_t
+    {
+        return m_rounds;
+    }
+
     /// @brief Tasks started.
     [[nodiscard]] auto starts() const noexcept -> std::uint64_t
     {
@@ -59,12 +74,18 @@
         return m_scheduler.waitingCount();
     }
 
+    [[nodiscard]] auto placementEffort() const noexcept -> const PlacementEffort &
+    {
+        return m_scheduler.placementEffort();
+    }
+
 private:
     struct Run;
     struct Worker;
 
     auto tick() -> void;
     auto submitDue() -> void;
+    auto submitBacklog() -> void;
     auto submit(bool fills) -> void;
     auto submitServing(std::size_t jobs) -> void;
     auto endDueRuns() -> void;
@@ -92,6 +113,7 @@
     double m_shortDue = 0;
     double m_fillsDue = 0;
     std::uint64_t m_starts = 0;
+    std::uint64_t m_rounds = 0;
     double m_nanoseconds = 0;
 };
 }
--- a/include/burdockspur/fleet/fleetjob.hpp
+++ b/include/burdockspur/fleet/fleetjob.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/contract/taskjob.hpp"
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/fleet/headroomtrend.hpp"
+#include "burdockspur/fleet/jobbacklog.hpp"
 #include "burdockspur/fleet/jobprogress.hpp"
 #include "burdockspur/fleet/pressuremodel.hpp"
 
@@ -16,6 +17,9 @@
 
 namespace Burdockspur
 {
+class JobChanges;
+class TaskKinds;
+
 /// @brief A job with its progress, in the memory of the owner.
 class FleetJob
 {
@@ -45,10 +49,39 @@
         return m_progress;
     }
 
-    /// @brief Occurrences that have begun and are not over.
-    [[nodiscard]] auto openOccurrences() noexcept -> std::span<OccurrenceProgress>
+    /// @brief Tells changes from now on.
+    /// @param changes outlive the job
+    auto tellChanges(JobChanges &changes) -> void;
+
+    /// @brief Notes that a task has changed, so that the backlog is out of date.
+    auto noteTasksChanged() -> void;
+
+    /// @brief Computes the backlog again.
+    /// @param policy in force for the job; outlives the next call or the job
+    /// @param kinds number its steps
+    auto updateBacklog(const JobQueuePolicy &policy, TaskKinds &kinds, TimePoint now) -> void;
+
+    /// @brief What may start, and what is left, as of updateBacklog().
+    [[nodiscard]] auto backlog() const noexcept -> const JobBacklog &
     {
-        return m_progress.m_open;
+        return m_backlog;
+    }
+
+    /// @brief True when tasks run until the job is cancelled.
+    [[nodiscard]] auto isServing() const noexcept -> bool
+    {
+        return m_isServing;
+    }
+
+    /// @brief Counts the runs of the job's tasks on workers, whatever their task's phase.
+    auto countRuns(int change) noexcept -> void
+    {
+        m_runs += change;
+    }
+
+    [[nodiscard]] auto hasRuns() const noexcept -> bool
+    {
+        return m_runs > 0;
     }
 
     /// @brief True when nothing more will happen to the job: it is final, no task of it is open, and that is stored or being stored.
@@ -69,8 +102,8 @@
     /// @brief Due time of the next occurrence; nothing when all have begun.
     [[nodiscard]] auto nextDue() const noexcept -> std::optional<TaskJob::WallTime>;
 
-    /// @brief A task of an open occurrence, or nullptr.
-    [[nodiscard]] auto task(const TaskId &id) noexcept -> TaskProgress *;
+    /// @brief A task of an open occurrence, or nullptr. The caller may change it, so the backlog counts as out of date.
+    [[nodiscard]] auto task(const TaskId &id) -> TaskProgress *;
 
     /// @brief The step of a task.
     [[nodiscard]] auto stepOf(const TaskId &id) const noexcept -> const TaskStep &
@@ -86,7 +119,7 @@
     auto closeDone() -> bool;
 
     /// @brief Sets a phase; a final one never changes again.
-    auto setPhase(JobPhase phase) noexcept -> void;
+    auto setPhase(JobPhase phase) -> void;
 
     /// @brief Forgets the tasks of a final job of which none is assigned any more.
     auto dropTasksWhenIdle() -> void;
@@ -123,14 +156,14 @@
     [[nodiscard]] auto remaining() const -> Remaining;
 
     /// @brief Declared work of all tasks of one occurrence, in core seconds.
-    [[nodiscard]] auto wholeWork() const noexcept -> double;
-
-    /// @brief Notes a change that has to be stored.
-    auto touch() noexcept -> void
+    [[nodiscard]] auto wholeWork() const noexcept -> double
     {
-        m_dirty = true;
+        return m_wholeWork;
     }
 
+    /// @brief Notes a change that has to be stored.
+    auto touch() -> void;
+
     /// @brief True when there is something to store; false from then on.
     [[nodiscard]] auto takeDirty() noexcept -> bool
     {
@@ -150,6 +183,12 @@
     JobProgress m_progress;
     TimePoint m_deadline;
     TimePoint m_expiry;
+    JobBacklog m_backlog;
+    JobChanges *m_changes = nullptr;
+    double m_wholeWork = 0;
+    int m_runs = 0;
+    bool m_isServing = false;
+    bool m_hasTaskChanges = false; ///< since updateBacklog()
     bool m_dirty = false;
     bool m_hasBegun = false;
 };
--- a/include/burdockspur/fleet/fleetlimits.hpp
+++ b/include/burdockspur/fleet/fleetlimits.hpp
@@ -60,6 +60,10 @@
     /// workers that are trusted again.
     Milliseconds m_placementInterval{200};
 
+    /// Tasks for which one round of placement seeks a worker; the rest goes on after the inputs that have come meanwhile, so
+    /// that reports, leases and commits wait for milliseconds on a host of 0.12 processors.
+    std::size_t m_triesPerRound = 128;
+
     /// A serving task that has waited for this long goes before short work of the same priority, which would otherwise take
     /// every room that becomes free. It has to run again within 6 s (platform's bound), and a room has to become free first.
     Milliseconds m_servingPatience{1'500};
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -6,7 +6,11 @@
 #include "burdockspur/fleet/fleetjob.hpp"
 #include "burdockspur/fleet/fleetlimits.hpp"
 #include "burdockspur/fleet/fleetworker.hpp"
+#include "burdockspur/fleet/jobchanges.hpp"
 #include "burdockspur/fleet/pacecontroller.hpp"
+#include "burdockspur/fleet/placementeffort.hpp"
+#include "burdockspur/fleet/placementgroup.hpp"
+#include "burdockspur/fleet/taskkinds.hpp"
 
 #include <cstdint>
 #include <map>
@@ -21,6 +25,9 @@
 
 namespace Burdockspur
 {
+class PlacementOrder;
+class PoolRooms;
+
 /// @brief A job as it stands in the store.
 struct StoredJob {
     TaskJob m_job;
@@ -118,9 +125,15 @@
         return m_waitingCount;
     }
 
+    /// @brief What the placement has done so far.
+    [[nodiscard]] auto placementEffort() const noexcept -> const PlacementEffort &
+    {
+        return m_effort;
+    }
+
 private:
-    struct JobRank;
     struct WaitingTask;
+    struct Choice;
     struct CommitInFlight;
     using WorkerMap = std::map<std::string, FleetWorker, std::less<>>;
 
@@ -132,8 +145,8 @@
     auto beginDueOccurrences(TimePoint now, WallTime wallNow) -> TimePoint;
     auto forgetOldJobs(TimePoint now) -> void;
 
-    /// @brief Leaves out of further decisions what is final and stored; it stays known until it is forgotten.
-    auto settleJobs() -> void;
+    /// @brief Makes a job known to further decisions.
+    auto watch(FleetJob &job) -> void;
     [[nodiscard]] auto policyOf(const FleetJob &job) const noexcept -> const JobQueuePolicy &;
 
     // Workers
@@ -155,13 +168,20 @@
     auto moveSlowRuns(FleetWorker &worker, TimePoint now) -> void;
 
     // Placement
+    /// @brief Places waiting tasks when something has changed and a commit can take the assignments.
+    /// @returns when to call again at the latest
+    auto placeWhenDue(TimePoint now) -> TimePoint;
     auto placeWaiting(TimePoint now) -> void;
-    [[nodiscard]] auto rankOf(const FleetJob &job, const JobQueuePolicy &policy, TimePoint now) const -> JobRank;
-    /// @brief All tasks that may start, best first.
-    [[nodiscard]] auto collectWaiting(TimePoint now) -> std::vector<WaitingTask>;
-    auto noteBacklog(std::span<const WaitingTask> waiting, TimePoint now) -> void;
-    [[nodiscard]] auto chooseWorker(const WaitingTask &waiting, TimePoint now) -> FleetWorker *;
-    [[nodiscard]] auto placeGang(std::span<const WaitingTask> members, TimePoint now) -> bool;
+    auto updateBacklogs(TimePoint now) -> void;
+    [[nodiscard]] auto rankOf(const FleetJob &job, TimePoint now) const -> JobRank;
+    /// @brief Adds what waits to the order of this round.
+    auto addGroups(FleetJob &job, PlacementOrder &order, TimePoint now) -> void;
+    [[nodiscard]] auto tasksOf(const PlacementGroup &group, TimePoint now) const -> std::vector<WaitingTask>;
+    /// @brief Places the tasks of a group, as far as there is room.
+    /// @returns false when the round has done its share of work before the end of the group
+    [[nodiscard]] auto placeGroup(const PlacementGroup &group, PlacementOrder &order, PoolRooms &rooms, TimePoint now) -> bool;
+    [[nodiscard]] auto chooseWorker(const WaitingTask &waiting, PoolRooms &rooms, TimePoint now) -> Choice;
+    [[nodiscard]] auto placeGang(std::span<const WaitingTask> members, PoolRooms &rooms, TimePoint now) -> bool;
     auto assign(const WaitingTask &waiting, FleetWorker &worker, RunNumber run, TimePoint now) -> void;
     auto sendStart(FleetWorker &worker, TaskRun &run, TimePoint now) -> void;
 
@@ -169,7 +189,7 @@
     auto commitChanges(TimePoint now) -> TimePoint;
     [[nodiscard]] auto hasChanges() const -> bool;
     auto collectRows(CommitOrder &order, CommitInFlight &commit) -> bool;
-    auto collectConsequences(CommitInFlight &commit, bool isWhole) const -> void;
+    auto collectConsequences(CommitInFlight &commit, bool isWhole) -> void;
     [[nodiscard]] auto waitingJobs() const -> std::optional<WaitingJobs>;
 
     FleetLimits m_limits;
@@ -179,10 +199,11 @@
     std::shared_ptr<const FleetConfiguration> m_configuration;
     std::map<std::string, std::unique_ptr<FleetJob>, std::less<>> m_jobs;
     std::map<std::string_view, FleetJob *> m_activeJobs; ///< those that are not settled, by id
+    JobChanges m_changes; ///< of the active jobs
+    TaskKinds m_kinds; ///< of the waiting tasks
     WorkerMap m_workers;
     PaceController m_paces; ///< kept over ownerships: what it has learned stays true
     std::map<std::string, double, std::less<>> m_meanWork; ///< core seconds of a job, by queue
-    std::map<std::string, TimePoint> m_servingWaits; ///< since when each serving task waits for room
     std::vector<std::pair<TimePoint, std::string>> m_finished; ///< when jobs became final, in order
     std::unordered_set<std::string> m_deletes; ///< keys to delete with the next commit
     std::vector<FleetCommand> m_commands;
@@ -192,7 +213,11 @@
     TimePoint m_lastCommit;
     TimePoint m_nextPlacement; ///< while tasks wait
     TimePoint m_nextModel; ///< when to store what was learned
+    std::optional<PlacementMark> m_resumeAt; ///< where the last round of placement stopped before its end
+    std::size_t m_triesLeft = 0; ///< of this round
+    PlacementEffort m_effort;
     std::size_t m_waitingCount = 0;
+    std::int64_t m_waitingFillCpu = 0; ///< declared by waiting filling tasks, in thousandths of a core
     bool m_mustPlace = false;
 };
 }
--- a/include/burdockspur/fleet/fleetworker.hpp
+++ b/include/burdockspur/fleet/fleetworker.hpp
@@ -42,6 +42,8 @@
     TimePoint m_heardAt; ///< last report
     std::vector<ServingRoom> m_servingRooms; ///< kept from one decision to the next, see PaceController::fitOf()
     TimePoint m_roomsAt; ///< when they were computed; the epoch once the runs have changed
+    bool m_hasStops = false; ///< some run may be wanted to stop; false spares a look at each run
+    bool m_hasRecorded = false; ///< some run may wait for its assignment to be stored; false spares a look at each run
     bool m_hasForeignRuns = false; ///< runs something that no job explains; until it is gone, nothing is added
 
     /// @brief Adds a run and reserves its room.
@@ -53,6 +55,9 @@
     /// @brief Removes all runs.
     [[nodiscard]] auto takeRuns() -> std::map<std::string, TaskRun, std::less<>>;
 
+    /// @brief Notes that a run of this worker has to end.
+    auto wantStop(TaskRun &run) noexcept -> void;
+
     /// @brief The run of a task, or nullptr.
     [[nodiscard]] auto run(std::string_view task) noexcept -> TaskRun *;
 
--- a/src/fleet/fleetjob.cpp
+++ b/src/fleet/fleetjob.cpp
@@ -1,6 +1,10 @@
 #include "burdockspur/fleet/fleetjob.hpp"
 
+#include "burdockspur/fleet/jobchanges.hpp"
+#include "burdockspur/fleet/taskkinds.hpp"
+
 #include <algorithm>
+#include <utility>
 
 namespace Burdockspur
 {
@@ -71,6 +75,72 @@
     const auto objective = std::chrono::duration_cast<Milliseconds>(chain) + m_job.m_policy.m_target;
     m_deadline = now - age + objective;
     m_expiry = now - age + worthlessAfter * objective;
+    for (const auto &step : m_job.m_steps) {
+        m_wholeWork += step.m_count * workOf(step);
+        m_isServing = m_isServing || step.m_isServing;
+    }
+}
+
+auto FleetJob::tellChanges(JobChanges &changes) -> void
+{
+    m_changes = &changes;
+    if (m_dirty) {
+        touch();
+    }
+    m_hasTaskChanges = false;
+    noteTasksChanged();
+}
+
+auto FleetJob::touch() -> void
+{
+    m_dirty = true;
+    if (m_changes != nullptr) {
+        m_changes->m_dirty.emplace(m_job.m_id, this);
+    }
+}
+
+auto FleetJob::noteTasksChanged() -> void
+{
+    if (!std::exchange(m_hasTaskChanges, true) && m_changes != nullptr) {
+        m_changes->m_tasksChanged.push_back(this);
+    }
+}
+
+auto FleetJob::updateBacklog(const JobQueuePolicy &policy, TaskKinds &kinds, TimePoint now) -> void
+{
+    m_hasTaskChanges = false;
+    const auto before = std::exchange(m_backlog, {});
+    m_backlog.m_policy = &policy;
+    // A queue may get advice after it has accepted jobs; without a ticket every start would be refused.
+    if (isFinal(m_progress.m_phase) || policy.m_needsAdvice) {
+        return;
+    }
+    const auto left = remaining();
+    m_backlog.m_chain = left.m_chain;
+    m_backlog.m_coreSeconds = left.m_coreSeconds;
+    for (auto &occurrence : m_progress.m_open) {
+        for (std::uint32_t number = 0; number < occurrence.m_steps.size(); ++number) {
+            if (!isReady(occurrence, number)) {
+                continue;
+            }
+            const auto &step = m_job.m_steps[number];
+            JobBacklog::Step entry{occurrence.m_number, number, 0, {}};
+            auto &tasks = occurrence.m_steps[number].m_tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].m_phase == TaskPhase::Waiting) {
+                    const auto since = m_isServing ? before.waitingSince(occurrence.m_number, number, index).value_or(now) : now;
+                    entry.m_tasks.push_back({index, &tasks[index], since});
+                }
+            }
+            if (entry.m_tasks.empty()) {
+                continue;
+            }
+            entry.m_kind = kinds.numberOf(policy.m_pool, step);
+            m_backlog.m_taskCount += entry.m_tasks.size();
+            m_backlog.m_fillCpu += step.m_fills ? step.m_demand.m_cpuMillis * static_cast<std::int64_t>(entry.m_tasks.size()) : 0;
+            m_backlog.m_steps.push_back(std::move(entry));
+        }
+    }
 }
 
 auto FleetJob::remaining() const -> Remaining
@@ -88,15 +158,6 @@
     return left;
 }
 
-auto FleetJob::wholeWork() const noexcept -> double
-{
-    double work = 0;
-    for (const auto &step : m_job.m_steps) {
-        work += step.m_count * workOf(step);
-    }
-    return work;
-}
-
 auto FleetJob::restore(JobProgress &&progress) -> bool
 {
     const bool fits = std::ranges::all_of(progress.m_open, [this](const OccurrenceProgress &occurrence) {
@@ -106,6 +167,7 @@
     });
     if (fits) {
         m_progress = std::move(progress);
+        noteTasksChanged();
         // An assignment alone may not have been carried out; a report will tell.
         m_hasBegun = m_progress.m_nextOccurrence > m_progress.m_open.size() || std::ranges::any_of(m_progress.m_open, hasEnds);
     }
@@ -132,6 +194,7 @@
             break;
         }
         open(m_progress.m_nextOccurrence++);
+        noteTasksChanged();
         begun = true;
     }
     return begun;
@@ -152,14 +215,18 @@
     }
 }
 
-auto FleetJob::task(const TaskId &id) noexcept -> TaskProgress *
+auto FleetJob::task(const TaskId &id) -> TaskProgress *
 {
     const auto occurrence = std::ranges::find(m_progress.m_open, id.m_occurrence, &OccurrenceProgress::m_number);
     if (occurrence == m_progress.m_open.end() || id.m_step >= occurrence->m_steps.size()) {
         return nullptr;
     }
     auto &tasks = occurrence->m_steps[id.m_step].m_tasks;
-    return id.m_index < tasks.size() ? &tasks[id.m_index] : nullptr;
+    if (id.m_index >= tasks.size()) {
+        return nullptr;
+    }
+    noteTasksChanged();
+    return &tasks[id.m_index];
 }
 
 auto FleetJob::isReady(const OccurrenceProgress &occurrence, std::size_t step) const noexcept -> bool
@@ -174,9 +241,12 @@
     if (isFinal(m_progress.m_phase)) {
         return false;
     }
-    std::erase_if(m_progress.m_open, [](const OccurrenceProgress &occurrence) {
+    const auto closed = std::erase_if(m_progress.m_open, [](const OccurrenceProgress &occurrence) {
         return std::ranges::all_of(occurrence.m_steps, isDone);
     });
+    if (closed > 0) {
+        noteTasksChanged();
+    }
     const bool isOver = m_progress.m_open.empty() && !nextDue();
     if (isOver) {
         setPhase(JobPhase::Completed);
@@ -184,11 +254,12 @@
     return isOver;
 }
 
-auto FleetJob::setPhase(JobPhase phase) noexcept -> void
+auto FleetJob::setPhase(JobPhase phase) -> void
 {
     if (!isFinal(m_progress.m_phase) && m_progress.m_phase != phase) {
         m_progress.m_phase = phase;
         touch();
+        noteTasksChanged();
     }
 }
 
@@ -202,6 +273,7 @@
     if (isFinal(m_progress.m_phase) && !isAssigned && !m_progress.m_open.empty()) {
         m_progress.m_open.clear();
         touch();
+        noteTasksChanged();
     }
 }
 }
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -31,7 +31,7 @@
             continue;
         }
         auto &entry = *m_jobs.insert_or_assign(job->job().m_id, std::move(job)).first->second;
-        m_activeJobs.emplace(entry.job().m_id, &entry);
+        watch(entry);
         restoreRuns(entry, now);
         if (stored.m_isCancelled) {
             entry.setPhase(JobPhase::Cancelled);
@@ -40,24 +40,39 @@
             m_finished.emplace_back(now, entry.job().m_id);
             wantStops(entry);
         }
+        if (entry.isSettled()) {
+            m_activeJobs.erase(entry.job().m_id);
+        }
     }
     m_mustPlace = true;
 }
 
+auto FleetScheduler::watch(FleetJob &job) -> void
+{
+    m_activeJobs.emplace(job.job().m_id, &job);
+    job.tellChanges(m_changes);
+    if (job.nextDue()) {
+        m_changes.m_due.insert(&job);
+    }
+}
+
 auto FleetScheduler::resign() -> void
 {
     m_epoch = 0;
     m_jobsAsOf.reset();
     m_activeJobs.clear();
+    m_changes.clear();
+    m_kinds.clear();
+    m_resumeAt.reset();
     m_jobs.clear();
     m_workers.clear();
-    m_servingWaits.clear();
     m_finished.clear();
     m_deletes.clear();
     m_commands.clear();
     m_commit.reset();
     m_commitNumber = 0;
     m_waitingCount = 0;
+    m_waitingFillCpu = 0;
 }
 
 auto FleetScheduler::restoreRuns(FleetJob &job, TimePoint now) -> void
@@ -101,7 +116,15 @@
 
 auto FleetScheduler::configure(std::shared_ptr<const FleetConfiguration> configuration) -> void
 {
+    if (m_configuration && configuration && m_configuration->m_queues == configuration->m_queues) {
+        // Confirmed without a change of the queues; what was computed with them stays true.
+        return;
+    }
     m_configuration = std::move(configuration);
+    // Backlogs refer to the former policies; the next placement computes them again before it reads them.
+    for (const auto &[id, job] : m_activeJobs) {
+        job->noteTasksChanged();
+    }
     m_mustPlace = true;
 }
 
@@ -122,7 +145,7 @@
              "job_seen",
              {{"job", id}, {"queue", job.m_policy.m_name}, {"steps", job.m_steps.size()}, {"waiting", m_waitingCount}, {"epoch", m_epoch}});
     auto &added = *m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(job), now, wallNow)).first->second;
-    m_activeJobs.emplace(added.job().m_id, &added);
+    watch(added);
     /// Share of a new job in the running mean of its queue.
     constexpr double meanRate = 0.05;
     const auto mean = m_meanWork.try_emplace(added.job().m_policy.m_name, added.wholeWork()).first;
@@ -150,9 +173,14 @@
 
 auto FleetScheduler::wantStops(const FleetJob &job) -> void
 {
+    if (!job.hasRuns()) {
+        return;
+    }
     for (auto &[id, worker] : m_workers) {
         for (auto &[name, run] : worker.m_runs) {
-            run.m_stopWanted = run.m_stopWanted || run.m_job == &job;
+            if (run.m_job == &job) {
+                worker.wantStop(run);
+            }
         }
     }
 }
@@ -198,14 +226,17 @@
     /// The wall clock may jump, so a due time is looked at again after this time at the latest.
     constexpr Milliseconds longestSleep{1'000};
     TimePoint next = now + longestSleep;
-    for (const auto &[id, job] : m_activeJobs) {
+    std::erase_if(m_changes.m_due, [&](FleetJob *job) {
         if (job->beginDue(wallNow)) {
             m_mustPlace = true;
         }
-        if (const auto due = job->nextDue(); due && !isFinal(job->progress().m_phase)) {
-            next = std::min(next, now + std::max(Milliseconds{1}, std::chrono::duration_cast<Milliseconds>(*due - wallNow)));
+        const auto due = job->nextDue();
+        if (!due || isFinal(job->progress().m_phase)) {
+            return true;
         }
-    }
+        next = std::min(next, now + std::max(Milliseconds{1}, std::chrono::duration_cast<Milliseconds>(*due - wallNow)));
+        return false;
+    });
     return next;
 }
 
@@ -221,28 +252,18 @@
         if (entry == m_jobs.end()) {
             continue;
         }
-        const bool isRunning = std::ranges::any_of(m_workers, [&](const auto &worker) {
-            return std::ranges::any_of(worker.second.m_runs, [&](const auto &run) {
-                return run.second.m_job == entry->second.get();
-            });
-        });
-        if (isRunning) {
+        if (entry->second->hasRuns()) {
             break;
         }
         m_deletes.insert({jobKey(id), cancelKey(id), progressKey(id)});
+        updateBacklogs(now);
+        m_changes.forget(*entry->second);
         m_activeJobs.erase(id);
         m_jobs.erase(entry);
     }
     m_finished.erase(m_finished.begin(), m_finished.begin() + static_cast<std::ptrdiff_t>(old));
 }
 
-auto FleetScheduler::settleJobs() -> void
-{
-    std::erase_if(m_activeJobs, [](const auto &entry) {
-        return entry.second->isSettled();
-    });
-}
-
 auto FleetScheduler::advance(TimePoint now, WallTime wallNow) -> TimePoint
 {
     if (!isOwner()) {
@@ -250,7 +271,6 @@
     }
     TimePoint next = beginDueOccurrences(now, wallNow);
     forgetOldJobs(now);
-    settleJobs();
     for (auto &[id, worker] : m_workers) {
         leaveWorker(worker, now);
         next = std::min(next, stopRuns(worker, now));
@@ -261,13 +281,7 @@
     std::erase_if(m_workers, [](const auto &entry) {
         return !entry.second.m_isListed && entry.second.m_runs.empty();
     });
-    if (std::exchange(m_mustPlace, false) || (m_waitingCount > 0 && now >= m_nextPlacement)) {
-        placeWaiting(now);
-        m_nextPlacement = now + m_limits.m_placementInterval;
-    }
-    if (m_waitingCount > 0) {
-        next = std::min(next, m_nextPlacement);
-    }
+    next = std::min(next, placeWhenDue(now));
     next = std::min(next, commitChanges(now));
     return std::min(next, pollWorkers(now));
 }
@@ -288,13 +302,9 @@
 
 auto FleetScheduler::hasChanges() const -> bool
 {
-    const bool hasUnackedEnds = std::ranges::any_of(m_workers, [](const auto &entry) {
+    return !m_changes.m_dirty.empty() || !m_deletes.empty() || std::ranges::any_of(m_workers, [](const auto &entry) {
         return entry.second.m_seenEnd > entry.second.m_durableEnd;
     });
-    const bool hasDirtyJobs = std::ranges::any_of(m_activeJobs, [](const auto &entry) {
-        return entry.second->isDirty();
-    });
-    return hasUnackedEnds || hasDirtyJobs || !m_deletes.empty();
 }
 
 /// @returns false when changes are left for a further commit
@@ -302,18 +312,23 @@
 {
     std::size_t bytes = 0;
     bool isWhole = true;
-    for (const auto &[id, job] : m_activeJobs) {
-        if (!job->isDirty()) {
-            continue;
-        }
+    while (!m_changes.m_dirty.empty()) {
         if (order.m_puts.size() >= m_limits.m_rowsPerCommit || bytes >= m_limits.m_bytesPerCommit) {
             isWhole = false;
             break;
         }
+        const auto first = m_changes.m_dirty.begin();
+        auto *const job = first->second;
+        const auto &id = job->job().m_id;
+        m_changes.m_dirty.erase(first);
         static_cast<void>(job->takeDirty());
         order.m_puts.push_back({progressKey(id), encodeRow(job->progress())});
         bytes += order.m_puts.back().m_value.size();
         commit.m_jobs.emplace_back(id);
+        if (job->isSettled()) {
+            // Left out of further decisions; it stays known until it is forgotten.
+            m_activeJobs.erase(id);
+        }
     }
     for (auto entry = m_deletes.begin(); entry != m_deletes.end() && order.m_puts.size() + order.m_deletes.size() < m_limits.m_rowsPerCommit;) {
         order.m_deletes.push_back(*entry);
@@ -322,15 +337,19 @@
     return isWhole;
 }
 
-auto FleetScheduler::collectConsequences(CommitInFlight &commit, bool isWhole) const -> void
+auto FleetScheduler::collectConsequences(CommitInFlight &commit, bool isWhole) -> void
 {
     const std::unordered_set<std::string> included(commit.m_jobs.begin(), commit.m_jobs.end());
-    for (const auto &[id, worker] : m_workers) {
+    for (auto &[id, worker] : m_workers) {
         // An end may have changed a job that is left for a further commit.
         if (isWhole && worker.m_seenEnd > worker.m_durableEnd) {
             commit.m_acks.push_back({id, worker.m_record.m_incarnation, worker.m_seenEnd});
         }
+        if (!std::exchange(worker.m_hasRecorded, false)) {
+            continue;
+        }
         for (const auto &[name, run] : worker.m_runs) {
+            worker.m_hasRecorded = worker.m_hasRecorded || run.m_stage == RunStage::Recorded;
             if (run.m_stage == RunStage::Recorded && included.contains(run.m_task.m_job)) {
                 commit.m_starts.push_back({id, worker.m_record.m_incarnation, name, run.m_run});
             }
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -1,4 +1,6 @@
 #include "burdockspur/fleet/fleetscheduler.hpp"
+#include "burdockspur/fleet/placementorder.hpp"
+#include "burdockspur/fleet/poolrooms.hpp"
 #include "burdockspur/impl/fleetschedulerparts.hpp"
 #include "burdockspur/operations/log.hpp"
 
@@ -9,6 +11,9 @@
 {
 namespace
 {
+/// Kinds of tasks that are kept; with more, all are numbered again without those of jobs that are over.
+constexpr std::size_t mostKinds = 4'096;
+
 /// A filling task is placed where at least this share of its processors is unused; the rest it shares.
 constexpr double fillShare = 0.7;
 
@@ -17,21 +22,6 @@
 constexpr double fixedWorth = 0.3;
 constexpr double largestWorth = 4.0;
 
-/// A step of which a task found no room in this round.
-struct Refused {
-    std::string_view m_pool;
-    const TaskStep *m_step;
-
-    /// True when tasks of another step cannot find room either, so that they need not be tried.
-    [[nodiscard]] auto covers(std::string_view pool, const TaskStep &step) const noexcept -> bool
-    {
-        // Filling tasks of another image may press less, and serving tasks may use workers that others may not.
-        const bool isAlike =
-            m_step->m_fills == step.m_fills && (!step.m_fills || m_step->m_image == step.m_image) && (m_step->m_isServing || !step.m_isServing);
-        return isAlike && m_pool == pool && m_step->m_requiredLabel == step.m_requiredLabel && m_step->m_demand.fitsInto(step.m_demand);
-    }
-};
-
 /// Serving tasks of one image suffer from the same filling images, so together they leave other workers open for those.
 [[nodiscard]] auto imageAffinity(const FleetWorker &worker, ImageId image) noexcept -> int
 {
@@ -53,120 +43,194 @@
 }
 }
 
-auto FleetScheduler::rankOf(const FleetJob &job, const JobQueuePolicy &policy, TimePoint now) const -> JobRank
+auto FleetScheduler::rankOf(const FleetJob &job, TimePoint now) const -> JobRank
 {
+    const auto &backlog = job.backlog();
+    const auto &policy = *backlog.m_policy;
     JobRank rank{.m_priority = policy.m_priority, .m_deadline = job.deadline()};
-    rank.m_yields = std::ranges::any_of(job.job().m_steps, &TaskStep::m_isServing);
+    rank.m_yields = job.isServing();
     if (rank.m_yields) {
         return rank;
     }
-    const auto left = job.remaining();
-    if (now + left.m_chain > job.expiry()) {
+    if (now + backlog.m_chain > job.expiry()) {
         rank.m_lateness = 2;
-    } else if (now + left.m_chain > job.deadline()) {
+    } else if (now + backlog.m_chain > job.deadline()) {
         rank.m_lateness = 1;
     }
     const auto mean = m_meanWork.find(policy.m_name);
     const double work = mean == m_meanWork.end() || mean->second <= 0 ? 1.0 : job.wholeWork() / mean->second;
     const double worth = std::min(largestWorth, fixedWorth + (1.0 - fixedWorth) * work);
-    rank.m_cost = left.m_coreSeconds / worth;
+    rank.m_cost = backlog.m_coreSeconds / worth;
     return rank;
 }
 
-auto FleetScheduler::collectWaiting(TimePoint now) -> std::vector<WaitingTask>
+auto FleetScheduler::updateBacklogs(TimePoint now) -> void
 {
-    std::vector<WaitingTask> waiting;
-    std::map<std::string, TimePoint> servingWaits;
-    for (auto &[id, job] : m_activeJobs) {
-        if (isFinal(job->progress().m_phase)) {
-            continue;
-        }
-        const auto &policy = policyOf(*job);
-        if (policy.m_needsAdvice) {
-            // A queue may get advice after it has accepted jobs; without a ticket every start would be refused.
-            continue;
+    if (m_kinds.size() > mostKinds) {
+        m_kinds.clear();
+        for (const auto &[id, job] : m_activeJobs) {
+            job->noteTasksChanged();
         }
-        const auto rank = rankOf(*job, policy, now);
-        for (auto &occurrence : job->openOccurrences()) {
-            for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
-                if (!job->isReady(occurrence, step)) {
-                    continue;
-                }
-                auto &tasks = occurrence.m_steps[step].m_tasks;
-                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                    if (tasks[index].m_phase != TaskPhase::Waiting) {
-                        continue;
-                    }
-                    auto &task = waiting.emplace_back(job, occurrence.m_number, step, index, &tasks[index], &job->job().m_steps[step], &policy, rank);
-                    if (rank.m_yields) {
-                        const auto name = task.id().text();
-                        const auto known = m_servingWaits.find(name);
-                        const TimePoint since = known == m_servingWaits.end() ? now : known->second;
-                        servingWaits.emplace(name, since);
-                        task.m_rank.m_yields = now - since < m_limits.m_servingPatience;
-                    }
-                }
-            }
+    }
+    for (auto *const job : std::exchange(m_changes.m_tasksChanged, {})) {
+        m_waitingCount -= job->backlog().m_taskCount;
+        m_waitingFillCpu -= job->backlog().m_fillCpu;
+        job->updateBacklog(policyOf(*job), m_kinds, now);
+        ++m_effort.m_jobsUpdated;
+        m_waitingCount += job->backlog().m_taskCount;
+        m_waitingFillCpu += job->backlog().m_fillCpu;
+        if (job->backlog().m_taskCount > 0) {
+            m_changes.m_waiting.insert(job);
+        } else {
+            m_changes.m_waiting.erase(job);
         }
     }
-    m_servingWaits = std::move(servingWaits);
-    std::ranges::sort(waiting, {}, &WaitingTask::order);
-    return waiting;
 }
 
-auto FleetScheduler::placeWaiting(TimePoint now) -> void
+auto FleetScheduler::addGroups(FleetJob &job, PlacementOrder &order, TimePoint now) -> void
 {
-    const auto waiting = collectWaiting(now);
-    std::vector<Refused> refused;
-    std::size_t placed = 0;
-    for (std::size_t i = 0; i < waiting.size();) {
-        const auto &task = waiting[i];
-        if (task.m_step->m_isGang) {
-            const auto isMember = [&](const WaitingTask &other) {
-                return other.m_job == task.m_job && other.m_occurrence == task.m_occurrence && other.m_stepNumber == task.m_stepNumber;
-            };
-            const auto end = std::find_if_not(waiting.begin() + static_cast<std::ptrdiff_t>(i), waiting.end(), isMember);
-            const std::span members(waiting.begin() + static_cast<std::ptrdiff_t>(i), end);
-            // All members start together, so a member that is still ending holds back the others.
-            if (members.size() == task.m_step->m_count && placeGang(members, now)) {
-                placed += members.size();
-            }
-            i += members.size();
-            continue;
+    const auto add = [&](const PlacementGroup &group) {
+        if (!m_resumeAt || group.order() >= m_resumeAt->order()) {
+            order.add(group);
         }
-        ++i;
-        const bool isHopeless = std::ranges::any_of(refused, [&task](const Refused &kind) {
-            return kind.covers(task.m_policy->m_pool, *task.m_step);
-        });
-        if (isHopeless) {
+    };
+    const auto rank = rankOf(job, now);
+    for (const auto &step : job.backlog().m_steps) {
+        if (!rank.m_yields) {
+            add({rank, &job, &step});
             continue;
         }
-        if (auto *const worker = chooseWorker(task, now); worker != nullptr) {
-            assign(task, *worker, task.m_progress->m_run + 1, now);
-            ++placed;
-        } else if (task.m_step->m_maxPerWorker == 0) {
-            refused.push_back({task.m_policy->m_pool, task.m_step});
+        // Tasks that have waited for long go first, apart from the others of their step.
+        const auto isPatient = [&](const JobBacklog::Task &task) {
+            return now - task.m_since < m_limits.m_servingPatience;
+        };
+        const auto patient = static_cast<std::size_t>(std::ranges::count_if(step.m_tasks, isPatient));
+        for (const bool yields : {false, true}) {
+            if (yields ? patient > 0 : patient < step.m_tasks.size()) {
+                auto own = rank;
+                own.m_yields = yields;
+                add({own, &job, &step});
+            }
+        }
+    }
+}
+
+auto FleetScheduler::tasksOf(const PlacementGroup &group, TimePoint now) const -> std::vector<WaitingTask>
+{
+    std::vector<WaitingTask> tasks;
+    const auto &step = *group.m_step;
+    tasks.reserve(step.m_tasks.size());
+    for (const auto &task : step.m_tasks) {
+        const bool isOfGroup = !group.m_job->isServing() || (now - task.m_since < m_limits.m_servingPatience) == group.m_rank.m_yields;
+        if (isOfGroup) {
+            tasks.push_back({group.m_job,
+                             step.m_occurrence,
+                             step.m_step,
+                             task.m_index,
+                             task.m_progress,
+                             &group.m_job->job().m_steps[step.m_step],
+                             group.m_job->backlog().m_policy});
         }
     }
-    m_waitingCount = waiting.size() - placed;
-    noteBacklog(waiting, now);
+    return tasks;
 }
 
-auto FleetScheduler::noteBacklog(std::span<const WaitingTask> waiting, TimePoint now) -> void
+auto FleetScheduler::placeWhenDue(TimePoint now) -> TimePoint
 {
-    double asked = 0;
-    for (const auto &task : waiting) {
-        const bool isWaiting = task.m_step->m_fills && task.m_progress->m_phase == TaskPhase::Waiting;
-        asked += isWaiting ? static_cast<double>(task.m_step->m_demand.m_cpuMillis) : 0.0;
+    const bool isDue = m_mustPlace || m_resumeAt || (m_waitingCount > 0 && now >= m_nextPlacement);
+    // An assignment takes effect by a commit, so a round that no commit can follow would only be repeated before the next one.
+    const bool isUseful = m_resumeAt || (!m_commit && now >= m_nextCommit);
+    if (isDue && isUseful) {
+        m_mustPlace = false;
+        placeWaiting(now);
+        m_nextPlacement = now + m_limits.m_placementInterval;
     }
+    if (m_resumeAt) {
+        // The inputs that have come meanwhile go first.
+        return now;
+    }
+    TimePoint next = TimePoint::max();
+    if (!m_commit && m_mustPlace) {
+        next = m_nextCommit;
+    }
+    if (!m_commit && m_waitingCount > 0) {
+        next = std::min(next, std::max(m_nextPlacement, m_nextCommit));
+    }
+    return next;
+}
+
+auto FleetScheduler::placeWaiting(TimePoint now) -> void
+{
+    ++m_effort.m_rounds;
+    updateBacklogs(now);
+    PoolRooms rooms(m_limits, now);
     double capacity = 1.0;
-    for (const auto &[id, worker] : m_workers) {
+    for (auto &[id, worker] : m_workers) {
+        rooms.add(worker);
         capacity += static_cast<double>(worker.m_record.m_capacity.m_cpuMillis);
     }
-    m_paces.noteBacklog(asked / capacity, now);
+    PlacementOrder order(m_kinds);
+    for (auto *const job : m_changes.m_waiting) {
+        addGroups(*job, order, now);
+    }
+    order.arrange();
+    m_resumeAt.reset();
+    m_triesLeft = m_limits.m_triesPerRound;
+    while (const auto group = order.next()) {
+        if (!placeGroup(*group, order, rooms, now)) {
+            m_resumeAt = PlacementMark{group->m_rank, group->m_job->job().m_id, group->m_step->m_occurrence, group->m_step->m_step};
+            ++m_effort.m_cutRounds;
+            break;
+        }
+    }
+    // Tells what still waits.
+    updateBacklogs(now);
+    m_paces.noteBacklog(static_cast<double>(m_waitingFillCpu) / capacity, now);
 }
 
-auto FleetScheduler::chooseWorker(const WaitingTask &waiting, TimePoint now) -> FleetWorker *
+auto FleetScheduler::placeGroup(const PlacementGroup &group, PlacementOrder &order, PoolRooms &rooms, TimePoint now) -> bool
+{
+    if (m_triesLeft == 0) {
+        return false;
+    }
+    const auto tasks = tasksOf(group, now);
+    const auto countTries = [this](std::size_t tries) {
+        m_effort.m_tasksTried += tries;
+        m_triesLeft -= std::min(m_triesLeft, tries);
+    };
+    if (tasks.front().m_step->m_isGang) {
+        // All members start together, so a member that is still ending holds back the others.
+        if (tasks.size() == tasks.front().m_step->m_count) {
+            countTries(tasks.size());
+            static_cast<void>(placeGang(tasks, rooms, now));
+        }
+        return true;
+    }
+    for (const auto &task : tasks) {
+        if (m_triesLeft == 0) {
+            return false;
+        }
+        countTries(1);
+        const auto choice = chooseWorker(task, rooms, now);
+        if (choice.m_worker != nullptr) {
+            assign(task, *choice.m_worker, task.m_progress->m_run + 1, now);
+            rooms.update(*choice.m_worker);
+            continue;
+        }
+        const bool isLimited = task.m_step->m_maxPerWorker != 0;
+        if (isLimited && choice.m_isStillRunning) {
+            // Another task of the step may go where this one still runs.
+            continue;
+        }
+        if (!choice.m_isSpread) {
+            order.close(group);
+        }
+        break;
+    }
+    return true;
+}
+
+auto FleetScheduler::chooseWorker(const WaitingTask &waiting, PoolRooms &rooms, TimePoint now) -> Choice
 {
     const auto &step = *waiting.m_step;
     Resources demand = step.m_demand;
@@ -174,24 +238,22 @@
     const auto image = m_paces.model().imageId(step.m_image);
     const auto task = waiting.id();
     const auto name = task.text();
-    FleetWorker *best = nullptr;
+    Choice best;
     std::tuple<bool, bool, int, std::int64_t> bestRank;
-    for (auto &[id, worker] : m_workers) {
-        if (!worker.isOpen(m_limits, now) || !demand.fitsInto(worker.free())) {
-            continue;
-        }
-        if (worker.m_record.m_pool != waiting.m_policy->m_pool || !hasLabel(worker.m_record, step.m_requiredLabel)) {
+    const double leastFillRoom = fillShare * static_cast<double>(step.m_demand.m_cpuMillis);
+    for (const auto &room : rooms.roomsOf(waiting.m_policy->m_pool)) {
+        // A serving task rather runs on a doubtful worker than nowhere; other tasks would use up their attempts there.
+        if (!demand.fitsInto(room.m_free) || (!room.m_isTrusted && !step.m_isServing)) {
             continue;
         }
-        // A serving task rather runs on a doubtful worker than nowhere; other tasks would use up their attempts there.
-        const bool isTrusted = worker.m_health.isTrusted(now);
-        if (!isTrusted && !step.m_isServing) {
+        auto &worker = *room.m_worker;
+        if (!hasLabel(worker.m_record, step.m_requiredLabel)) {
             continue;
         }
         int affinity = 0;
         std::int64_t fit = 0;
         if (step.m_fills) {
-            if (static_cast<double>(worker.fillRoom(m_limits)) < fillShare * static_cast<double>(step.m_demand.m_cpuMillis)) {
+            if (static_cast<double>(room.m_fillRoom) < leastFillRoom) {
                 continue;
             }
             const auto fillFit = m_paces.fitOf(worker, image, step.m_demand.m_cpuMillis, now);
@@ -202,24 +264,27 @@
             fit = static_cast<std::int64_t>(fillFit.rank() * 1000);
         } else {
             // Best fit: the least room that is left keeps large gaps for large tasks.
-            fit = -worker.free().m_cpuMillis;
+            fit = -room.m_free.m_cpuMillis;
             affinity = step.m_isServing ? imageAffinity(worker, image) : 0;
         }
-        const std::tuple rank(isTrusted, step.m_preferredRack.empty() || worker.m_record.m_rack == step.m_preferredRack, affinity, fit);
-        if (best != nullptr && rank <= bestRank) {
+        const std::tuple rank(room.m_isTrusted, step.m_preferredRack.empty() || worker.m_record.m_rack == step.m_preferredRack, affinity, fit);
+        if (best.m_worker != nullptr && rank <= bestRank) {
             continue;
         }
         // Looked up last, for the few workers that would be chosen.
         const bool isFull = step.m_maxPerWorker != 0 && worker.countOf(task) >= step.m_maxPerWorker;
-        if (!isFull && worker.run(name) == nullptr) {
-            best = &worker;
+        const bool isStillRunning = worker.run(name) != nullptr;
+        best.m_isSpread = best.m_isSpread || isFull;
+        best.m_isStillRunning = best.m_isStillRunning || isStillRunning;
+        if (!isFull && !isStillRunning) {
+            best.m_worker = &worker;
             bestRank = rank;
         }
     }
     return best;
 }
 
-auto FleetScheduler::placeGang(std::span<const WaitingTask> members, TimePoint now) -> bool
+auto FleetScheduler::placeGang(std::span<const WaitingTask> members, PoolRooms &rooms, TimePoint now) -> bool
 {
     RunNumber run = 0;
     std::string checkpoint;
@@ -229,13 +294,14 @@
     }
     std::vector<FleetWorker *> chosen;
     for (const auto &member : members) {
-        auto *const worker = chooseWorker(member, now);
+        auto *const worker = chooseWorker(member, rooms, now).m_worker;
         if (worker == nullptr) {
             break;
         }
         // Members start from one checkpoint; that of any member is valid for all.
         member.m_progress->m_checkpoint = checkpoint;
         assign(member, *worker, run + 1, now);
+        rooms.update(*worker);
         chosen.push_back(worker);
     }
     if (chosen.size() == members.size()) {
@@ -244,6 +310,7 @@
     for (std::size_t i = 0; i < chosen.size(); ++i) {
         // Nothing was stored or sent since the assignment, so it can be taken back.
         chosen[i]->remove(members[i].id().text());
+        rooms.update(*chosen[i]);
         auto &task = *members[i].m_progress;
         task.m_phase = TaskPhase::Waiting;
         task.m_worker.clear();
@@ -271,6 +338,7 @@
     worker.m_health.noteAssigned(now);
     waiting.m_job->setPhase(JobPhase::Running);
     waiting.m_job->touch();
+    waiting.m_job->noteTasksChanged();
     logEvent(LogLevel::Info,
              "task_assigned",
              {{"job", id.m_job},
@@ -293,7 +361,7 @@
         return;
     }
     if (!lease || !mayStart) {
-        run.m_stopWanted = true;
+        worker.wantStop(run);
         return;
     }
     run.m_stage = RunStage::Starting;
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -299,7 +299,7 @@
             // This owner's order excludes those of earlier owners, and an accepted stop excludes the run itself.
             returnRun(worker, *run, neverBegan ? "never_started" : "stopped_before_start", now);
         } else if (run->m_stage == RunStage::Running && answer.m_sentAt > run->m_confirmedAt) {
-            run->m_stopWanted = true;
+            worker.wantStop(*run);
         }
     }
 }
@@ -329,7 +329,7 @@
         const double here = speed <= 0 ? std::numeric_limits<double>::infinity() : left * estimate / speed;
         const double elsewhere = estimate * (step.m_savesProgress ? left : 1.0) + moveCost;
         if (here > elsewhere && run.m_run <= mostMoves) {
-            run.m_stopWanted = true;
+            worker.wantStop(run);
             logEvent(LogLevel::Info,
                      "run_slow",
                      {{"job", run.m_task.m_job},
@@ -413,7 +413,7 @@
         returnRun(*worker, *run, outcomeName(answer.m_outcome), now);
     } else {
         // An order without an answer may still be carried out; only a stop excludes that.
-        run->m_stopWanted = true;
+        worker->wantStop(*run);
     }
 }
 
@@ -443,8 +443,12 @@
 auto FleetScheduler::stopRuns(FleetWorker &worker, TimePoint now) -> TimePoint
 {
     TimePoint next = TimePoint::max();
+    if (!std::exchange(worker.m_hasStops, false)) {
+        return next;
+    }
     std::vector<TaskRun *> unsent;
     for (auto &[name, run] : worker.m_runs) {
+        worker.m_hasStops = worker.m_hasStops || run.m_stopWanted;
         if (!run.m_stopWanted || run.m_stopInFlight) {
             continue;
         }
@@ -474,7 +478,9 @@
     }
     for (auto &[name, run] : worker.m_runs) {
         // A serving task gains nothing by staying; other work stays as long as it may end in time.
-        run.m_stopWanted = run.m_stopWanted || run.m_isServing || now >= worker.m_leavesAt - leaveReserve;
+        if (run.m_isServing || now >= worker.m_leavesAt - leaveReserve) {
+            worker.wantStop(run);
+        }
     }
 }
 
--- a/src/fleet/fleetworker.cpp
+++ b/src/fleet/fleetworker.cpp
@@ -1,6 +1,7 @@
 #include "burdockspur/fleet/fleetworker.hpp"
 
 #include "burdockspur/core/invariant.hpp"
+#include "burdockspur/fleet/fleetjob.hpp"
 #include "burdockspur/fleet/fleetlimits.hpp"
 
 #include <algorithm>
@@ -8,6 +9,16 @@
 
 namespace Burdockspur
 {
+namespace
+{
+auto countRun(const TaskRun &run, int change) noexcept -> void
+{
+    if (run.m_job != nullptr) {
+        run.m_job->countRuns(change);
+    }
+}
+}
+
 FleetWorker::FleetWorker(WorkerRecord record, const FleetLimits &limits, TimePoint unknownUntil)
     : m_record(std::move(record))
     , m_life(limits.m_clockDrift, unknownUntil)
@@ -21,6 +32,8 @@
     m_roomsAt = {};
     const auto [entry, isNew] = m_runs.emplace(run.m_task.text(), std::move(run));
     requireInvariant(isNew, "one_run_of_a_task_on_a_worker", entry->first);
+    countRun(entry->second, 1);
+    m_hasRecorded = m_hasRecorded || entry->second.m_stage == RunStage::Recorded;
     return entry->second;
 }
 
@@ -31,6 +44,7 @@
         m_reserved -= entry->second.m_reserved;
         (entry->second.m_isServing ? m_servingCpu : m_otherCpu) -= entry->second.m_cpuMillis;
         m_roomsAt = {};
+        countRun(entry->second, -1);
         m_runs.erase(entry);
     }
 }
@@ -41,9 +55,18 @@
     m_servingCpu = 0;
     m_otherCpu = 0;
     m_roomsAt = {};
+    for (const auto &[name, run] : m_runs) {
+        countRun(run, -1);
+    }
     return std::exchange(m_runs, {});
 }
 
+auto FleetWorker::wantStop(TaskRun &run) noexcept -> void
+{
+    run.m_stopWanted = true;
+    m_hasStops = true;
+}
+
 auto FleetWorker::run(std::string_view task) noexcept -> TaskRun *
 {
     const auto entry = m_runs.find(task);
--- /dev/null
+++ b/tests/fleetschedulerloadtest.cpp
@@ -0,0 +1,71 @@
+#include "burdockspur/fleet/fleetlimits.hpp"
+#include "promptfleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <iostream>
+
+using namespace Burdockspur;
+using namespace Burdockspur::Bench;
+
+namespace
+{
+constexpr std::size_t workers = 490;
+
+/// The users' grown deployment, all workers full.
+[[nodiscard]] auto grownLoad(std::size_t waitingTasks) -> PromptLoad
+{
+    PromptLoad load;
+    load.m_shortJobs = 0;
+    load.m_fillJobs = 0;
+    load.m_shortTasks = 10;
+    load.m_shortCpu = 2'800;
+    load.m_fillTasks = 20;
+    load.m_servingTasks = 14;
+    load.m_images = 18;
+    load.m_demandSpread = 0.5;
+    load.m_spreadEvery = 7;
+    load.m_waitingTasks = waitingTasks;
+    return load;
+}
+
+struct RoundCost {
+    double m_cpuMs = 0;
+    double m_tasksTried = 0;
+    double m_jobsUpdated = 0;
+    std::uint64_t m_starts = 0;
+};
+
+/// Means over the rounds of half a second, after the workers have filled.
+[[nodiscard]] auto costOfRound(std::size_t waitingTasks) -> RoundCost
+{
+    constexpr double nanosecondsPerMs = 1e6;
+    PromptFleet fleet(workers, grownLoad(waitingTasks));
+    fleet.run(Milliseconds{2'000});
+    fleet.restartMeasurement();
+    const auto before = fleet.placementEffort();
+    fleet.run(Milliseconds{500});
+    const auto after = fleet.placementEffort();
+    const auto rounds = static_cast<double>(fleet.rounds());
+    return {fleet.decisionNanoseconds() / rounds / nanosecondsPerMs,
+            static_cast<double>(after.m_tasksTried - before.m_tasksTried) / rounds,
+            static_cast<double>(after.m_jobsUpdated - before.m_jobsUpdated) / rounds,
+            fleet.starts()};
+}
+}
+
+// The pattern: a backlog of 20,000 tasks on full workers. Guards against rounds that look at every waiting task: an owner of 0.12
+// processors did 1 to 7 rounds a second, started less than arrived, and never recovered (incident of 2026-12-05).
+TEST(FleetSchedulerLoadTest, ABacklogDoesNotSlowTheRounds)
+{
+    const auto few = costOfRound(500);
+    const auto many = costOfRound(20'000);
+    std::cout << "with 500 and 20,000 waiting tasks: processor time of a round " << few.m_cpuMs << " and " << many.m_cpuMs << " ms, tasks tried "
+              << few.m_tasksTried << " and " << many.m_tasksTried << ", backlogs computed " << few.m_jobsUpdated << " and " << many.m_jobsUpdated << ", starts "
+              << few.m_starts << " and " << many.m_starts << "\n";
+    EXPECT_LE(many.m_tasksTried, static_cast<double>(FleetLimits{}.m_triesPerRound));
+    // Jobs of which a task has started or ended since; 1,000 to 2,000 jobs wait.
+    EXPECT_LE(many.m_jobsUpdated, 2 * few.m_jobsUpdated + 20);
+    EXPECT_LE(many.m_cpuMs, 3 * few.m_cpuMs);
+    EXPECT_GE(many.m_starts, few.m_starts / 2);
+}
