--- a/include/burdockspur/fleet/fleetlimits.hpp
+++ b/include/burdockspur/fleet/fleetlimits.hpp
@@ -29,6 +29,13 @@
     /// half a second, and each time that one is over its target unseen counts.
     Milliseconds m_reportWait{400};
 
+    /// The same while the owner is late. A task over its target is still seen and slowed within the 4 s that the platform allows.
+    Milliseconds m_lateReportWait{800};
+
+    /// The same of a worker that runs nothing, which has nothing to tell. Half of the platform's bound, and well below m_reportFresh,
+    /// so that the worker stays open for new tasks.
+    Milliseconds m_idleReportWait{1'000};
+
     /// Between two reports of a worker that failed to answer.
     Milliseconds m_reportRetry{250};
 
