--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -190,7 +190,7 @@
     PaceController m_paces; ///< kept over ownerships: what it has learned stays true
     std::map<std::string, double, std::less<>> m_meanWork; ///< core seconds of a job, by queue
     std::map<std::string, TimePoint> m_servingWaits; ///< since when each serving task waits for room
-    std::unordered_set<std::string> m_archived; ///< a list of jobs that was read before the move still holds them
+    std::unordered_set<std::string> m_archived; ///< ids only; a list of jobs that was read before the move may still bring them
     std::deque<std::pair<TimePoint, std::string>> m_archivedAt; ///< in order of time
     std::unordered_set<std::string> m_deletes; ///< keys to delete with the next commit
     std::vector<FleetCommand> m_commands;
--- a/include/burdockspur/fleet/jobarchive.hpp
+++ b/include/burdockspur/fleet/jobarchive.hpp
@@ -105,12 +105,14 @@
         std::deque<Move> m_moves; ///< that wait
         std::deque<Kept> m_kept; ///< in order of time
         std::optional<Batch> m_open; ///< in flight, one at a time
-        TimePoint m_notBefore; ///< pause after a failure
+        TimePoint m_notBefore; ///< pause after a transaction, and again after a failed one
         std::string m_listedTo;
         bool m_isListed = false; ///< all final rows of former owners are known
     };
 
     [[nodiscard]] auto partitionOf(std::string_view id) noexcept -> Partition &;
+    [[nodiscard]] static auto isMoving(const Partition &partition, std::string_view id) -> bool;
+    [[nodiscard]] auto openCount() const noexcept -> std::size_t;
     [[nodiscard]] auto dueAt(const Partition &partition) const -> TimePoint;
     [[nodiscard]] auto fill(Partition &partition, TimePoint now) -> ArchiveWrite;
     [[nodiscard]] auto nextRead(TimePoint now) -> std::optional<ArchiveRead>;
--- a/src/fleet/jobarchive.cpp
+++ b/src/fleet/jobarchive.cpp
@@ -17,6 +17,10 @@
 constexpr std::size_t entriesPerMove = 3;
 /// Moves of one transaction; what they leave of its entries is for removals, so that neither holds up the other.
 constexpr std::size_t mostMoves = 25;
+/// Transactions that begin together; after the first only full ones, so that the moves keep up with 250 jobs a second.
+constexpr std::size_t writesPerInterval = 2;
+/// Between two transactions of a partition, which the submissions need as well.
+constexpr Milliseconds partitionPause{1'000};
 /// How long a job waits for others of its partition; also, callers ask for the state of a job most often right after its end, and
 /// the first of the rows read for that is its progress.
 constexpr Milliseconds gatherTime{2'000};
@@ -74,13 +78,10 @@
     }
     for (const auto &job : jobs) {
         auto &partition = partitionOf(job.m_id);
-        const auto isSame = [&job](const Move &move) {
-            return move.m_job.m_id == job.m_id;
-        };
-        if (std::ranges::any_of(partition.m_moves, isSame) || (partition.m_open && std::ranges::any_of(partition.m_open->m_moves, isSame))) {
-            continue;
-        }
         if (!m_known.insert(job.m_id).second) {
+            if (isMoving(partition, job.m_id)) {
+                continue;
+            }
             // A move of the former owner took effect after the successor had read the submission. The row stays for a whole
             // retention after this move, and is not put and removed by one transaction.
             std::erase_if(partition.m_kept, [&job](const Kept &kept) {
@@ -91,6 +92,14 @@
     }
 }
 
+auto JobArchive::isMoving(const Partition &partition, std::string_view id) -> bool
+{
+    const auto isSame = [id](const Move &move) {
+        return move.m_job.m_id == id;
+    };
+    return std::ranges::any_of(partition.m_moves, isSame) || (partition.m_open && std::ranges::any_of(partition.m_open->m_moves, isSame));
+}
+
 auto JobArchive::dueAt(const Partition &partition) const -> TimePoint
 {
     auto due = TimePoint::max();
@@ -113,25 +122,33 @@
     if (auto read = nextRead(now)) {
         calls.emplace_back(std::move(*read));
     }
-    const auto open = std::ranges::count_if(m_partitions, [](const Partition &partition) {
-        return partition.m_open.has_value();
-    });
-    if (now < m_nextWrite || static_cast<std::size_t>(open) >= writesAtOnce) {
+    if (now < m_nextWrite) {
         return calls;
     }
-    Partition *first = nullptr;
-    for (auto &partition : m_partitions) {
-        if (!partition.m_open && dueAt(partition) <= now && (first == nullptr || dueAt(partition) < dueAt(*first))) {
-            first = &partition;
+    for (std::size_t written = 0; written < writesPerInterval && openCount() < writesAtOnce; ++written) {
+        Partition *first = nullptr;
+        for (auto &partition : m_partitions) {
+            if (!partition.m_open && dueAt(partition) <= now && (first == nullptr || dueAt(partition) < dueAt(*first))) {
+                first = &partition;
+            }
+        }
+        if (first == nullptr || (written > 0 && first->m_moves.size() < mostMoves)) {
+            break;
         }
-    }
-    if (first != nullptr) {
         m_nextWrite = now + interval;
+        first->m_notBefore = now + partitionPause;
         calls.emplace_back(fill(*first, now));
     }
     return calls;
 }
 
+auto JobArchive::openCount() const noexcept -> std::size_t
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_partitions, [](const Partition &partition) {
+        return partition.m_open.has_value();
+    }));
+}
+
 auto JobArchive::fill(Partition &partition, TimePoint now) -> ArchiveWrite
 {
     Batch batch;
--- a/tests/fleethosttest.cpp
+++ b/tests/fleethosttest.cpp
@@ -127,7 +127,9 @@
     auto awaitMove(std::string_view id) -> void
     {
         const auto part = id.substr(0, 1);
+        const TimePoint until = Clock::now() + std::chrono::seconds(30);
         while (m_platform.hasRow("jobs", part, id) || m_platform.hasRow("progress", "fleet", id) || !m_platform.hasRow("final", part, id)) {
+            ASSERT_LT(Clock::now(), until) << "rows of the ended job " << id << " stay";
             QCoreApplication::processEvents(QEventLoop::AllEvents, 20);
         }
     }
--- a/tests/jobarchivetest.cpp
+++ b/tests/jobarchivetest.cpp
@@ -254,3 +254,27 @@
     EXPECT_EQ(loaded->m_jobs.size(), active);
     EXPECT_EQ(store.m_listedBytes, activeBytes);
 }
+
+// Guards against a transaction that moves a job and removes its final row at once: a late move of the former owner has stored the
+// row, and the successor's own move is refused until the retention since then has passed.
+TEST(JobArchiveTest, AMoveThatIsRefusedForLongKeepsItsFinalRow)
+{
+    MemoryStore store;
+    const auto ended = storeEnded(store, 1);
+    const auto id = ended.front().m_id;
+    store.put(finalKey(id), encodeRow(FinalRow{JobPhase::Completed, {}}));
+    bool isRefusing = true;
+    store.m_nextFault = [&isRefusing] {
+        return isRefusing ? MemoryStore::Fault::Refused : MemoryStore::Fault::None;
+    };
+    Owner owner(store);
+    owner.m_calls.begin();
+    store.run(std::chrono::seconds(30));
+    owner.m_calls.add(ended);
+    store.run(retention + std::chrono::seconds(30));
+    isRefusing = false;
+    store.run(std::chrono::seconds(10));
+    EXPECT_TRUE(store.m_violations.empty()) << store.m_violations.front();
+    EXPECT_TRUE(owner.m_moved.contains(id));
+    EXPECT_TRUE(store.contains(finalKey(id)));
+}
--- a/tests/memorystore.hpp
+++ b/tests/memorystore.hpp
@@ -203,6 +203,11 @@
         if (entries > mostEntries) {
             m_violations.push_back("a transaction of " + std::to_string(entries) + " entries");
         }
+        for (const auto &change : transaction.m_puts) {
+            if (std::ranges::find(transaction.m_deletes, change.m_key) != transaction.m_deletes.end()) {
+                m_violations.push_back(change.m_key + " is written and deleted");
+            }
+        }
         return partitions.empty() ? std::string() : *partitions.begin();
     }
 
