--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -216,7 +216,7 @@
     PaceController m_paces; ///< kept over ownerships: what it has learned stays true
     std::map<std::string, double, std::less<>> m_meanWork; ///< core seconds of a job, by queue
     std::unordered_set<std::string> m_lateDone; ///< tasks that an earlier run has ended well; the last run is being stopped
-    std::unordered_set<std::string> m_archived; ///< a list of jobs that was read before the move still holds them
+    std::unordered_set<std::string> m_archived; ///< ids only; a list of jobs that was read before the move may still bring them
     std::deque<std::pair<TimePoint, std::string>> m_archivedAt; ///< in order of time
     std::unordered_set<std::string> m_deletes; ///< keys to delete with the next commit
     std::vector<FleetCommand> m_commands;
--- a/tests/reportpacingtest.cpp
+++ b/tests/reportpacingtest.cpp
@@ -42,10 +42,10 @@
     EXPECT_EQ(pacing.wait(limits, false, start + Milliseconds{3'001}), limits.m_reportWait);
 }
 
-// Guards against a wait after which the lease of an idle worker cannot be renewed any more: its first start was returned.
-TEST(ReportPacingTest, AnIdleWorkerIsHeardBeforeItsLeaseIsRefused)
+// Guards against a wait after which an idle worker does not count as open, so that it gets no task.
+TEST(ReportPacingTest, AnIdleWorkerIsHeardWhileItsReportIsFresh)
 {
     const auto wait = noted(Milliseconds{200}).wait(limits, true, start);
     EXPECT_GT(wait, limits.m_lateReportWait);
-    EXPECT_LT(wait + Milliseconds{500}, limits.m_renewUnheard);
+    EXPECT_LT(wait + Milliseconds{500}, limits.m_reportFresh);
 }
