--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -148,6 +148,9 @@
 
     /// @brief Makes a job known to further decisions.
     auto watch(FleetJob &job) -> void;
+
+    /// @brief Ends that; comes before a job ends to exist, because changes and counts refer to it.
+    auto unwatch(FleetJob &job) -> void;
     [[nodiscard]] auto policyOf(const FleetJob &job) const noexcept -> const JobQueuePolicy &;
 
     // Workers
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -56,6 +56,14 @@
     }
 }
 
+auto FleetScheduler::unwatch(FleetJob &job) -> void
+{
+    m_waitingCount -= job.backlog().m_taskCount;
+    m_waitingFillCpu -= job.backlog().m_fillCpu;
+    m_changes.forget(job);
+    m_activeJobs.erase(job.job().m_id);
+}
+
 auto FleetScheduler::resign() -> void
 {
     m_epoch = 0;
@@ -256,9 +264,7 @@
             break;
         }
         m_deletes.insert({jobKey(id), cancelKey(id), progressKey(id)});
-        updateBacklogs(now);
-        m_changes.forget(*entry->second);
-        m_activeJobs.erase(id);
+        unwatch(*entry->second);
         m_jobs.erase(entry);
     }
     m_finished.erase(m_finished.begin(), m_finished.begin() + static_cast<std::ptrdiff_t>(old));
