--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -150,11 +150,14 @@
     auto wantStops(const FleetJob &job) -> void;
     auto beginDueOccurrences(TimePoint now, WallTime wallNow) -> TimePoint;
     auto forgetOldJobs(TimePoint now) -> void;
-    auto dropJob(std::string_view id, TimePoint now) -> void;
+    auto dropJob(std::string_view id) -> void;
     auto orderArchiving(std::span<const std::string> ids) -> void;
 
     /// @brief Makes a job known to further decisions.
     auto watch(FleetJob &job) -> void;
+
+    /// @brief Ends that; comes before a job ends to exist, because changes and counts refer to it.
+    auto unwatch(FleetJob &job) -> void;
     [[nodiscard]] auto policyOf(const FleetJob &job) const noexcept -> const JobQueuePolicy &;
 
     // Workers
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -59,6 +59,14 @@
     }
 }
 
+auto FleetScheduler::unwatch(FleetJob &job) -> void
+{
+    m_waitingCount -= job.backlog().m_taskCount;
+    m_waitingFillCpu -= job.backlog().m_fillCpu;
+    m_changes.forget(job);
+    m_activeJobs.erase(job.job().m_id);
+}
+
 auto FleetScheduler::resign() -> void
 {
     m_epoch = 0;
@@ -255,7 +263,7 @@
             m_archivedAt.emplace_back(now, id);
         }
         m_deletes.insert(progressKey(id));
-        dropJob(id, now);
+        dropJob(id);
     }
 }
 
@@ -273,7 +281,7 @@
     }
 }
 
-auto FleetScheduler::dropJob(std::string_view id, TimePoint now) -> void
+auto FleetScheduler::dropJob(std::string_view id) -> void
 {
     const auto entry = m_jobs.find(id);
     if (entry == m_jobs.end()) {
@@ -281,9 +289,7 @@
     }
     // A run refers to its job, which is then dropped when the retention has passed.
     if (!entry->second->hasRuns()) {
-        updateBacklogs(now);
-        m_changes.forget(*entry->second);
-        m_activeJobs.erase(entry->first);
+        unwatch(*entry->second);
         m_jobs.erase(entry);
     }
 }
@@ -292,7 +298,7 @@
 {
     while (!m_archivedAt.empty() && now - m_archivedAt.front().first >= m_limits.m_retention) {
         const std::string &id = m_archivedAt.front().second;
-        dropJob(id, now);
+        dropJob(id);
         if (m_jobs.contains(id)) {
             return;
         }
