Test that a failed takeover releases the ownership

With the former way (the row is left and claimed again) it fails: the host has claimed three epochs in 20 s and nothing is released.

--- a/tests/fleethosttest.cpp
+++ b/tests/fleethosttest.cpp
@@ -217,6 +217,37 @@
     }
 }
 
+// Guards against a host that keeps the row of a takeover that failed, or claims it again before others can (incident of 2026-12-05).
+TEST_F(FleetHostTest, AFailedTakeoverReleasesTheOwnership)
+{
+    // Longer than the time-out of a call, so no page of the jobs is answered.
+    m_platform.delayReads("jobs", Milliseconds{3'000});
+    Host host("host-1", m_platform.storePort());
+    const auto awaitOwner = [this](auto holds) {
+        const TimePoint until = Clock::now() + std::chrono::seconds(20);
+        auto owner = readOwner();
+        while (!holds(owner) && Clock::now() < until) {
+            QCoreApplication::processEvents(QEventLoop::AllEvents, 20);
+            owner = readOwner();
+        }
+        return owner;
+    };
+    const auto released = awaitOwner([](const FleetOwnerRow &owner) {
+        return owner.m_hasFailed;
+    });
+    const TimePoint releasedAt = Clock::now();
+    EXPECT_EQ(released.m_epoch, 1U);
+    EXPECT_EQ(released.m_host, "");
+    m_platform.delayReads("jobs", Milliseconds{0});
+    const auto again = awaitOwner([](const FleetOwnerRow &owner) {
+        return owner.m_commit > 0;
+    });
+    EXPECT_GE(Clock::now() - releasedAt, Milliseconds{2'900}) << "other hosts claim first";
+    EXPECT_EQ(again.m_host, "host-1") << "it is alone";
+    EXPECT_EQ(again.m_epoch, 2U);
+    EXPECT_FALSE(again.m_hasFailed);
+}
+
 // Guards against a takeover that passes the counts of a dead owner on as fresh ones (MIXED, incident of 2026-12-05).
 TEST_F(FleetHostTest, DoesNotAnswerWithTheWaitingJobsOfADeadOwner)
 {
