Store jobs in the order of their changes; take late ends as what they are

With more changes than a commit holds, low ids changed again before their turn ended, high ids were never stored, and no end was acknowledged. Changes are now numbered and stored oldest first, a failed commit keeps its place, a worker's ends are acknowledged up to the last one whose changes are stored, and ten entries of a commit are kept for deletes. FleetSchedulerTest.JobsAreStoredInTheOrderOfTheirChanges: 10 of 60 jobs started and end 0 acknowledged before.

A late end of a run that was counted as lost was acknowledged without being stored, or ignored (gangs, failures); the stop of the next run was not sent. It is now stored at once: done for the task or for all members of a gang, or one more failure, which a successor does not count again (TaskProgress::m_failedRun, an optional column of the row). ALateGoodEndStopsTheNextRunAndIsStoredBeforeItIsAcknowledged, ALateGoodEndOfAGangEndsAllMembers, ALateFailureCountsOnce failed before.

An assignment that was not sent was lost with a lease it had not used; AnAssignmentIsNotLostWithALeaseThatItHasNotUsed failed before. A worker that answers again is asked without a wait, since its lease runs out.

--- a/include/burdockspur/fleet/fleetjob.hpp
+++ b/include/burdockspur/fleet/fleetjob.hpp
@@ -87,7 +87,7 @@
     /// @brief True when nothing more will happen to the job: it is final, no task of it is open, and that is stored or being stored.
     [[nodiscard]] auto isSettled() const noexcept -> bool
     {
-        return isFinal(m_progress.m_phase) && m_progress.m_open.empty() && !m_dirty;
+        return isFinal(m_progress.m_phase) && m_progress.m_open.empty() && !m_isDirty;
     }
 
     /// @brief Takes the progress that a previous owner has stored.
@@ -164,15 +164,27 @@
     /// @brief Notes a change that has to be stored.
     auto touch() -> void;
 
-    /// @brief True when there is something to store; false from then on.
-    [[nodiscard]] auto takeDirty() noexcept -> bool
+    /// @brief Notes a change whose commit was not stored, in its former place.
+    /// @param change number that it had
+    auto touchAgain(std::uint64_t change) -> void;
+
+    /// @brief The job has become part of a commit.
+    /// @returns number of the first change that the commit stores
+    [[nodiscard]] auto takeDirty() noexcept -> std::uint64_t
     {
-        return std::exchange(m_dirty, false);
+        m_isDirty = false;
+        return m_changeNumber;
     }
 
     [[nodiscard]] auto isDirty() const noexcept -> bool
     {
-        return m_dirty;
+        return m_isDirty;
+    }
+
+    /// @brief Number of the first change that is not part of a commit; that of an earlier one when there is none.
+    [[nodiscard]] auto changeNumber() const noexcept -> std::uint64_t
+    {
+        return m_changeNumber;
     }
 
 private:
@@ -189,7 +201,8 @@
     int m_runs = 0;
     bool m_isServing = false;
     bool m_hasTaskChanges = false; ///< since updateBacklog()
-    bool m_dirty = false;
+    bool m_isDirty = false;
+    std::uint64_t m_changeNumber = 0; ///< see changeNumber()
     bool m_hasBegun = false;
 };
 }
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -167,13 +167,20 @@
     auto resignFenced(const FleetWorker &worker) -> void;
     auto replaceIncarnation(FleetWorker &worker, const WorkerRecord &record, TimePoint now) -> void;
     auto takeEnds(FleetWorker &worker, std::span<const EndedTask> ended, TimePoint now) -> void;
-    /// @brief Takes the good end of a run that was counted as lost.
-    auto takeLateDone(const EndedTask &end) -> void;
+    /// @brief Takes the end of a run that was counted as lost.
+    auto takeLateEnd(const EndedTask &end) -> void;
+    /// @brief Completes a task by the end of an earlier run; the last run is dropped, or stopped if it was sent.
+    auto completeLate(FleetJob &job, const TaskId &id) -> void;
+    /// @brief Counts a run that has failed, once.
+    auto countFailure(FleetJob &job, TaskProgress &task, RunNumber run) -> void;
     auto takeRunning(FleetWorker &worker, const ReportAnswer &answer, TimePoint now) -> void;
     auto endRun(FleetWorker &worker, TaskRun &run, RunEnd how, std::string_view checkpoint, TimePoint now) -> void;
     auto endTask(FleetJob &job, const TaskId &id, RunEnd how, std::string_view checkpoint) -> void;
     auto returnRun(FleetWorker &worker, TaskRun &run, std::string_view reason) -> void;
     auto loseRuns(FleetWorker &worker, std::string_view reason) -> void;
+    /// @brief Counts the runs that were sent as lost; others have not used their lease yet.
+    auto loseSentRuns(FleetWorker &worker, std::string_view reason) -> void;
+    auto noteLost(std::span<const TaskRun> runs, const FleetWorker &worker, std::string_view reason) -> void;
     auto pollWorkers(TimePoint now) -> TimePoint;
     auto stopRuns(FleetWorker &worker, TimePoint now) -> TimePoint;
     auto leaveWorker(FleetWorker &worker, TimePoint now) -> void;
@@ -201,8 +208,8 @@
     // Commits
     auto commitChanges(TimePoint now) -> TimePoint;
     [[nodiscard]] auto hasChanges() const -> bool;
-    auto collectRows(CommitOrder &order, CommitInFlight &commit) -> bool;
-    auto collectConsequences(CommitInFlight &commit, bool isWhole) -> void;
+    auto collectRows(CommitOrder &order, CommitInFlight &commit) -> void;
+    auto collectConsequences(CommitInFlight &commit) -> void;
     [[nodiscard]] auto waitingJobs() const -> std::optional<WaitingJobs>;
 
     FleetLimits m_limits;
@@ -218,7 +225,6 @@
     ReportPacing m_reportPacing;
     PaceController m_paces; ///< kept over ownerships: what it has learned stays true
     std::map<std::string, double, std::less<>> m_meanWork; ///< core seconds of a job, by queue
-    std::unordered_set<std::string> m_lateDone; ///< tasks that an earlier run has ended well; the last run is being stopped
     std::unordered_set<std::string> m_archived; ///< ids only; a list of jobs that was read before the move may still bring them
     std::deque<std::pair<TimePoint, std::string>> m_archivedAt; ///< in order of time
     std::unordered_set<std::string> m_deletes; ///< keys to delete with the next commit
--- a/include/burdockspur/fleet/fleetworker.hpp
+++ b/include/burdockspur/fleet/fleetworker.hpp
@@ -8,6 +8,7 @@
 #include "burdockspur/fleet/workerlife.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -37,6 +38,16 @@
     std::uint64_t m_seenEnd = 0; ///< last end that was processed
     std::uint64_t m_durableEnd = 0; ///< last end whose consequences are stored
 
+    /// @brief Notes that ends were processed.
+    /// @param change number of the last change of any job by then, see JobChanges
+    auto noteEnds(std::uint64_t change) -> void;
+
+    /// @brief The last end all of whose consequences are older than a change.
+    [[nodiscard]] auto endBefore(std::uint64_t change) const noexcept -> std::uint64_t;
+
+    /// @brief Notes that the consequences of ends are stored.
+    auto noteDurable(std::uint64_t end) -> void;
+
     bool m_reportInFlight = false;
     TimePoint m_reportDue; ///< when to ask again
     TimePoint m_heardAt; ///< last report
@@ -78,6 +89,13 @@
     [[nodiscard]] auto isOpen(const FleetLimits &limits, TimePoint now) const noexcept -> bool;
 
 private:
+    /// Ends up to m_end have changed jobs up to m_change.
+    struct EndMark {
+        std::uint64_t m_end = 0;
+        std::uint64_t m_change = 0;
+    };
+
+    std::deque<EndMark> m_endMarks; ///< of ends that are not durable, in order
     Resources m_reserved;
     std::int64_t m_servingCpu = 0; ///< declared by the serving runs
     std::int64_t m_otherCpu = 0; ///< declared by all others
--- a/include/burdockspur/fleet/jobprogress.hpp
+++ b/include/burdockspur/fleet/jobprogress.hpp
@@ -39,6 +39,7 @@
     std::string m_worker; ///< while assigned
     std::uint64_t m_incarnation = 0; ///< of the worker, while assigned
     std::string m_checkpoint; ///< empty for none
+    RunNumber m_failedRun = 0; ///< last run that is counted among the failures
 
     [[nodiscard]] auto operator==(const TaskProgress &) const -> bool = default;
 };
--- a/include/burdockspur/impl/fleetschedulerparts.hpp
+++ b/include/burdockspur/impl/fleetschedulerparts.hpp
@@ -50,6 +50,7 @@
     std::uint64_t m_number = 0;
     TimePoint m_sentAt;
     std::vector<std::string> m_jobs; ///< whose progress it holds
+    std::vector<std::uint64_t> m_changes; ///< first change of each of these jobs that it stores
     std::vector<std::string> m_deletes;
     std::vector<Start> m_starts;
     std::vector<Ack> m_acks;
--- a/src/fleet/fleetjob.cpp
+++ b/src/fleet/fleetjob.cpp
@@ -84,8 +84,8 @@
 auto FleetJob::tellChanges(JobChanges &changes) -> void
 {
     m_changes = &changes;
-    if (m_dirty) {
-        touch();
+    if (m_isDirty) {
+        touchAgain(++changes.m_lastChange);
     }
     m_hasTaskChanges = false;
     noteTasksChanged();
@@ -93,10 +93,21 @@
 
 auto FleetJob::touch() -> void
 {
-    m_dirty = true;
+    if (!m_isDirty) {
+        touchAgain(m_changes == nullptr ? 0 : ++m_changes->m_lastChange);
+    }
+}
+
+auto FleetJob::touchAgain(std::uint64_t change) -> void
+{
     if (m_changes != nullptr) {
-        m_changes->m_dirty.emplace(m_job.m_id, this);
+        if (m_isDirty) {
+            m_changes->m_dirty.erase(m_changeNumber);
+        }
+        m_changes->m_dirty.emplace(change, this);
     }
+    m_isDirty = true;
+    m_changeNumber = change;
 }
 
 auto FleetJob::noteTasksChanged() -> void
--- a/src/fleet/fleetrows.cpp
+++ b/src/fleet/fleetrows.cpp
@@ -131,7 +131,8 @@
     return step;
 }
 
-/// A task is [phase, run, failures, worker, incarnation, checkpoint]; a waiting task that never ran is 0.
+/// A task is [phase, run, failures, worker, incarnation, checkpoint, failed run]; a waiting task that never ran is 0. The last column
+/// stands only where a run has failed.
 auto writeTask(Writer &writer, const TaskProgress &task) -> void
 {
     if (task == TaskProgress{}) {
@@ -145,6 +146,9 @@
     put(writer, task.m_worker);
     writer.Uint64(task.m_incarnation);
     put(writer, task.m_checkpoint);
+    if (task.m_failedRun > 0) {
+        writer.Uint(task.m_failedRun);
+    }
     writer.EndArray();
 }
 
@@ -155,7 +159,7 @@
         return TaskProgress{};
     }
     constexpr std::size_t columns = 6;
-    if (!value.is_array() || value.size() != columns) {
+    if (!value.is_array() || value.size() < columns || value.size() > columns + 1) {
         return std::nullopt;
     }
     const auto phase = whole<std::uint8_t>(value[0]);
@@ -164,10 +168,11 @@
     const auto worker = text(value[3]);
     const auto incarnation = whole<std::uint64_t>(value[4]);
     const auto checkpoint = text(value[5]);
-    if (!phase || *phase > static_cast<std::uint8_t>(TaskPhase::Done) || !run || !failures || !worker || !incarnation || !checkpoint) {
+    const auto failedRun = value.size() > columns ? whole<RunNumber>(value[columns]) : std::optional<RunNumber>(0);
+    if (!phase || *phase > static_cast<std::uint8_t>(TaskPhase::Done) || !run || !failures || !worker || !incarnation || !checkpoint || !failedRun) {
         return std::nullopt;
     }
-    return TaskProgress{static_cast<TaskPhase>(*phase), *run, *failures, std::string(*worker), *incarnation, std::string(*checkpoint)};
+    return TaskProgress{static_cast<TaskPhase>(*phase), *run, *failures, std::string(*worker), *incarnation, std::string(*checkpoint), *failedRun};
 }
 
 [[nodiscard]] auto readOccurrence(const Value &value) -> std::optional<OccurrenceProgress>
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -77,7 +77,6 @@
     m_resumeAt.reset();
     m_jobs.clear();
     m_workers.clear();
-    m_lateDone.clear();
     m_archived.clear();
     m_archivedAt.clear();
     m_deletes.clear();
@@ -220,20 +219,29 @@
     if (!checkpoint.empty()) {
         task->m_checkpoint = checkpoint;
     }
-    const bool isDone = how == RunEnd::Done || (!m_lateDone.empty() && m_lateDone.erase(id.text()) > 0);
-    if (isDone && !step.m_isServing) {
+    if (how == RunEnd::Done && !step.m_isServing) {
         task->m_phase = TaskPhase::Done;
         task->m_checkpoint.clear();
     }
-    if (how == RunEnd::Failed && !isDone) {
-        ++task->m_failures;
-        if (!step.m_isServing && task->m_failures >= policyOf(job).m_maxAttempts) {
-            finish(job, JobPhase::Failed);
-        }
+    if (how == RunEnd::Failed) {
+        countFailure(job, *task, task->m_run);
     }
     afterChange(job);
 }
 
+auto FleetScheduler::countFailure(FleetJob &job, TaskProgress &task, RunNumber run) -> void
+{
+    // A successor is told of the same end again until it is acknowledged.
+    if (run <= task.m_failedRun) {
+        return;
+    }
+    task.m_failedRun = run;
+    ++task.m_failures;
+    if (!job.isServing() && task.m_failures >= policyOf(job).m_maxAttempts) {
+        finish(job, JobPhase::Failed);
+    }
+}
+
 auto FleetScheduler::beginDueOccurrences(TimePoint now, WallTime wallNow) -> TimePoint
 {
     /// The wall clock may jump, so a due time is looked at again after this time at the latest.
@@ -318,7 +326,7 @@
         leaveWorker(worker, now);
         next = std::min(next, stopRuns(worker, now));
         if (!worker.m_runs.empty() && now >= worker.m_life.endsBy()) {
-            loseRuns(worker, "lease_lapsed");
+            loseSentRuns(worker, "lease_lapsed");
         }
     }
     std::erase_if(m_workers, [](const auto &entry) {
@@ -350,21 +358,18 @@
     });
 }
 
-/// @returns false when changes are left for a further commit
-auto FleetScheduler::collectRows(CommitOrder &order, CommitInFlight &commit) -> bool
+auto FleetScheduler::collectRows(CommitOrder &order, CommitInFlight &commit) -> void
 {
+    /// Entries that changes leave to deletes, or the rows of ended jobs would pile up for the next takeover.
+    constexpr std::size_t entriesForDeletes = 10;
+    const std::size_t mostPuts = m_limits.m_rowsPerCommit - std::min(entriesForDeletes, m_deletes.size());
     std::size_t bytes = 0;
-    bool isWhole = true;
-    while (!m_changes.m_dirty.empty()) {
-        if (order.m_puts.size() >= m_limits.m_rowsPerCommit || bytes >= m_limits.m_bytesPerCommit) {
-            isWhole = false;
-            break;
-        }
+    while (!m_changes.m_dirty.empty() && order.m_puts.size() < mostPuts && bytes < m_limits.m_bytesPerCommit) {
         const auto first = m_changes.m_dirty.begin();
         auto *const job = first->second;
         const auto &id = job->job().m_id;
         m_changes.m_dirty.erase(first);
-        static_cast<void>(job->takeDirty());
+        commit.m_changes.push_back(job->takeDirty());
         order.m_puts.push_back({progressKey(id), encodeRow(job->progress())});
         bytes += order.m_puts.back().m_value.size();
         commit.m_jobs.emplace_back(id);
@@ -377,16 +382,15 @@
         order.m_deletes.push_back(*entry);
         entry = m_deletes.erase(entry);
     }
-    return isWhole;
 }
 
-auto FleetScheduler::collectConsequences(CommitInFlight &commit, bool isWhole) -> void
+auto FleetScheduler::collectConsequences(CommitInFlight &commit) -> void
 {
+    const auto oldest = m_changes.oldestDirty();
     const std::unordered_set<std::string> included(commit.m_jobs.begin(), commit.m_jobs.end());
     for (auto &[id, worker] : m_workers) {
-        // An end may have changed a job that is left for a further commit.
-        if (isWhole && worker.m_seenEnd > worker.m_durableEnd) {
-            commit.m_acks.push_back({id, worker.m_record.m_incarnation, worker.m_seenEnd});
+        if (const auto end = worker.endBefore(oldest); end > worker.m_durableEnd) {
+            commit.m_acks.push_back({id, worker.m_record.m_incarnation, end});
         }
         if (!std::exchange(worker.m_hasRecorded, false)) {
             continue;
@@ -411,8 +415,8 @@
     }
     auto commit = std::make_unique<CommitInFlight>();
     CommitOrder order;
-    const bool isWhole = collectRows(order, *commit);
-    collectConsequences(*commit, isWhole);
+    collectRows(order, *commit);
+    collectConsequences(*commit);
     if (now >= m_nextModel) {
         m_nextModel = now + m_limits.m_modelInterval;
         if (const auto pairs = m_paces.model().pairs(); !pairs.empty()) {
@@ -439,9 +443,9 @@
     }
     const auto commit = std::move(m_commit);
     if (!answer.m_isStored) {
-        for (const auto &id : commit->m_jobs) {
-            if (const auto job = m_jobs.find(id); job != m_jobs.end()) {
-                job->second->touch();
+        for (std::size_t i = 0; i < commit->m_jobs.size(); ++i) {
+            if (const auto job = m_jobs.find(commit->m_jobs[i]); job != m_jobs.end()) {
+                job->second->touchAgain(commit->m_changes[i]);
                 // It may have been settled since, because its row counted as being stored.
                 m_activeJobs.emplace(job->second->job().m_id, job->second.get());
             }
@@ -455,7 +459,7 @@
     for (const auto &ack : commit->m_acks) {
         auto *const worker = workerNamed(ack.m_worker);
         if (worker != nullptr && worker->m_record.m_incarnation == ack.m_incarnation) {
-            worker->m_durableEnd = std::max(worker->m_durableEnd, ack.m_end);
+            worker->noteDurable(ack.m_end);
         }
     }
     for (const auto &start : commit->m_starts) {
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -119,13 +119,40 @@
 
 auto FleetScheduler::loseRuns(FleetWorker &worker, std::string_view reason) -> void
 {
-    const auto runs = worker.takeRuns();
-    for (const auto &[name, run] : runs) {
+    std::vector<TaskRun> runs;
+    for (auto &[name, run] : worker.takeRuns()) {
+        runs.push_back(run);
+    }
+    noteLost(runs, worker, reason);
+}
+
+auto FleetScheduler::loseSentRuns(FleetWorker &worker, std::string_view reason) -> void
+{
+    std::vector<TaskRun> runs;
+    for (const auto &[name, run] : worker.m_runs) {
+        if (run.m_stage != RunStage::Recorded) {
+            runs.push_back(run);
+        }
+    }
+    for (const auto &run : runs) {
+        worker.remove(run.m_task.text());
+    }
+    noteLost(runs, worker, reason);
+}
+
+auto FleetScheduler::noteLost(std::span<const TaskRun> runs, const FleetWorker &worker, std::string_view reason) -> void
+{
+    for (const auto &run : runs) {
         logEvent(LogLevel::Warning,
                  "run_lost",
-                 {{"job", run.m_task.m_job}, {"task", name}, {"run", run.m_run}, {"worker", worker.m_record.m_id}, {"reason", reason}, {"epoch", m_epoch}});
+                 {{"job", run.m_task.m_job},
+                  {"task", run.m_task.text()},
+                  {"run", run.m_run},
+                  {"worker", worker.m_record.m_id},
+                  {"reason", reason},
+                  {"epoch", m_epoch}});
     }
-    for (const auto &[name, run] : runs) {
+    for (const auto &run : runs) {
         endTask(*run.m_job, run.m_task, RunEnd::LeaseLapsed, run.m_checkpoint);
     }
 }
@@ -148,7 +175,8 @@
         ReportOrder order;
         order.m_address = addressOf(worker);
         order.m_ackedEnd = worker.m_durableEnd;
-        order.m_wait = waitsForStore || !worker.m_isTaken ? Milliseconds{0} : m_reportPacing.wait(m_limits, worker.m_runs.empty(), now);
+        order.m_wait =
+            waitsForStore || !worker.m_isTaken || !worker.m_isAnswering ? Milliseconds{0} : m_reportPacing.wait(m_limits, worker.m_runs.empty(), now);
         // A worker that does not answer must not be given more time, or its tasks would never count as lost.
         if (mayRenew && worker.m_isAnswering) {
             order.m_leaseUntil = worker.m_life.extend(m_limits.m_lease, now);
@@ -206,6 +234,7 @@
 
 auto FleetScheduler::takeEnds(FleetWorker &worker, std::span<const EndedTask> ended, TimePoint now) -> void
 {
+    const auto seenBefore = worker.m_seenEnd;
     for (const auto &end : ended) {
         if (end.m_sequence <= worker.m_seenEnd) {
             continue;
@@ -225,13 +254,16 @@
                   {"epoch", m_epoch}});
         if (isCurrent) {
             endRun(worker, *run, end.m_how, end.m_checkpoint, now);
-        } else if (end.m_how == RunEnd::Done) {
-            takeLateDone(end);
+        } else if (end.m_how == RunEnd::Done || end.m_how == RunEnd::Failed) {
+            takeLateEnd(end);
         }
     }
+    if (worker.m_seenEnd > seenBefore) {
+        worker.noteEnds(m_changes.m_lastChange);
+    }
 }
 
-auto FleetScheduler::takeLateDone(const EndedTask &end) -> void
+auto FleetScheduler::takeLateEnd(const EndedTask &end) -> void
 {
     const auto entry = m_jobs.find(end.m_task.m_job);
     auto *const task = entry == m_jobs.end() ? nullptr : entry->second->task(end.m_task);
@@ -240,26 +272,44 @@
     }
     auto &job = *entry->second;
     const auto &step = job.stepOf(end.m_task);
-    if (step.m_isServing || step.m_isGang) {
+    if (step.m_isServing) {
         return;
     }
-    const auto name = end.m_task.text();
-    auto *const worker = task->m_phase == TaskPhase::Assigned ? workerNamed(task->m_worker) : nullptr;
-    auto *const run = worker == nullptr ? nullptr : worker->run(name);
-    const bool isSent = run != nullptr && run->m_stage != RunStage::Recorded;
     logEvent(LogLevel::Info,
              "late_end_taken",
-             {{"job", end.m_task.m_job}, {"task", name}, {"run", end.m_run}, {"last_run", task->m_run}, {"sent", isSent}, {"epoch", m_epoch}});
-    // The run was counted as lost; its end tells the truth, and the task must not run again.
-    if (isSent) {
-        m_lateDone.insert(name);
-        run->m_stopWanted = true;
-        return;
+             {{"job", end.m_task.m_job},
+              {"task", end.m_task.text()},
+              {"run", end.m_run},
+              {"last_run", task->m_run},
+              {"how", endNames[static_cast<std::size_t>(end.m_how)]},
+              {"epoch", m_epoch}});
+    // The run was counted as lost; its end tells the truth, and has to be stored before it is acknowledged.
+    if (end.m_how == RunEnd::Failed) {
+        countFailure(job, *task, end.m_run);
+        job.touch();
+    } else if (step.m_isGang) {
+        // The end of one member stands for all.
+        for (std::uint32_t index = 0; index < step.m_count; ++index) {
+            TaskId member = end.m_task;
+            member.m_index = index;
+            completeLate(job, member);
+        }
+    } else {
+        completeLate(job, end.m_task);
     }
-    if (run != nullptr) {
-        worker->remove(name);
+}
+
+auto FleetScheduler::completeLate(FleetJob &job, const TaskId &id) -> void
+{
+    const auto *const task = job.task(id);
+    auto *const worker = task != nullptr && task->m_phase == TaskPhase::Assigned ? workerNamed(task->m_worker) : nullptr;
+    auto *const run = worker == nullptr ? nullptr : worker->run(id.text());
+    if (run != nullptr && run->m_stage == RunStage::Recorded) {
+        worker->remove(id.text());
+    } else if (run != nullptr) {
+        worker->wantStop(*run);
     }
-    endTask(job, end.m_task, RunEnd::Done, {});
+    endTask(job, id, RunEnd::Done, {});
 }
 
 auto FleetScheduler::endRun(FleetWorker &worker, TaskRun &run, RunEnd how, std::string_view checkpoint, TimePoint now) -> void
--- a/src/fleet/fleetworker.cpp
+++ b/src/fleet/fleetworker.cpp
@@ -5,6 +5,7 @@
 #include "burdockspur/fleet/fleetlimits.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Burdockspur
@@ -37,6 +38,26 @@
     return entry->second;
 }
 
+auto FleetWorker::noteEnds(std::uint64_t change) -> void
+{
+    m_endMarks.push_back({m_seenEnd, change});
+}
+
+auto FleetWorker::endBefore(std::uint64_t change) const noexcept -> std::uint64_t
+{
+    // Both numbers rise from mark to mark.
+    const auto later = std::ranges::lower_bound(m_endMarks, change, {}, &EndMark::m_change);
+    return later == m_endMarks.begin() ? 0 : std::prev(later)->m_end;
+}
+
+auto FleetWorker::noteDurable(std::uint64_t end) -> void
+{
+    m_durableEnd = std::max(m_durableEnd, end);
+    while (!m_endMarks.empty() && m_endMarks.front().m_end <= m_durableEnd) {
+        m_endMarks.pop_front();
+    }
+}
+
 auto FleetWorker::remove(std::string_view task) -> void
 {
     const auto entry = m_runs.find(task);
--- a/src/fleet/jobchanges.cpp
+++ b/src/fleet/jobchanges.cpp
@@ -6,7 +6,7 @@
 {
 auto JobChanges::forget(FleetJob &job) -> void
 {
-    m_dirty.erase(job.job().m_id);
+    m_dirty.erase(job.changeNumber());
     std::erase(m_tasksChanged, &job);
     m_waiting.erase(&job);
     m_due.erase(&job);
--- a/tests/fleetschedulertest.cpp
+++ b/tests/fleetschedulertest.cpp
@@ -204,7 +204,8 @@
 class HandCarriedFleet
 {
 public:
-    HandCarriedFleet()
+    explicit HandCarriedFleet(const FleetLimits &limits = {})
+        : m_scheduler(limits)
     {
         m_scheduler.begin(epoch, {}, m_now, FleetScheduler::WallTime{});
         for (std::uint16_t port = 1; port <= 2; ++port) {
@@ -227,6 +228,10 @@
                 m_commits.push_back(*commit);
             } else if (const auto *const start = std::get_if<RunStartOrder>(&command)) {
                 m_starts.push_back(*start);
+            } else if (const auto *const stop = std::get_if<RunStopOrder>(&command)) {
+                m_stops.push_back(*stop);
+            } else if (const auto *const report = std::get_if<ReportOrder>(&command)) {
+                m_acked = std::max(m_acked, report->m_ackedEnd);
             }
         }
     }
@@ -252,10 +257,178 @@
 
     static constexpr Epoch epoch = 3;
     TimePoint m_now = TimePoint{} + std::chrono::hours(1);
-    FleetScheduler m_scheduler{FleetLimits{}};
+    FleetScheduler m_scheduler;
     std::vector<CommitOrder> m_commits;
     std::vector<RunStartOrder> m_starts;
+    std::vector<RunStopOrder> m_stops;
+    std::uint64_t m_acked = 0; ///< largest end that a worker may forget
 };
+
+/// @brief Starts a job on worker 1, loses it there without a report, and starts it again on worker 2.
+/// @returns the first starts
+[[nodiscard]] auto startTwice(HandCarriedFleet &fleet, const TaskJob &job) -> std::vector<RunStartOrder>
+{
+    fleet.report(1, {}, {});
+    fleet.m_scheduler.addJob(TaskJob(job), fleet.m_now, FleetScheduler::WallTime{});
+    fleet.advance(Milliseconds{1});
+    fleet.storeCommits();
+    const auto first = fleet.m_starts;
+    for (const auto &start : first) {
+        fleet.m_scheduler.take(StartAnswer{start.m_address, start.m_task, start.m_run, OrderOutcome::Accepted, {}}, fleet.m_now);
+    }
+    fleet.advance(Milliseconds{6'000});
+    fleet.report(2, {}, {});
+    for (int i = 0; i < 3; ++i) {
+        fleet.advance(Milliseconds{200});
+        fleet.storeCommits();
+    }
+    return first;
+}
+}
+
+// Guards against a late good end that is acknowledged and not stored while the next run goes on: a successor started a third run
+// (review of the incident of 2026-12-05).
+TEST(FleetSchedulerTest, ALateGoodEndStopsTheNextRunAndIsStoredBeforeItIsAcknowledged)
+{
+    HandCarriedFleet fleet;
+    const auto first = startTwice(fleet, jobOf(1, 1, 1'000, Milliseconds{500}));
+    ASSERT_EQ(first.size(), 1U);
+    ASSERT_EQ(fleet.m_starts.size(), 2U);
+    fleet.report(1, {}, {EndedTask{1, first[0].m_task, first[0].m_run, RunEnd::Done, {}}});
+    fleet.advance(Milliseconds{200});
+    ASSERT_EQ(fleet.m_stops.size(), 1U);
+    EXPECT_EQ(fleet.m_stops.front().m_run, fleet.m_starts.back().m_run);
+    EXPECT_EQ(fleet.m_acked, 0U);
+    ASSERT_FALSE(fleet.m_commits.empty());
+    ASSERT_EQ(fleet.m_commits.back().m_puts.size(), 1U);
+    EXPECT_EQ(decodeProgressRow(fleet.m_commits.back().m_puts.front().m_value)->m_phase, JobPhase::Completed);
+}
+
+// Guards against a gang that starts again after a member has ended well, which ends all (review of the incident of 2026-12-05).
+TEST(FleetSchedulerTest, ALateGoodEndOfAGangEndsAllMembers)
+{
+    HandCarriedFleet fleet;
+    auto job = jobOf(1, 2, 1'000, Milliseconds{500});
+    job.m_steps[0].m_isGang = true;
+    fleet.report(1, {}, {});
+    fleet.m_scheduler.addJob(std::move(job), fleet.m_now, FleetScheduler::WallTime{});
+    fleet.advance(Milliseconds{1});
+    fleet.storeCommits();
+    const auto first = fleet.m_starts;
+    ASSERT_EQ(first.size(), 2U);
+    for (const auto &start : first) {
+        fleet.m_scheduler.take(StartAnswer{start.m_address, start.m_task, start.m_run, OrderOutcome::Accepted, {}}, fleet.m_now);
+    }
+    fleet.advance(Milliseconds{6'000});
+    fleet.report(1, {}, {EndedTask{1, first[0].m_task, first[0].m_run, RunEnd::Done, {}}});
+    fleet.report(2, {}, {});
+    for (int i = 0; i < 5; ++i) {
+        fleet.advance(Milliseconds{200});
+        fleet.storeCommits();
+    }
+    EXPECT_EQ(fleet.m_starts.size(), 2U);
+}
+
+// Guards against a start after the last attempt has failed, when that end is read late, and against a failure that is counted twice
+// (BUDGET, review of the incident of 2026-12-05).
+TEST(FleetSchedulerTest, ALateFailureCountsOnce)
+{
+    for (const std::uint32_t attempts : {1U, 2U}) {
+        HandCarriedFleet fleet;
+        auto job = jobOf(1, 1, 1'000, Milliseconds{500});
+        job.m_policy.m_maxAttempts = attempts;
+        const auto first = startTwice(fleet, job);
+        ASSERT_EQ(fleet.m_starts.size(), 2U);
+        const EndedTask failed{1, first[0].m_task, first[0].m_run, RunEnd::Failed, {}};
+        fleet.report(1, {}, {failed});
+        fleet.advance(Milliseconds{200});
+        ASSERT_FALSE(fleet.m_commits.empty());
+        const auto progress = decodeProgressRow(fleet.m_commits.back().m_puts.front().m_value);
+        ASSERT_TRUE(progress);
+        EXPECT_EQ(progress->m_phase, attempts == 1 ? JobPhase::Failed : JobPhase::Running);
+        if (attempts == 2) {
+            EXPECT_EQ(progress->m_open.front().m_steps[0].m_tasks[0].m_failures, 1U);
+            // A successor that is given the same end again.
+            std::vector<StoredJob> stored;
+            stored.push_back({job, *progress, false});
+            fleet.m_scheduler.begin(HandCarriedFleet::epoch, std::move(stored), fleet.m_now, FleetScheduler::WallTime{});
+            WorkerRecord record;
+            record.m_id = "worker-1";
+            record.m_endpoint = {"127.0.0.1", 1};
+            record.m_incarnation = 5;
+            fleet.m_scheduler.updateWorkers(std::span(&record, 1), {}, fleet.m_now);
+            fleet.m_commits.clear();
+            fleet.report(1, {}, {failed});
+            fleet.advance(Milliseconds{200});
+            for (const auto &commit : fleet.m_commits) {
+                for (const auto &put : commit.m_puts) {
+                    EXPECT_NE(decodeProgressRow(put.m_value)->m_phase, JobPhase::Failed);
+                }
+            }
+        }
+    }
+}
+
+// Guards against an assignment that is dropped by a lease it has not used (review of the incident of 2026-12-05).
+TEST(FleetSchedulerTest, AnAssignmentIsNotLostWithALeaseThatItHasNotUsed)
+{
+    HandCarriedFleet fleet;
+    fleet.report(1, {}, {});
+    fleet.advance(Milliseconds{1});
+    fleet.storeCommits();
+    fleet.advance(Milliseconds{6'000});
+    fleet.storeCommits();
+    // Heard again after its lease, and not renewed before the consequences of its ends are stored.
+    fleet.report(1, {}, {EndedTask{1, TaskId{hexOf(9), 0, 0, 0}, 1, RunEnd::LeaseLapsed, {}}});
+    fleet.m_scheduler.addJob(jobOf(1, 1, 1'000, Milliseconds{500}), fleet.m_now, FleetScheduler::WallTime{});
+    fleet.advance(Milliseconds{30});
+    fleet.advance(Milliseconds{30});
+    fleet.storeCommits();
+    fleet.advance(Milliseconds{30});
+    fleet.storeCommits();
+    ASSERT_EQ(fleet.m_starts.size(), 1U);
+    EXPECT_EQ(fleet.m_starts.front().m_run, 1U) << "the first assignment was dropped and made again";
+}
+
+// Guards against jobs that are never stored, so never started, because others change again before their turn, and against ends that are
+// never acknowledged meanwhile: with more changes than a commit holds, ids from c on had no start in 11 s (SHORT, fresh-a679, incident
+// of 2026-12-05).
+TEST(FleetSchedulerTest, JobsAreStoredInTheOrderOfTheirChanges)
+{
+    constexpr std::uint64_t jobs = 60;
+    constexpr int rounds = 60;
+    FleetLimits limits;
+    limits.m_rowsPerCommit = 10;
+    HandCarriedFleet fleet(limits);
+    std::map<std::string, int> starts;
+    std::map<std::uint16_t, std::uint64_t> ends;
+    fleet.report(1, {}, {});
+    fleet.report(2, {}, {});
+    for (std::uint64_t i = 0; i < jobs; ++i) {
+        // One task on each worker at a time, so that every job changes again in every round.
+        auto job = jobOf(i, 200, 100, Milliseconds{100});
+        job.m_steps[0].m_maxPerWorker = 1;
+        fleet.m_scheduler.addJob(std::move(job), fleet.m_now, FleetScheduler::WallTime{});
+    }
+    std::size_t taken = 0;
+    for (int round = 0; round < rounds; ++round) {
+        fleet.advance(Milliseconds{50});
+        fleet.storeCommits();
+        std::map<std::uint16_t, std::vector<EndedTask>> ended;
+        for (; taken < fleet.m_starts.size(); ++taken) {
+            const auto &start = fleet.m_starts[taken];
+            const auto worker = start.m_address.m_endpoint.m_port;
+            ++starts[start.m_task.m_job];
+            ended[worker].push_back({++ends[worker], start.m_task, start.m_run, RunEnd::Done, {}});
+        }
+        for (const std::uint16_t worker : {1, 2}) {
+            fleet.report(worker, {}, ended[worker]);
+        }
+    }
+    // The next report tells the workers which ends they may forget.
+    fleet.advance(Milliseconds{1'600});
+    EXPECT_EQ(starts.size(), jobs) << "jobs of which a task was started";
+    EXPECT_GT(fleet.m_acked, 0U) << "of " << ends[1] << " ends";
 }
 
 // Guards against a second run of a task whose good end is in a report that the owner reads late: it had counted the lease of the worker as
