Read a failed page of a list again instead of the whole list

While answers are lost, a list of four pages was rarely read whole, and a new owner has no workers until then. TableFollowerTest.AFailedPageIsReadAgainAndNotTheWholeList failed before: the list began anew after the lost page.

--- a/include/burdockspur/fleet/tablefollower.hpp
+++ b/include/burdockspur/fleet/tablefollower.hpp
@@ -62,6 +62,8 @@
     TableFollowerOptions m_options;
     Listener m_listener;
     RowPage m_listing;
+    std::string m_listedTo; ///< name after which the page in flight begins
+    TimePoint m_listingSince; ///< when the first page was asked for
     std::uint64_t m_version = 0;
     std::uint32_t m_feedTimeouts = 0; ///< in a row
     std::optional<TimePoint> m_failingSince; ///< first failed call since the last answer
--- a/src/fleet/tablefollower.cpp
+++ b/src/fleet/tablefollower.cpp
@@ -46,8 +46,11 @@
 
 auto TableFollower::list(std::string_view after) -> void
 {
-    const TimePoint sentAt = Clock::now();
-    m_store.list(m_table, {}, after, listRows, [this, alive = m_alive, sentAt](Result<RowPage> &&page) {
+    m_listedTo = after;
+    if (after.empty()) {
+        m_listingSince = Clock::now();
+    }
+    m_store.list(m_table, {}, m_listedTo, listRows, [this, alive = m_alive](Result<RowPage> &&page) {
         if (!*alive) {
             return;
         }
@@ -68,7 +71,7 @@
         answered();
         m_version = m_listing.m_version;
         const RowPage listing = std::exchange(m_listing, {});
-        m_listener.m_listed(listing, sentAt);
+        m_listener.m_listed(listing, m_listingSince);
         if (*alive) {
             follow();
         }
@@ -146,7 +149,8 @@
             return;
         }
         if (!isFeed) {
-            start();
+            // The pages that were read stay read: of many pages, one is lost in nearly every pass while the store loses answers.
+            list(std::string(m_listedTo));
         } else if (isTooLarge) {
             listAgain();
         } else {
--- a/tests/tablefollowertest.cpp
+++ b/tests/tablefollowertest.cpp
@@ -25,10 +25,10 @@
     {
     }
 
-    auto list(std::string_view /*table*/, std::string_view /*partition*/, std::string_view /*after*/, std::uint32_t limit, PageCallback callback)
-        -> void override
+    auto list(std::string_view /*table*/, std::string_view /*partition*/, std::string_view after, std::uint32_t limit, PageCallback callback) -> void override
     {
         m_listLimit = limit;
+        m_listedAfter = after;
         m_calls.push_back(std::move(callback));
     }
 
@@ -49,6 +49,7 @@
     std::deque<PageCallback> m_calls;
     std::uint64_t m_followedFrom = 0;
     std::uint32_t m_listLimit = 0; ///< of the last list
+    std::string m_listedAfter; ///< name that the last list begins after
 };
 
 [[nodiscard]] auto pageAt(std::uint64_t version) -> RowPage
@@ -132,3 +133,40 @@
     EXPECT_EQ(listings, 1);
     EXPECT_EQ(store.m_followedFrom, 30U);
 }
+
+// Guards against a list of several pages that begins anew with each lost answer: while a third of the answers is lost, a list of four
+// pages is read whole in one of five passes, and a new owner has no workers until then (review of the incident of 2026-12-05).
+TEST(TableFollowerTest, AFailedPageIsReadAgainAndNotTheWholeList)
+{
+    HeldStore store;
+    std::deque<std::function<void()>> later;
+    std::size_t rows = 0;
+    TableFollower follower(store,
+                           "table",
+                           {},
+                           {.m_listed =
+                                [&rows](const RowPage &page, TimePoint) {
+                                    rows = page.m_rows.size();
+                                },
+                            .m_changed = [](const RowPage &, TimePoint) {},
+                            .m_lost = nullptr,
+                            .m_later =
+                                [&later](Milliseconds, std::function<void()> call) {
+                                    later.push_back(std::move(call));
+                                }});
+    follower.start();
+    auto first = pageAt(7);
+    first.m_rows.push_back({TableRow{"table//a", 1, {}}, false});
+    first.m_hasMore = true;
+    store.answer(std::move(first));
+    EXPECT_EQ(store.m_listedAfter, "a");
+    store.answer(failure(ErrorCode::Timeout, "no response in time"));
+    ASSERT_FALSE(later.empty());
+    later.front()();
+    EXPECT_EQ(store.m_listedAfter, "a");
+    auto second = pageAt(8);
+    second.m_rows.push_back({TableRow{"table//b", 1, {}}, false});
+    store.answer(std::move(second));
+    EXPECT_EQ(rows, 2U);
+    EXPECT_EQ(store.m_followedFrom, 7U) << "changes after the first page may be missing from it";
+}
