Keep the owner's row apart from other calls, and end ownerships cleanly

From the review: a release passed old counts on under a new version; a last page of jobs that arrived as the ownership ended began it again; a host that was stopped while its claim was in flight became the owner and did nothing; signs of life queued behind reads, archive calls and callers for twelve connections. The owner's row now has a client of its own, a planned stop waits for a claim in flight, and a release holds no counts.

--- a/include/burdockspur/fleet/fleetstoreduty.hpp
+++ b/include/burdockspur/fleet/fleetstoreduty.hpp
@@ -96,6 +96,8 @@
     std::unique_ptr<RingOutbox<FleetInput>> m_toScheduler;
     std::unique_ptr<HttpClient> m_client;
     std::unique_ptr<ChangeStore> m_store;
+    std::unique_ptr<HttpClient> m_ownerClient; ///< for the owner's row only
+    std::unique_ptr<ChangeStore> m_ownerStore;
     std::unique_ptr<FleetCodec> m_codec;
     std::unique_ptr<JobStore> m_jobStore;
     std::unique_ptr<OwnerCommit> m_commits;
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -27,8 +27,10 @@
 constexpr Milliseconds ownerInterval{400};
 /// Between two looks of a host that may be handed the ownership at any moment.
 constexpr Milliseconds expectingInterval{100};
-/// Connections to the store: three waiting calls, one commit, and callers' calls.
+/// Connections to the store: three waiting calls, the reads of a takeover, and callers' calls.
 constexpr std::size_t storeConnections = 12;
+/// Connections for the owner's row, whose signs of life must not wait behind other calls: a commit, a look, and one that is silent.
+constexpr std::size_t ownerConnections = 3;
 constexpr Milliseconds connectTimeout{1'000};
 /// Between two attempts to list the jobs again.
 constexpr Milliseconds reloadPause{200};
@@ -75,7 +77,11 @@
     const auto wait = [this](Milliseconds pause, std::function<void()> call) {
         later(pause, std::move(call));
     };
-    m_commits = std::make_unique<OwnerCommit>(*m_store,
+    HttpClientLimits ownerLimits = limits;
+    ownerLimits.m_maxConnectionsPerEndpoint = ownerConnections;
+    m_ownerClient = std::make_unique<HttpClient>(ownerLimits);
+    m_ownerStore = m_platform.makeStore(*m_ownerClient, parseEndpoint(m_settings.m_storeEndpoint).value_or(HttpEndpoint{}), m_settings.m_storeTimeout);
+    m_commits = std::make_unique<OwnerCommit>(*m_ownerStore,
                                               OwnerCommit::Listener{.m_answered =
                                                                         [this](const CommitAnswer &answer) {
                                                                             m_toScheduler->push(answer);
@@ -122,6 +128,8 @@
     m_archive.reset();
     m_commits.reset();
     m_jobStore.reset();
+    m_ownerStore.reset();
+    m_ownerClient.reset();
     m_store.reset();
     m_client.reset();
     m_codec.reset();
@@ -207,7 +215,8 @@
 
 auto FleetStoreDuty::releaseWhenIdle() -> void
 {
-    if ((!m_isDraining && !m_release) || m_isReleased || !m_commits->isIdle()) {
+    // A claim in flight may make this host the owner.
+    if ((!m_isDraining && !m_release) || m_isReleased || m_isClaiming || !m_commits->isIdle()) {
         return;
     }
     m_isReleased = m_isDraining;
@@ -282,9 +291,10 @@
         return;
     }
     m_isClaiming = true;
-    m_store->read(fleetOwnerKey, [this, sentAt = Clock::now()](Result<std::vector<TableRow>> &&rows) {
+    m_ownerStore->read(fleetOwnerKey, [this, sentAt = Clock::now()](Result<std::vector<TableRow>> &&rows) {
         m_isClaiming = false;
         takeOwnerRow(std::move(rows), sentAt);
+        releaseWhenIdle();
     });
 }
 
@@ -378,13 +388,15 @@
     Transaction transaction;
     transaction.m_conditions.push_back({std::string(fleetOwnerKey), attempt.m_expectedVersion});
     transaction.m_puts.push_back({std::string(fleetOwnerKey), encodeRow(attempt.m_row)});
-    m_store->commit(transaction, [this, row = attempt.m_row](CommitResult &&result) {
+    m_ownerStore->commit(transaction, [this, row = attempt.m_row](CommitResult &&result) {
         m_isClaiming = false;
         // A claim whose answer was lost shows in the row: it is then silent until it is claimed again.
         if (result.m_status == CommitResult::Status::Committed && !result.m_rows.empty()) {
             m_claim.noteTaken();
             beginOwnership(row, result.m_rows.front().m_version);
         }
+        // A stop that began meanwhile has waited for this answer.
+        releaseWhenIdle();
     });
 }
 
@@ -421,6 +433,10 @@
 
 auto FleetStoreDuty::jobsLoaded(JobLoad::Jobs &&loaded) -> void
 {
+    // The last page may arrive in the turn of the event loop in which the ownership ends.
+    if (!m_commits->isOwner() || m_release) {
+        return;
+    }
     logEvent(LogLevel::Info, "ownership_begun", {{"epoch", m_commits->row().m_epoch}, {"jobs", loaded.m_jobs.size()}, {"version", loaded.m_version}});
     m_isBegun = true;
     m_store->read(modelKey, [this, epoch = m_commits->row().m_epoch](Result<std::vector<TableRow>> &&rows) {
--- a/src/fleet/ownercommit.cpp
+++ b/src/fleet/ownercommit.cpp
@@ -129,6 +129,9 @@
     FleetOwnerRow released = m_row;
     released.m_host.clear();
     released.m_best = release.m_best;
+    // They are older than this row.
+    released.m_waiting.clear();
+    released.m_waitingAge.reset();
     released.m_hasFailed = release.m_hasFailed;
     if (release.m_successor) {
         released.m_successor = release.m_successor->m_host;
