--- a/bench/promptfleet.cpp
+++ b/bench/promptfleet.cpp
@@ -295,6 +295,7 @@
 auto PromptFleet::carryOut(const ArchiveOrder &order) -> void
 {
     std::vector<std::string> moved;
+    moved.reserve(order.m_jobs.size());
     for (const auto &job : order.m_jobs) {
         moved.push_back(job.m_id);
     }
--- a/include/burdockspur/fleet/fleetworker.hpp
+++ b/include/burdockspur/fleet/fleetworker.hpp
@@ -29,8 +29,15 @@
 
     WorkerRecord m_record;
     bool m_isListed = false; ///< in the platform's list; others get no new tasks
-    TimePoint m_leavesAt = TimePoint::max(); ///< earliest end, once the worker drains
     bool m_isTaken = false; ///< has answered this owner, which excludes orders of earlier ones
+    bool m_reportInFlight = false;
+    /// False once a report had no answer. Leases are renewed by this and not by the time of the last report, which is also long ago
+    /// when the owner is late itself.
+    bool m_isAnswering = false;
+    bool m_hasStops = false; ///< some run may be wanted to stop; false spares a look at each run
+    bool m_hasRecorded = false; ///< some run may wait for its assignment to be stored; false spares a look at each run
+    bool m_hasForeignRuns = false; ///< runs something that no job explains; until it is gone, nothing is added
+    TimePoint m_leavesAt = TimePoint::max(); ///< earliest end, once the worker drains
     WorkerLife m_life;
     WorkerHealth m_health;
     std::map<std::string, TaskRun, std::less<>> m_runs; ///< by task name
@@ -48,17 +55,10 @@
     /// @brief Notes that the consequences of ends are stored.
     auto noteDurable(std::uint64_t end) -> void;
 
-    bool m_reportInFlight = false;
     TimePoint m_reportDue; ///< when to ask again
     TimePoint m_heardAt; ///< last report
-    /// False once a report had no answer. Leases are renewed by this and not by the time of the last report, which is also long ago
-    /// when the owner is late itself.
-    bool m_isAnswering = false;
     std::vector<ServingRoom> m_servingRooms; ///< kept from one decision to the next, see PaceController::fitOf()
     TimePoint m_roomsAt; ///< when they were computed; the epoch once the runs have changed
-    bool m_hasStops = false; ///< some run may be wanted to stop; false spares a look at each run
-    bool m_hasRecorded = false; ///< some run may wait for its assignment to be stored; false spares a look at each run
-    bool m_hasForeignRuns = false; ///< runs something that no job explains; until it is gone, nothing is added
 
     /// @brief Adds a run and reserves its room.
     auto add(TaskRun &&run) -> TaskRun &;
--- a/tests/fleetworld.cpp
+++ b/tests/fleetworld.cpp
@@ -226,6 +226,7 @@
         }
     }
     std::vector<StoredJob> jobs;
+    jobs.reserve(submissions.size());
     for (auto &[id, job] : submissions) {
         jobs.push_back(std::move(job));
     }
--- a/tests/platformcallstest.cpp
+++ b/tests/platformcallstest.cpp
@@ -127,9 +127,10 @@
     EXPECT_EQ(page->m_rows[0].m_row.m_key, "t/p/b");
     EXPECT_TRUE(page->m_hasMore);
     // The row that is left out counts in the platform's limit.
-    static_cast<void>(HttpStub::await<Result<RowPage>>([&](auto callback) {
+    const auto limited = HttpStub::await<Result<RowPage>>([&](auto callback) {
         m_store.list("t", "p", "a", 20, std::move(callback));
-    }));
+    });
+    EXPECT_TRUE(limited);
     EXPECT_EQ(lastRequest(), "GET /rows-get?table=t&part=p&from=a&limit=21 ");
 }
 
