--- a/include/burdockspur/fleet/jobarchive.hpp
+++ b/include/burdockspur/fleet/jobarchive.hpp
@@ -111,7 +111,6 @@
         std::optional<Batch> m_inFlight; ///< at most one transaction at a time
         TimePoint m_notBefore; ///< end of the pause after a transaction or after its failure
         std::string m_listedUpTo; ///< name of the last final row read
-        bool m_isListed = false; ///< all final rows of former owners are known
     };
 
     [[nodiscard]] auto partitionOf(std::string_view id) noexcept -> Partition &;
@@ -120,7 +119,6 @@
     [[nodiscard]] auto dueAt(const Partition &partition) const -> TimePoint;
     [[nodiscard]] auto buildWrite(Partition &partition, TimePoint now) -> ArchiveWrite;
     [[nodiscard]] auto nextRead(TimePoint now) -> std::optional<ArchiveRead>;
-    auto retain(Partition &partition, std::string_view id, TimePoint now) -> void;
     auto requeue(Partition &partition, const CommitResult &result, TimePoint now) -> void;
 
     Milliseconds m_retention;
--- a/include/burdockspur/impl/framelink.hpp
+++ b/include/burdockspur/impl/framelink.hpp
@@ -42,9 +42,6 @@
 
     [[nodiscard]] auto isOpen() const noexcept -> bool;
 
-    /// @brief True once a valid message has been received.
-    [[nodiscard]] auto hasReceived() const noexcept -> bool;
-
     /// @brief Closes the link if it has been silent for too long; otherwise sends a heartbeat if one is due.
     /// @param configVersion configuration version for the heartbeat
     auto processDeadlines(TimePoint now, std::uint64_t configVersion) -> void;
@@ -66,6 +63,5 @@
     TimePoint m_lastSent;
     TimePoint m_lastReceived;
     bool m_isOpen = true;
-    bool m_hasReceived = false;
 };
 }
--- a/src/link/framelink.cpp
+++ b/src/link/framelink.cpp
@@ -82,11 +82,6 @@
     return m_isOpen;
 }
 
-auto FrameLink::hasReceived() const noexcept -> bool
-{
-    return m_hasReceived;
-}
-
 auto FrameLink::processDeadlines(TimePoint now, std::uint64_t configVersion) -> void
 {
     if (!m_isOpen) {
@@ -135,7 +130,6 @@
         rejectFrame(message.error().m_message, length);
         return false;
     }
-    m_hasReceived = true;
     m_callbacks.m_onMessage(std::move(*message));
     return true;
 }
