--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -38,6 +38,7 @@
 class CallerDuty;
 class ChangeStore;
 class ClassSpread;
+class Clock;
 class ConditionalWrite;
 class ConfigurationWatcher;
 class ControlProgram;
