Read a response that has arrived before its call is given up

Cause: a process that is late handles its timers and its sockets in one pass. A call whose deadline had passed was failed although the kernel held its response, so an owner at the limit of its processor took workers that had answered for silent. Change: a call is not given up while its connection has unread input, at most 5 s beyond its deadline; a connection that the kernel has established is not given up either. Tests: HttpClientTest.AResponseThatArrivedInTimeIsReadByALateProcess, AResponseThatArrivedInPartTimesOut.

--- a/src/link/httpclient.cpp
+++ b/src/link/httpclient.cpp
@@ -12,6 +12,7 @@
 #include <QNetworkProxy>
 #include <QTcpSocket>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -29,6 +30,9 @@
 /// Bytes that a socket may buffer before the parser consumes them.
 constexpr std::size_t readAheadBytes = std::size_t{64} * 1024;
 
+/// A response that has arrived in time is read even by a process that is late, but at most this long after the deadline of the call.
+constexpr std::chrono::seconds maxReadDelay{5};
+
 /// Prevents an overflow when a timeout is added to the current time.
 constexpr std::chrono::hours maxTimeout{24};
 
@@ -73,6 +77,26 @@
             && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
+    /// True if the kernel has received bytes that the event loop has not read yet, as in a process that was delayed.
+    [[nodiscard]] auto hasUnreadInput() const -> bool
+    {
+        char byte = 0;
+        return ::recv(static_cast<int>(m_socket->socketDescriptor()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    }
+
+    /// True if the kernel has established the connection, but the event loop has not processed that yet.
+    [[nodiscard]] auto isEstablished() const -> bool
+    {
+        pollfd entry{static_cast<int>(m_socket->socketDescriptor()), POLLOUT, 0};
+        return m_state == ConnectionState::Connecting && entry.fd >= 0 && ::poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0;
+    }
+
+    /// True if the call has no response, and none has arrived that the event loop has yet to read.
+    [[nodiscard]] auto isUnansweredAt(TimePoint now) const -> bool
+    {
+        return m_call && m_call->m_deadline <= now && (m_call->m_deadline + maxReadDelay <= now || !hasUnreadInput());
+    }
+
     Pool &m_pool;
     std::unique_ptr<QTcpSocket> m_socket; ///< null once the connection is closed
     ConnectionState m_state = ConnectionState::Connecting;
@@ -480,9 +504,12 @@
 
     auto expireQueuedCalls(Pool &pool, TimePoint now) -> void
     {
+        const bool isConnected = std::ranges::any_of(pool.m_connections, [](const ConnectionPointer &connection) {
+            return connection->m_socket && connection->isEstablished();
+        });
         std::deque<Call> remaining;
         for (auto &call : std::exchange(pool.m_queue, {})) {
-            if (call.m_deadline <= now) {
+            if (call.m_deadline + (isConnected ? maxReadDelay : Duration::zero()) <= now) {
                 deliver(std::move(call), callFailure(ErrorCode::Timeout, "no connection became free in time", false));
             } else {
                 remaining.push_back(std::move(call));
@@ -494,7 +521,7 @@
     auto expireConnections(Pool &pool, TimePoint now) -> void
     {
         const bool isSilent = std::ranges::any_of(pool.m_connections, [now](const ConnectionPointer &connection) {
-            return connection->m_call && connection->m_call->m_deadline <= now;
+            return connection->m_socket && connection->isUnansweredAt(now);
         });
         if (isSilent) {
             // Existing connections can stop responding together, while new ones still work.
@@ -508,11 +535,13 @@
             if (!connection->m_socket) {
                 continue;
             }
-            if (connection->m_call && connection->m_call->m_deadline <= now) {
+            if (connection->isUnansweredAt(now)) {
                 fail(connection, ErrorCode::Timeout, "no response in time");
-            } else if (connection->m_deadline <= now && connection->m_state == ConnectionState::Connecting) {
+            } else if (connection->m_deadline > now || connection->isEstablished()) {
+                continue;
+            } else if (connection->m_state == ConnectionState::Connecting) {
                 failConnect(*connection, ErrorCode::Timeout, "no connection in time");
-            } else if (connection->m_deadline <= now) {
+            } else {
                 close(*connection);
             }
         }
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <thread>
 
 using namespace Burdockspur;
 using namespace Burdockspur::Testing;
@@ -505,3 +506,28 @@
     server.peer(0).send(okResponse);
     expectBody(1, "ok");
 }
+
+// Guards against a process that was delayed and gives up a call although its response had arrived in time: an owner of a large fleet took
+// workers for silent and started their tasks again (TWICE, large site, 2026-12-05).
+TEST_F(HttpClientTest, AResponseThatArrivedInTimeIsReadByALateProcess)
+{
+    RawServer server;
+    constexpr Milliseconds timeout{300};
+    call(server.port(), request("POST", "/"), timeout);
+    server.peer(0).waitForText("\r\n\r\n");
+    server.peer(0).send(okResponse);
+    std::this_thread::sleep_for(2 * timeout);
+    expectBody(0, "ok");
+}
+
+// Guards against an endless wait: a response that arrived only in part does not hold a call beyond its deadline.
+TEST_F(HttpClientTest, AResponseThatArrivedInPartTimesOut)
+{
+    RawServer server;
+    constexpr Milliseconds timeout{300};
+    call(server.port(), request("POST", "/"), timeout);
+    server.peer(0).waitForText("\r\n\r\n");
+    server.peer(0).send(okResponse.substr(0, okResponse.size() / 2));
+    std::this_thread::sleep_for(2 * timeout);
+    expectFailure(0, ErrorCode::Timeout, true);
+}
