Wait for descriptors with epoll in the duties

Cause: the owner of the large site was at the limit of its processor. Profile of a host against the stand-in (perf, 300 workers): 42% of the thread that calls the workers was poll() and the passes over its descriptors, which grow with the workers at every wake-up. Ruled out: the decisions (60 us of 250 us a start at 300 workers) and the encoding of commits (48 us).

--- a/include/burdockspur/burdockspur.hpp
+++ b/include/burdockspur/burdockspur.hpp
@@ -21,6 +21,7 @@
 #include "burdockspur/core/boundedring.hpp"
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/core/duty.hpp"
+#include "burdockspur/core/epolldispatcher.hpp"
 #include "burdockspur/core/error.hpp"
 #include "burdockspur/core/eventloopduty.hpp"
 #include "burdockspur/core/guards.hpp"
--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -48,6 +48,7 @@
 class EntryLinkDuty;
 class EntryMetrics;
 class EntryStatus;
+class EpollDispatcher;
 class EventLoopDuty;
 class ExchangeTable;
 class FairShare;
--- a/src/core/eventloopduty.cpp
+++ b/src/core/eventloopduty.cpp
@@ -1,7 +1,10 @@
 #include "burdockspur/core/eventloopduty.hpp"
 
+#include "burdockspur/core/epolldispatcher.hpp"
+
 #include <QEventLoop>
 #include <QSocketNotifier>
+#include <QThread>
 
 #include <vector>
 
@@ -27,6 +30,8 @@
 
 auto EventLoopDuty::run() -> void
 {
+    // The thread takes ownership.
+    QThread::currentThread()->setEventDispatcher(new EpollDispatcher);
     QEventLoop loop;
     m_loop = &loop;
     m_watches = std::make_unique<Watches>();
