Refuse odd rows of other writers one by one

Cause: report of other operators: one odd entry among those of the workers (deeply nested, a number too large, a port out of range) ended the machines that read the list. Ports out of range and numbers past 64 bits were refused here already. Not so, found by reading and by the tests: - a job with a due time beyond the year 2262 made the owner ask to be called again at once, for ever (an overflow of its next due time); - times and capacities near 2^63 overflowed when they were added up; - a megabyte of opening brackets took some ten megabytes on hosts with 160 MB; - a task of an own row with the number 2^32 was read as one that never ran; - a row of jobs under the key of another job was taken as that job; - an owner row that cannot be read was claimed with an epoch below the former one, so that every worker refused the orders; - an impossible capacity of a host in the owner row made every host wait for one that does not exist; - each odd row wrote a log line whenever it was read. Ruled out: exceptions of the JSON library (none is enabled), recursion in its parser and in its destructor (10,000 levels in the tests). Change: bounds where a message or row is decoded, at most 32 levels, one log line a second with the number of those held back. An entry that becomes unreadable names no worker to use, in the feed as in the listing; what runs there keeps its lease.

--- a/include/burdockspur/burdockspur.hpp
+++ b/include/burdockspur/burdockspur.hpp
@@ -127,6 +127,7 @@
 #include "burdockspur/operations/hostwatcher.hpp"
 #include "burdockspur/operations/log.hpp"
 #include "burdockspur/operations/metrics.hpp"
+#include "burdockspur/operations/logthrottle.hpp"
 #include "burdockspur/operations/programoptions.hpp"
 #include "burdockspur/operations/programstart.hpp"
 #include "burdockspur/operations/settingsfield.hpp"
--- a/include/burdockspur/fleet/fleetrows.hpp
+++ b/include/burdockspur/fleet/fleetrows.hpp
@@ -101,9 +101,13 @@
 [[nodiscard]] auto encodeRow(const FleetOwnerRow &row) -> std::string;
 [[nodiscard]] auto encodeRow(std::span<const InterferencePair> pairs) -> std::string;
 
+/// @brief Decodes the submission of a job.
+/// @param id id of the job, from the key of the row
+/// @returns ErrorCode::AnswerCorrupt when the value is not a valid row, or belongs to another job
+[[nodiscard]] auto decodeJobRow(std::string_view value, std::string_view id) -> Result<TaskJob>;
+
 /// @brief Decodes the value of a row.
 /// @returns ErrorCode::AnswerCorrupt when the value is not a valid row of the kind
-[[nodiscard]] auto decodeJobRow(std::string_view value) -> Result<TaskJob>;
 [[nodiscard]] auto decodeProgressRow(std::string_view value) -> Result<JobProgress>;
 [[nodiscard]] auto decodeFinalRow(std::string_view value) -> Result<FinalRow>;
 [[nodiscard]] auto decodeFleetOwnerRow(std::string_view value) -> Result<FleetOwnerRow>;
--- a/include/burdockspur/fleet/fleetstoreduty.hpp
+++ b/include/burdockspur/fleet/fleetstoreduty.hpp
@@ -8,6 +8,7 @@
 #include "burdockspur/fleet/ownercommit.hpp"
 #include "burdockspur/fleet/ownershipcandidate.hpp"
 #include "burdockspur/fleet/ownershipclaim.hpp"
+#include "burdockspur/operations/logthrottle.hpp"
 #include "burdockspur/port/changestore.hpp"
 
 #include <cstdint>
@@ -88,6 +89,7 @@
     auto forwardJobs(const RowPage &page, TimePoint confirmedAt) -> void;
     auto forwardWorkers(const RowPage &page, bool isWhole) -> void;
 
+    auto logUnreadableWorker(const TableRow &row, const Error &error) -> void;
     FleetSettings m_settings;
     const FleetPlatform &m_platform;
     std::string m_incarnation;
@@ -123,4 +125,7 @@
     bool m_isReleased = false; ///< the release for a planned stop was started
     std::vector<FleetStoreInput> m_inputs;
 };
+    LogThrottle m_configurationLog;
+    LogThrottle m_jobLog;
+    LogThrottle m_workerLog;
 }
--- a/include/burdockspur/fleet/jobload.hpp
+++ b/include/burdockspur/fleet/jobload.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/fleet/fleetscheduler.hpp"
 #include "burdockspur/fleet/pagesize.hpp"
+#include "burdockspur/operations/logthrottle.hpp"
 #include "burdockspur/port/changestore.hpp"
 
 #include <cstddef>
@@ -75,6 +76,7 @@
     auto decodeSubmission(const TableRow &row) -> void;
     auto decodeProgress(const TableRow &row) -> void;
     [[nodiscard]] auto joinRows() -> std::vector<StoredJob>;
+    auto logCorruptRow(std::string_view event, const TableRow &row, const Error &error) -> void;
     [[nodiscard]] auto archivedJobs() const -> std::vector<std::string>;
     auto log(std::string_view outcome) const -> void;
 
@@ -88,6 +90,7 @@
     std::map<std::string, JobProgress, std::less<>> m_progress;
     std::vector<std::string> m_corruptProgress; ///< ids of jobs whose progress row cannot be decoded
     std::set<std::string, std::less<>> m_corruptSubmissions; ///< ids of jobs whose submission row cannot be decoded
+    LogThrottle m_corruptRowLog;
     std::optional<std::uint64_t> m_version; ///< lowest version of the pages
     TimePoint m_startedAt;
     TimePoint m_lastAnswerAt;
--- a/include/burdockspur/fleet/ownershipclaim.hpp
+++ b/include/burdockspur/fleet/ownershipclaim.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/fleet/fleetrows.hpp"
 #include "burdockspur/fleet/waitingjobs.hpp"
+#include "burdockspur/operations/logthrottle.hpp"
 #include "burdockspur/port/tablestore.hpp"
 
 #include <cstdint>
@@ -86,5 +87,6 @@
     std::optional<TimePoint> m_lastReadAt; ///< time at which the last answered read was sent
     std::optional<TimePoint> m_writtenAfter; ///< earliest time at which the current row can have been written
     FleetOwnerRow m_owner;
+    LogThrottle m_corruptRowLog;
 };
 }
--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -89,6 +89,7 @@
 class KeyMapStore;
 class LeastLoaded;
 class LeastLoadedPicker;
+class LogThrottle;
 class Metrics;
 class ObjectStore;
 class OwnerCommit;
--- a/include/burdockspur/impl/jsonvalue.hpp
+++ b/include/burdockspur/impl/jsonvalue.hpp
@@ -24,12 +24,44 @@
 using Value = nlohmann::json;
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
 
+/// No message or row of the product or the platform has more levels. A megabyte of opening brackets would otherwise take tens of
+/// megabytes, on hosts with 160 MB.
+inline constexpr int maxLevels = 32;
+
+/// @brief True if the brackets of a text are nested more deeply than maxLevels.
+/// @param text any bytes; brackets inside strings do not count
+[[nodiscard]] inline auto isTooDeep(std::string_view text) noexcept -> bool
+{
+    int levels = 0;
+    bool isInString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char character = text[i];
+        if (isInString) {
+            i += character == '\\' ? 1 : 0;
+            isInString = character != '"';
+        } else if (character == '"') {
+            isInString = true;
+        } else if (character == '[' || character == '{') {
+            if (++levels > maxLevels) {
+                return true;
+            }
+        } else if (character == ']' || character == '}') {
+            --levels;
+        }
+    }
+    return false;
+}
+
 /// @brief Parses a text that must be one JSON object.
 /// @param document receives the object; in this mode, nlohmann's parser neither recurses nor throws
 /// @param text any bytes
-/// @returns false for anything else
+/// @returns false for anything else, and for a document with more than maxLevels levels
 [[nodiscard]] inline auto parseObject(Value &document, std::string_view text) -> bool
 {
+    if (isTooDeep(text)) {
+        document = Value(nullptr);
+        return false;
+    }
     document = Value::parse(text.begin(), text.end(), nullptr, false);
     return document.is_object();
 }
--- a/include/burdockspur/machine/resources.hpp
+++ b/include/burdockspur/machine/resources.hpp
@@ -18,10 +18,16 @@
         return m_cpuMillis <= free.m_cpuMillis && m_memoryMb <= free.m_memoryMb && m_accelerators <= free.m_accelerators;
     }
 
-    /// @brief True when no amount is below zero.
+    /// Largest valid amount; sums over all tasks of a fleet cannot overflow.
+    static constexpr std::int64_t maxAmount = 1'000'000'000'000;
+
+    /// @brief True when every amount is between zero and maxAmount.
     [[nodiscard]] auto isValid() const noexcept -> bool
     {
-        return m_cpuMillis >= 0 && m_memoryMb >= 0 && m_accelerators >= 0;
+        const auto isInRange = [](std::int64_t amount) {
+            return amount >= 0 && amount <= maxAmount;
+        };
+        return isInRange(m_cpuMillis) && isInRange(m_memoryMb) && isInRange(m_accelerators);
     }
 
     auto operator+=(const Resources &other) noexcept -> Resources &
--- a/src/fleet/fleetjob.cpp
+++ b/src/fleet/fleetjob.cpp
@@ -10,6 +10,9 @@
 {
 namespace
 {
+/// Longest objective; three times as long still fits into a time point.
+constexpr Milliseconds maxObjective{1'000'000'000'000};
+
 /// Larger ages of a job are cut to this value, because the wall clocks of two hosts may differ or jump.
 constexpr Milliseconds maxTrustedAge{60'000};
 
@@ -71,8 +74,9 @@
     : m_job(std::move(job))
 {
     const auto age = std::clamp(std::chrono::duration_cast<Milliseconds>(wallNow - m_job.m_acceptedAt), Milliseconds{0}, maxTrustedAge);
-    const auto chain = std::chrono::duration<double, std::milli>(criticalPath(m_job, nullptr)) * m_job.m_policy.m_stretch;
-    const auto objective = std::chrono::duration_cast<Milliseconds>(chain) + m_job.m_policy.m_target;
+    using RealMilliseconds = std::chrono::duration<double, std::milli>;
+    const auto wanted = RealMilliseconds(criticalPath(m_job, nullptr)) * m_job.m_policy.m_stretch + RealMilliseconds(m_job.m_policy.m_target);
+    const auto objective = std::chrono::duration_cast<Milliseconds>(std::clamp(wanted, RealMilliseconds::zero(), RealMilliseconds(maxObjective)));
     m_deadline = now - age + objective;
     m_expiry = now - age + expiryFactor * objective;
     for (const auto &step : m_job.m_steps) {
--- a/src/fleet/fleetrows.cpp
+++ b/src/fleet/fleetrows.cpp
@@ -155,7 +155,7 @@
 [[nodiscard]] auto readTask(const Value &value) -> std::optional<TaskProgress>
 {
     using namespace JsonValue;
-    if (value.is_number_integer() && value.get<int>() == 0) {
+    if (value.is_number_integer() && integer<std::uint32_t>(value) == 0U) {
         return TaskProgress{};
     }
     constexpr std::size_t columns = 6;
@@ -220,7 +220,21 @@
     if (columns == nullptr || columns->size() != 2) {
         return {};
     }
-    return {number((*columns)[0]).value_or(0), number((*columns)[1]).value_or(0)};
+    // An odd row must not make every host wait for one that does not exist.
+    constexpr double maxCapacity = 1e6;
+    const HostCapacity capacity{number((*columns)[0]).value_or(0), number((*columns)[1]).value_or(0)};
+    const auto isInRange = [](double amount) {
+        return amount >= 0 && amount <= maxCapacity;
+    };
+    return isInRange(capacity.m_processors) && isInRange(capacity.m_linkMbps) ? capacity : HostCapacity{};
+}
+
+/// An age is a whole number of milliseconds; one that cannot be an age is read as absent.
+[[nodiscard]] auto readAge(const Value &value, std::string_view name) -> std::optional<Milliseconds>
+{
+    constexpr std::int64_t maxAge = 1'000'000'000;
+    const auto age = JsonValue::integer<std::int64_t>(value, name);
+    return age && *age >= 0 && *age <= maxAge ? std::optional(Milliseconds(*age)) : std::nullopt;
 }
 
 [[nodiscard]] auto keyOf(std::string_view table, std::string_view partition, std::string_view name, std::string_view suffix = {}) -> std::string
@@ -429,7 +443,7 @@
     return pairs;
 }
 
-auto decodeJobRow(std::string_view value) -> Result<TaskJob>
+auto decodeJobRow(std::string_view value, std::string_view id) -> Result<TaskJob>
 {
     using namespace JsonValue;
     JsonValue::Value document;
@@ -449,6 +463,9 @@
             job.m_steps.push_back(readStep(step));
         }
     }
+    if (job.m_id != id) {
+        return failure(ErrorCode::AnswerCorrupt, "a job row belongs to another job");
+    }
     if (const auto fault = validationError(job); !fault.empty()) {
         return failure(ErrorCode::AnswerCorrupt, "a job row is invalid: " + fault);
     }
@@ -505,15 +522,15 @@
     row.m_incarnation = text(document, "incarnation").value_or(std::string_view{});
     row.m_epoch = *epoch;
     row.m_commit = integer<std::uint64_t>(document, "commit").value_or(0);
-    const auto age = integer<std::int64_t>(document, "waiting_age");
+    const auto age = readAge(document, "waiting_age");
     if (const auto *const waiting = member(document, "waiting"); age && waiting != nullptr && waiting->is_object()) {
-        row.m_waitingAge = Milliseconds(*age);
+        row.m_waitingAge = *age;
         for (const auto &[name, count] : waiting->items()) {
             row.m_waiting[name] = integer<std::uint32_t>(count).value_or(0);
         }
     }
     row.m_capacity = readCapacity(document, "capacity");
-    row.m_best = {readCapacity(document, "best"), Milliseconds(integer<std::int64_t>(document, "best_age").value_or(0))};
+    row.m_best = {readCapacity(document, "best"), readAge(document, "best_age").value_or(Milliseconds{0})};
     row.m_successor = text(document, "successor").value_or(std::string_view{});
     row.m_successorIncarnation = text(document, "successor_incarnation").value_or(std::string_view{});
     row.m_hasFailed = boolean(document, "failed").value_or(false);
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -255,7 +255,8 @@
         if (!due || isFinal(job->progress().m_phase)) {
             return true;
         }
-        next = std::min(next, now + std::max(Milliseconds{1}, std::chrono::duration_cast<Milliseconds>(*due - wallNow)));
+        // Bounded before the sum, which would overflow for a due time in the far future.
+        next = std::min(next, now + std::clamp<Milliseconds>(*due - wallNow, Milliseconds{1}, maxSleep));
         return false;
     });
     return next;
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -254,7 +254,11 @@
         }
         auto decoded = m_codec->decodeConfiguration(change.m_row.m_value);
         if (!decoded) {
-            logEvent(LogLevel::Error, "configuration_unreadable", {{"row_version", change.m_row.m_version}, {"reason", decoded.error().m_message}});
+            if (const auto heldBack = m_configurationLog.admit(Clock::now())) {
+                logEvent(LogLevel::Error,
+                         "configuration_unreadable",
+                         {{"row_version", change.m_row.m_version}, {"reason", decoded.error().m_message}, {"held_back", *heldBack}});
+            }
             continue;
         }
         if (m_configuration && decoded->m_version <= m_configuration->m_version) {
@@ -579,10 +583,12 @@
         }
         if (name.ends_with(cancelSuffix)) {
             stored.m_cancelled.push_back(name.substr(0, name.size() - cancelSuffix.size()));
-        } else if (auto job = decodeJobRow(change.m_row.m_value)) {
+        } else if (auto job = decodeJobRow(change.m_row.m_value, name)) {
             stored.m_jobs.push_back(std::move(*job));
-        } else {
-            logEvent(LogLevel::Error, "job_row_corrupt", {{"key", change.m_row.m_key}, {"version", change.m_row.m_version}, {"reason", job.error().m_message}});
+        } else if (const auto heldBack = m_jobLog.admit(Clock::now())) {
+            logEvent(LogLevel::Error,
+                     "job_row_corrupt",
+                     {{"key", change.m_row.m_key}, {"version", change.m_row.m_version}, {"reason", job.error().m_message}, {"held_back", *heldBack}});
         }
     }
     m_toScheduler->push(std::move(stored));
@@ -594,17 +600,26 @@
     std::set<std::string, std::less<>> listed;
     for (const auto &change : page.m_rows) {
         const std::string id(rowName(change.m_row.m_key));
-        if (change.m_isDeleted) {
+        auto worker = change.m_isDeleted ? Result<WorkerRecord>(failure(ErrorCode::UnknownJob, "deleted")) : m_codec->decodeWorker(id, change.m_row.m_value);
+        if (!worker) {
+            if (!change.m_isDeleted) {
+                logUnreadableWorker(change.m_row, worker.error());
+auto FleetStoreDuty::logUnreadableWorker(const TableRow &row, const Error &error) -> void
+{
+    if (const auto heldBack = m_workerLog.admit(Clock::now())) {
+        logEvent(LogLevel::Warning,
+                 "worker_row_unreadable",
+                 {{"worker", rowName(row.m_key)}, {"version", row.m_version}, {"reason", error.m_message}, {"held_back", *heldBack}});
+    }
+}
+
+            }
+            // An entry that cannot be read names no worker to use; what runs there keeps its lease.
             if (m_knownWorkers.erase(id) > 0) {
                 changes.m_removed.push_back(id);
             }
             continue;
         }
-        auto worker = m_codec->decodeWorker(id, change.m_row.m_value);
-        if (!worker) {
-            logEvent(LogLevel::Warning, "worker_row_unreadable", {{"worker", id}, {"version", change.m_row.m_version}, {"reason", worker.error().m_message}});
-            continue;
-        }
         listed.insert(id);
         m_knownWorkers.insert(id);
         changes.m_changed.push_back(std::move(*worker));
--- a/src/fleet/jobload.cpp
+++ b/src/fleet/jobload.cpp
@@ -121,10 +121,10 @@
         m_cancelled.emplace_back(name.substr(0, name.size() - cancelSuffix.size()));
         return;
     }
-    if (auto job = decodeJobRow(row.m_value)) {
+    if (auto job = decodeJobRow(row.m_value, name)) {
         m_jobs.emplace(name, StoredJob{std::move(*job), std::nullopt, false});
     } else {
-        logEvent(LogLevel::Error, "job_row_corrupt", {{"key", row.m_key}, {"version", row.m_version}, {"reason", job.error().m_message}});
+        logCorruptRow("job_row_corrupt", row, job.error());
         m_corruptSubmissions.emplace(name);
     }
 }
@@ -135,11 +135,18 @@
     if (auto progress = decodeProgressRow(row.m_value)) {
         m_progress.emplace(name, std::move(*progress));
     } else {
-        logEvent(LogLevel::Error, "progress_row_corrupt", {{"key", row.m_key}, {"version", row.m_version}, {"reason", progress.error().m_message}});
+        logCorruptRow("progress_row_corrupt", row, progress.error());
         m_corruptProgress.emplace_back(name);
     }
 }
 
+auto JobLoad::logCorruptRow(std::string_view event, const TableRow &row, const Error &error) -> void
+{
+    if (const auto heldBack = m_corruptRowLog.admit(m_listener.m_now())) {
+        logEvent(LogLevel::Error, event, {{"key", row.m_key}, {"version", row.m_version}, {"reason", error.m_message}, {"held_back", *heldBack}});
+    }
+}
+
 auto JobLoad::archivedJobs() const -> std::vector<std::string>
 {
     // A submission is only deleted by the transaction that puts its final row, so final progress without a submission means that
--- a/src/fleet/ownershipclaim.cpp
+++ b/src/fleet/ownershipclaim.cpp
@@ -77,7 +77,11 @@
         if (auto decoded = decodeFleetOwnerRow(row->m_value)) {
             m_owner = std::move(*decoded);
         } else {
-            logEvent(LogLevel::Error, "owner_row_corrupt", {{"version", version}, {"reason", decoded.error().m_message}});
+            // An epoch grows by one with each claim, which is one transaction, so it is at most the version of the store.
+            m_owner.m_epoch = std::max(m_owner.m_epoch, version);
+            if (const auto heldBack = m_corruptRowLog.admit(now)) {
+                logEvent(LogLevel::Error, "owner_row_corrupt", {{"version", version}, {"reason", decoded.error().m_message}, {"held_back", *heldBack}});
+            }
         }
     }
     const auto unchangedFor = std::chrono::duration_cast<Milliseconds>(now - *m_unchangedSince);
--- a/tests/fleethosttest.cpp
+++ b/tests/fleethosttest.cpp
@@ -393,3 +393,59 @@
     EXPECT_EQ(host.call("GET", "/jobs/" + moved)->m_body, R"({"state":"completed"})");
     EXPECT_TRUE(m_platform.starts().empty());
 }
+
+// Guards against an odd entry among those of the workers that ends the hosts which read the list, or makes them stop following it, in the
+// first listing and in the feed (report of other operators).
+TEST_F(FleetHostTest, OddEntriesAmongTheWorkersStopNobody)
+{
+    const std::string nested = std::string(10'000, '[') + std::string(10'000, ']');
+    const std::vector<std::string> values{
+        "",
+        nested,
+        std::string(1'000'000, '['),
+        R"({"service":"pool","address":"127.0.0.1:65536","zone":"z","state":"ready","capacity":{"cpu":1},"born":1})",
+        R"({"service":"pool","address":"127.0.0.1:1","zone":"z","state":"ready","capacity":{"cpu":1e400},"born":18446744073709551616})",
+        R"({"service":{},"address":[],"zone":7,"state":null,"capacity":)" + nested + R"(,"born":-0.5})",
+        "\xff\xfe",
+    };
+    const auto putAll = [&](std::string_view prefix) {
+        for (std::size_t i = 0; i < values.size(); ++i) {
+            m_platform.put("servers", "", std::string(prefix) + std::to_string(i), values[i]);
+        }
+    };
+    putAll("before-");
+    Host host("host-1", m_platform.storePort());
+    host.awaitReady(true);
+    EXPECT_EQ(host.call("POST", "/jobs/5c0e7a21d94b36f8", twoSteps)->m_status, 200);
+    awaitState(host, "/jobs/5c0e7a21d94b36f8", "completed");
+    putAll("later-");
+    // A worker that registers after the odd entries is still seen.
+    m_platform.put("op", "", "unrelated", "{}");
+    EXPECT_EQ(host.call("POST", "/jobs/6c0e7a21d94b36f8", twoSteps)->m_status, 200);
+    awaitState(host, "/jobs/6c0e7a21d94b36f8", "completed");
+    EXPECT_TRUE(host.isReady());
+    EXPECT_EQ(m_platform.starts().size(), 10U);
+}
+
+// Guards against rows of another writer in the product's own tables that end the process or stop the jobs of others.
+TEST_F(FleetHostTest, OddRowsInTheOwnTablesStopNobody)
+{
+    const std::string nested = std::string(10'000, '[') + std::string(10'000, ']');
+    for (const std::string_view value : {std::string_view(""), std::string_view(nested), std::string_view("\xff"), std::string_view(R"({"epoch":-1})")}) {
+        m_platform.put("owner", "fleet", "owner", value);
+        m_platform.put("owner", "fleet", "candidate", value);
+        m_platform.put("model", "fleet", "pressures", value);
+        m_platform.put("jobs", "5", "5c0e7a21d94b36f1", value);
+        m_platform.put("progress", "fleet", "5c0e7a21d94b36f1", value);
+        m_platform.put("final", "7", "7c0e7a21d94b36f1", value);
+    }
+    Host host("host-1", m_platform.storePort());
+    host.awaitReady(true);
+    EXPECT_EQ(host.call("POST", "/jobs/5c0e7a21d94b36f8", twoSteps)->m_status, 200);
+    awaitState(host, "/jobs/5c0e7a21d94b36f8", "completed");
+    m_platform.put("jobs", "6", "6c0e7a21d94b36f1", nested);
+    m_platform.put("op", "", "config", nested);
+    EXPECT_EQ(host.call("POST", "/jobs/6c0e7a21d94b36f8", twoSteps)->m_status, 200);
+    awaitState(host, "/jobs/6c0e7a21d94b36f8", "completed");
+    EXPECT_TRUE(host.isReady());
+}
--- a/tests/fleetrowstest.cpp
+++ b/tests/fleetrowstest.cpp
@@ -3,10 +3,14 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 using namespace Burdockspur;
 
 namespace
 {
+constexpr auto largest = std::numeric_limits<std::int64_t>::max();
+
 [[nodiscard]] auto sampleJob() -> TaskJob
 {
     TaskJob job;
@@ -44,7 +48,7 @@
 TEST(FleetRowsTest, JobIsDecodedUnchanged)
 {
     const auto job = sampleJob();
-    const auto decoded = decodeJobRow(encodeRow(job));
+    const auto decoded = decodeJobRow(encodeRow(job), job.m_id);
     ASSERT_TRUE(decoded);
     EXPECT_EQ(*decoded, job);
 }
@@ -117,7 +121,7 @@
                                          std::string_view("[]"),
                                          std::string_view("\xff\xfe"),
                                          std::string_view(job).substr(0, job.size() / 2)}) {
-        EXPECT_FALSE(decodeJobRow(value)) << value;
+        EXPECT_FALSE(decodeJobRow(value, sampleJob().m_id)) << value;
         EXPECT_FALSE(decodeProgressRow(value)) << value;
         EXPECT_FALSE(decodeFleetOwnerRow(value)) << value;
         EXPECT_FALSE(decodeModelRow(value)) << value;
@@ -125,7 +129,7 @@
     }
     EXPECT_FALSE(decodeProgressRow(R"({"state":"running","next":1,"open":[{"k":0,"steps":[[[9,1,0,"w",1,""]]]}]})"));
     EXPECT_FALSE(decodeProgressRow(R"({"state":"unheard","next":1,"open":[]})"));
-    EXPECT_FALSE(decodeJobRow(std::string(100'000, '[')));
+    EXPECT_FALSE(decodeJobRow(std::string(100'000, '['), sampleJob().m_id));
 }
 
 // Guards against two submissions of one id in different partitions, which would be two jobs.
@@ -149,3 +153,50 @@
     EXPECT_FALSE(decodeFinalRow(encodeRow(FinalRow{JobPhase::Running, {}})));
     EXPECT_FALSE(decodeFinalRow("{}"));
 }
+
+// Guards against a row of another writer that would start a job a second time under its own id, or with values that overflow when times
+// are computed from them.
+TEST(FleetRowsTest, OddRowsOfJobsAreErrors)
+{
+    const auto id = sampleJob().m_id;
+    EXPECT_FALSE(decodeJobRow(encodeRow(sampleJob()), "5c0e7a21d94b36f9"));
+    const auto expectRefused = [&id](auto change) {
+        auto job = sampleJob();
+        change(job);
+        EXPECT_FALSE(decodeJobRow(encodeRow(job), id));
+    };
+    expectRefused([](TaskJob &job) {
+        job.m_steps[0].m_estimate = Milliseconds(largest);
+    });
+    expectRefused([](TaskJob &job) {
+        job.m_steps[0].m_estimate = Milliseconds(-1);
+    });
+    expectRefused([](TaskJob &job) {
+        job.m_steps[0].m_demand.m_cpuMillis = largest;
+    });
+    expectRefused([](TaskJob &job) {
+        job.m_firstDue = TaskJob::WallTime(Milliseconds(largest));
+    });
+    expectRefused([](TaskJob &job) {
+        job.m_interval = Milliseconds(largest);
+    });
+}
+
+// Guards against a task of a row that another writer left, read as one that never ran because its number was cut to 32 bits.
+TEST(FleetRowsTest, OddNumbersOfTasksAreErrors)
+{
+    for (const std::string_view task : {"4294967296", "-1", "0.5", "18446744073709551616", "[1,-1,0,\"w\",1,\"\"]", "[1,1,0,\"w\",1e30,\"\"]"}) {
+        EXPECT_FALSE(decodeProgressRow(R"({"state":"running","next":1,"open":[{"k":0,"steps":[[)" + std::string(task) + "]]}]}")) << task;
+    }
+}
+
+// Guards against a row that makes every host wait for a stronger one that does not exist, or counts with an impossible age.
+TEST(FleetRowsTest, OddCapacitiesAndAgesAreUnknown)
+{
+    const auto row = decodeFleetOwnerRow(
+        R"({"host":"h","incarnation":"1","epoch":3,"capacity":[1e300,5],"best":[-1,5],"best_age":-7,"waiting_age":9223372036854775807,"waiting":{}})");
+    ASSERT_TRUE(row);
+    EXPECT_EQ(row->m_capacity, HostCapacity{});
+    EXPECT_EQ(row->m_best, KnownCapacity{});
+    EXPECT_FALSE(row->m_waitingAge);
+}
--- a/tests/ownershipclaimtest.cpp
+++ b/tests/ownershipclaimtest.cpp
@@ -245,3 +245,12 @@
     EXPECT_FALSE(attempt->m_row.m_waitingAge);
     EXPECT_TRUE(attempt->m_row.m_waiting.empty());
 }
+
+// Guards against a host that claims an unreadable row with an epoch below the former owner's: every worker would refuse its orders.
+TEST_F(OwnershipClaimTest, ClaimsAnUnreadableRowAboveEveryEarlierEpoch)
+{
+    const auto attempt = m_claim.observe(TableRow{std::string(fleetOwnerKey), 312, "[["}, m_now, m_now);
+    ASSERT_TRUE(attempt);
+    EXPECT_EQ(attempt->m_expectedVersion, 312U);
+    EXPECT_GT(attempt->m_row.m_epoch, 312U) << "each claim was one transaction, so no epoch is above the version";
+}
--- a/tests/platformmessagestest.cpp
+++ b/tests/platformmessagestest.cpp
@@ -122,3 +122,65 @@
     EXPECT_TRUE(refused.m_body.contains(R"(a \"reason\")"));
     EXPECT_EQ(codec.decodeCall(request("GET", "/z/1"), twoQueues()).error().m_code, ErrorCode::UnknownRoute);
 }
+
+// Guards against an odd entry among those of the workers that ends the process, stops the reading of the list, or makes another entry
+// unusable (report of other operators: very deeply nested, a number too large, a port out of range).
+TEST(PlatformMessagesTest, RefusesOddEntriesOfWorkers)
+{
+    const MessageCodec codec;
+    const auto replaced = [](std::string_view part, std::string_view by) {
+        std::string text(worker);
+        return text.replace(text.find(part), part.size(), by);
+    };
+    for (const std::string_view address : {R"("10.1.0.9:0")",
+                                           R"("10.1.0.9:65536")",
+                                           R"("10.1.0.9:99999999999999999999")",
+                                           R"("10.1.0.9:")",
+                                           R"("10.1.0.9")",
+                                           R"(":8080")",
+                                           R"("")",
+                                           R"("worker.example:8080")",
+                                           "8080",
+                                           "null",
+                                           "[]",
+                                           "{}"}) {
+        EXPECT_FALSE(codec.decodeWorker("i-1", replaced(R"("10.1.0.9:8080")", address))) << address;
+    }
+    for (const std::string_view number :
+         {"-1", "0.5", "1e30", "9223372036854775807", "18446744073709551615", "18446744073709551616", R"("16000")", "true", "[]", "{}"}) {
+        EXPECT_FALSE(codec.decodeWorker("i-1", replaced("16000", number))) << number;
+        EXPECT_FALSE(codec.decodeWorker("i-1", replaced("32768", number))) << number;
+    }
+    for (const std::string_view number : {"-1", "0.5", "18446744073709551616", "1e400", R"("1771900000000")", "true", "[]", "{}"}) {
+        EXPECT_FALSE(codec.decodeWorker("i-1", replaced("1771900000000", number))) << number;
+    }
+    for (const std::string_view time : {"-1", "1e300", "9223372036854775807", R"("soon")", "[]"}) {
+        EXPECT_FALSE(codec.decodeWorker("i-1", replaced("1500", time))) << time;
+    }
+    for (const std::string_view name : {"huvo", "z-a", "draining"}) {
+        EXPECT_FALSE(codec.decodeWorker("i-1", replaced("\"" + std::string(name) + "\"", "7"))) << name;
+    }
+    const std::string nested = std::string(10'000, '[') + std::string(10'000, ']');
+    EXPECT_FALSE(codec.decodeWorker("i-1", nested));
+    EXPECT_FALSE(codec.decodeWorker("i-1", replaced(R"({"cpu":16000,"mem_mb":32768,"gpu":1})", nested)));
+    EXPECT_FALSE(codec.decodeWorker("i-1", replaced(R"("v1")", nested))) << "also in a field that is not read";
+    EXPECT_FALSE(codec.decodeWorker("i-1", replaced("huvo", std::string(1'000'000, 'x'))));
+    EXPECT_FALSE(codec.decodeWorker("i-1", replaced("huvo", "\xff\xfe")));
+    EXPECT_FALSE(codec.decodeWorker("i-1", ""));
+}
+
+// Guards against a submission whose times overflow when they are added to the clock: the owner would spin, or never start the job.
+TEST(PlatformMessagesTest, RefusesSubmissionsWithOddNumbers)
+{
+    const auto queues = twoQueues();
+    for (const std::string_view body : {R"({"repeat_count":1,"start_at_ms":1e15,"steps":[{"count":1}]})",
+                                        R"({"repeat_count":1,"interval_ms":1e300,"steps":[{"count":1}]})",
+                                        R"({"steps":[{"count":1,"estimate_ms":1e14}]})",
+                                        R"({"steps":[{"count":1,"target_ms":-1}]})",
+                                        R"({"steps":[{"count":1,"cpu":9223372036854775807}]})",
+                                        R"({"steps":[{"count":1,"mem_mb":-1}]})",
+                                        R"({"steps":[{"count":18446744073709551616}]})",
+                                        R"({"steps":[{"count":0.5}]})"}) {
+        EXPECT_FALSE(MessageCodec{}.decodeCall(request("POST", "/x/5c0e7a21d94b36f8", body), queues)) << body;
+    }
+}
