Keep a late owner from repeating, losing or giving up runs

Change: a run counts as lost when the lease has expired and two reports in a row were not answered. A claim makes the scheduler renew leases at once (FleetScheduler::prepare), and the interference model is read before the jobs. StartWindow bounds the start orders under way by the time of their answers. Tests: FleetSchedulerTest.ALateOwnerReadsTheReportBeforeItGivesUpARun, RunsOfALaterIncarnationKeepTheirInheritedLease, LeasesAreRenewedWhileTheJobsAreRead, AnOwnerThatWasPausedActsOnlyAfterTheStoreHasConfirmedIt, fleetscheduleroverloadtest (ten times the load that an owner carries), startwindowtest, FillInterferenceModelTest.ARestoredWeightIsIndependentOfEarlierSamples. Three earlier tests let a worker's lease expire by the owner's lateness alone; they now let the worker fall silent, which they meant. The simulation answers every order, at its timeout at the latest; before, an order to a worker that became unreachable meanwhile never ended, which no call does.

--- a/bench/fleetloadsimulation.cpp
+++ b/bench/fleetloadsimulation.cpp
@@ -273,7 +273,7 @@
     ++m_starts;
     auto &worker = workerAt(order.m_address);
     worker.m_runs.insert_or_assign(order.m_task.text(), Run{order.m_task, order.m_run, &stepOf(order.m_task)});
-    m_answers.emplace_back(StartAnswer{order.m_address, order.m_task, order.m_run, OrderOutcome::Accepted, {}});
+    m_answers.emplace_back(StartAnswer{order.m_address, order.m_task, order.m_run, OrderOutcome::Accepted, {}, m_now});
 }
 
 auto FleetLoadSimulation::execute(const RunStopOrder &order) -> void
@@ -306,7 +306,7 @@
 
 auto FleetLoadSimulation::execute(const CommitOrder &order) -> void
 {
-    m_commits.push_back({order.m_number, order.m_epoch, true});
+    m_commits.push_back({order.m_number, order.m_epoch, m_now, true});
 }
 
 auto FleetLoadSimulation::workerAt(const WorkerAddress &address) noexcept -> Worker &
--- a/include/burdockspur/fleet/fleetanswer.hpp
+++ b/include/burdockspur/fleet/fleetanswer.hpp
@@ -42,6 +42,7 @@
     RunNumber m_run = 0;
     OrderOutcome m_outcome = OrderOutcome::NoAnswer;
     std::optional<Milliseconds> m_clock; ///< time on the worker's clock, if it was in the answer
+    TimePoint m_receivedAt;
 };
 
 /// @brief Answer to a RunStopOrder.
@@ -65,6 +66,7 @@
 struct CommitAnswer {
     std::uint64_t m_number = 0;
     Epoch m_epoch = 0;
+    TimePoint m_sentAt; ///< if stored, this host was certainly the owner at this time
     bool m_isStored = false; ///< false if the commit failed or its outcome is unknown; its rows have to be written again
 };
 
--- a/include/burdockspur/fleet/fleetduty.hpp
+++ b/include/burdockspur/fleet/fleetduty.hpp
@@ -27,6 +27,7 @@
     auto requestStop() -> void override;
 
 private:
+    auto on(OwnershipClaimed &&input, TimePoint now) -> void;
     auto on(OwnershipTaken &&input, TimePoint now) -> void;
     auto on(OwnershipEnded &&input, TimePoint now) -> void;
     auto on(JobsStored &&input, TimePoint now) -> void;
--- a/include/burdockspur/fleet/fleetrings.hpp
+++ b/include/burdockspur/fleet/fleetrings.hpp
@@ -56,7 +56,12 @@
 /// @brief A message to the duty that serves the callers.
 using ApiInput = std::variant<ConfigurationConfirmed, PendingCounts, StoreReply, DrainStarted, StoreDrained>;
 
-/// @brief This host has become the owner.
+/// @brief This host has become the owner, and reads the jobs now.
+struct OwnershipClaimed {
+    Epoch m_epoch = 0;
+};
+
+/// @brief This host is the owner and has read the jobs.
 struct OwnershipTaken {
     Epoch m_epoch = 0;
     std::vector<StoredJob> m_jobs;
@@ -94,7 +99,8 @@
 };
 
 /// @brief A message to the scheduler's duty.
-using FleetInput = std::variant<OwnershipTaken,
+using FleetInput = std::variant<OwnershipClaimed,
+                                OwnershipTaken,
                                 OwnershipEnded,
                                 JobsStored,
                                 JobsArchived,
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -11,6 +11,7 @@
 #include "burdockspur/fleet/placementcounters.hpp"
 #include "burdockspur/fleet/placementgroup.hpp"
 #include "burdockspur/fleet/reportpacing.hpp"
+#include "burdockspur/fleet/startwindow.hpp"
 #include "burdockspur/fleet/taskkinds.hpp"
 
 #include <cstdint>
@@ -56,7 +57,15 @@
     auto operator=(const FleetScheduler &) -> FleetScheduler & = delete;
     auto operator=(FleetScheduler &&) -> FleetScheduler & = delete;
 
-    /// @brief Starts an ownership; drops all jobs and workers of an earlier one.
+    /// @brief Starts an ownership whose jobs are still being read; drops all jobs and workers of an earlier one.
+    ///
+    /// Until begin() is called for the same epoch, the workers' leases are renewed and nothing else is decided: reading the jobs of a
+    /// large fleet over a narrow link takes longer than a lease.
+    /// @param epoch fencing token of this ownership
+    /// @param now a time at which the ownership was stored already
+    auto prepare(Epoch epoch, TimePoint now) -> void;
+
+    /// @brief Starts an ownership, or continues a prepared one; drops all jobs and workers of an earlier one.
     /// @param epoch fencing token of this ownership
     /// @param jobs all stored jobs that were not archived
     auto begin(Epoch epoch, std::vector<StoredJob> &&jobs, TimePoint now, WallTime wallNow) -> void;
@@ -69,6 +78,12 @@
         return m_epoch != 0;
     }
 
+    /// @brief True between prepare() and begin().
+    [[nodiscard]] auto isPreparing() const noexcept -> bool
+    {
+        return m_isPreparing;
+    }
+
     [[nodiscard]] auto epoch() const noexcept -> Epoch
     {
         return m_epoch;
@@ -175,8 +190,11 @@
     /// @brief Finds the worker that an order was sent to; nullptr if the epoch or the incarnation has changed since.
     [[nodiscard]] auto findAddressedWorker(const WorkerAddress &address) noexcept -> FleetWorker *;
     [[nodiscard]] auto addressOf(const FleetWorker &worker) const -> WorkerAddress;
+    /// @brief Counts the answer to a start order against those that may be under way.
+    /// @param run the run that the order has started; nullptr if it is not known any more
+    auto recordStartAnswer(const StartAnswer &answer, const TaskRun *run, TimePoint now) -> void;
     auto resignAfterFencing(const FleetWorker &worker) -> void;
-    auto replaceIncarnation(FleetWorker &worker, const WorkerRecord &record, TimePoint now) -> void;
+    auto replaceIncarnation(FleetWorker &worker, const WorkerRecord &record) -> void;
     auto processEnds(FleetWorker &worker, std::span<const EndedTask> ended, TimePoint now) -> void;
     /// @brief Processes the end of a run that was already counted as lost.
     auto processLateEnd(const EndedTask &end) -> void;
@@ -214,6 +232,8 @@
     /// @returns latest time of the next call
     auto placeWhenDue(TimePoint now) -> TimePoint;
     auto placeWaitingTasks(TimePoint now) -> void;
+    /// @brief True if more start orders may be under way.
+    [[nodiscard]] auto mayAssign() const noexcept -> bool;
     auto updateBacklogs(TimePoint now) -> void;
     [[nodiscard]] auto rankOf(const FleetJob &job, TimePoint now) const -> JobRank;
     /// @brief Adds the waiting tasks of a job to the order of this round.
@@ -221,7 +241,7 @@
     /// @brief Waiting tasks of a group.
     [[nodiscard]] auto tasksOf(const PlacementGroup &group, TimePoint now) const -> std::vector<WaitingTask>;
     /// @brief Assigns the tasks of a group to workers until the free capacity is used up.
-    /// @returns false when the tries of this round were used up before the end of the group
+    /// @returns false when the tries of this round or the start orders that may be under way were used up before the end of the group
     [[nodiscard]] auto placeGroup(const PlacementGroup &group, PlacementOrder &order, PoolCapacities &pools, TimePoint now) -> bool;
     /// @brief Finds the best worker with free capacity for a task.
     [[nodiscard]] auto chooseWorker(const WaitingTask &waiting, PoolCapacities &pools, TimePoint now) -> WorkerChoice;
@@ -245,6 +265,8 @@
     FleetLimits m_limits;
     Epoch m_epoch = 0;
     TimePoint m_storeConfirmedAt; ///< send time of the last commit that was stored
+    TimePoint m_inheritedLeaseEnd; ///< until then, workers may hold a lease of the previous owner
+    bool m_isPreparing = false; ///< see prepare()
     std::optional<TimePoint> m_jobListTime; ///< see setJobListTime()
     std::shared_ptr<const FleetConfiguration> m_configuration;
     std::map<std::string, std::unique_ptr<FleetJob>, std::less<>> m_jobs;
@@ -266,6 +288,8 @@
     TimePoint m_nextPlacement; ///< time of the next round while tasks wait and nothing changes
     TimePoint m_nextModelWrite; ///< when to store the interference model again
     std::optional<PlacementPosition> m_resumeAt; ///< position at which the last round ran out of tries
+    StartWindow m_startWindow;
+    std::size_t m_assignedSinceCommit = 0; ///< runs whose start orders are not sent yet, because no commit contains them
     std::size_t m_triesLeft = 0; ///< tasks that this round may still try to place
     PlacementCounters m_placementCounters;
     std::size_t m_waitingCount = 0;
--- a/include/burdockspur/fleet/fleetstoreduty.hpp
+++ b/include/burdockspur/fleet/fleetstoreduty.hpp
@@ -69,7 +69,8 @@
     auto beginOwnership(const FleetOwnerRow &row, std::uint64_t version) -> void;
     auto handleJobsLoaded(JobLoad::Jobs &&loaded) -> void;
     auto handleLoadFailure(const Error &error) -> void;
-    auto followFleet(std::uint64_t version) -> void;
+    auto followJobs(std::uint64_t version) -> void;
+    auto followWorkers() -> void;
     auto handleReloadedJobs(JobLoad::Jobs &&loaded, TimePoint sentAt) -> void;
     auto restoreModel(Epoch epoch, Result<std::vector<TableRow>> &&rows) -> void;
     auto reloadJobs() -> void;
@@ -88,8 +89,8 @@
     // Changes of the tables that the owner follows
     auto forwardJobs(const RowPage &page, TimePoint confirmedAt) -> void;
     auto forwardWorkers(const RowPage &page, bool isWhole) -> void;
-
     auto logUnreadableWorker(const TableRow &row, const Error &error) -> void;
+
     FleetSettings m_settings;
     const FleetPlatform &m_platform;
     std::string m_incarnation;
@@ -124,8 +125,8 @@
     bool m_isAwaitingHandOver = false; ///< the owner's row is polled at the short interval
     bool m_isReleased = false; ///< the release for a planned stop was started
     std::vector<FleetStoreInput> m_inputs;
-};
     LogThrottle m_configurationLog;
     LogThrottle m_jobLog;
     LogThrottle m_workerLog;
+};
 }
--- a/include/burdockspur/fleet/fleetworker.hpp
+++ b/include/burdockspur/fleet/fleetworker.hpp
@@ -33,6 +33,7 @@
     /// False after a report order without an accepted answer. Decides whether the lease is renewed; the time of the last report cannot
     /// decide that, because it is also long ago when the owner itself is late.
     bool m_isAnswering = false;
+    std::uint32_t m_unansweredReports = 0; ///< consecutive report orders without an accepted answer
     bool m_mayHaveStops = false; ///< if false, no run is marked for a stop, and the runs need not be searched
     bool m_mayHaveUnsentRuns = false; ///< if false, no run is in RunStage::Unsent, and the runs need not be searched
     bool m_hasUnknownRuns = false; ///< the last report listed a run that the owner has not assigned; the worker gets no tasks until it has ended
@@ -84,6 +85,12 @@
     /// @brief Number of runs on this worker that belong to the same step and occurrence as a task.
     [[nodiscard]] auto countTasksOfStep(const TaskId &task) const noexcept -> std::uint32_t;
 
+    /// @brief True if the runs of the worker have certainly ended without a report of their ends: the lease has expired and the worker does
+    /// not answer.
+    ///
+    /// The lease alone does not decide: when the owner is late, the answers that list the ends may be waiting to be read.
+    [[nodiscard]] auto hasLapsed(TimePoint now) const noexcept -> bool;
+
     /// @brief True if the worker may get new tasks; does not consider its health.
     [[nodiscard]] auto acceptsTasks(const FleetLimits &limits, TimePoint now) const noexcept -> bool;
 
--- a/include/burdockspur/fleet/taskrun.hpp
+++ b/include/burdockspur/fleet/taskrun.hpp
@@ -37,6 +37,7 @@
     bool m_isFilling = false;
     Milliseconds m_tailTarget{0};
     TimePoint m_assignedAt;
+    TimePoint m_startSentAt; ///< when the last start order was sent
     TimePoint m_confirmedAt; ///< when the worker confirmed the run
     double m_percent = 0; ///< progress in the latest report
     double m_firstPercent = 0; ///< progress in the first report that listed the run
--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -124,6 +124,7 @@
 class SignalWatcher;
 class SizeEstimator;
 class SnapshotKeeper;
+class StartWindow;
 class StatusText;
 class TableFollower;
 class TableStore;
--- a/include/burdockspur/impl/fleetschedulerparts.hpp
+++ b/include/burdockspur/impl/fleetschedulerparts.hpp
@@ -48,7 +48,6 @@
     };
 
     std::uint64_t m_number = 0;
-    TimePoint m_sentAt;
     std::vector<std::string> m_jobs; ///< ids of the jobs whose progress the commit contains
     std::vector<std::uint64_t> m_changes; ///< for each of these jobs, number of the first change that the commit stores
     std::vector<std::string> m_deletes; ///< row keys that the commit deletes
--- a/src/fleet/fillinterferencemodel.cpp
+++ b/src/fleet/fillinterferencemodel.cpp
@@ -159,6 +159,11 @@
         const std::size_t count = m_fillImages.size();
         double &variance = filter.m_covariance[index * count + index];
         if (stored.m_variance > 0 && stored.m_variance < variance) {
+            // What was learned together with this weight does not hold for the restored one.
+            for (std::size_t other = 0; other < count; ++other) {
+                filter.m_covariance[index * count + other] = 0;
+                filter.m_covariance[other * count + index] = 0;
+            }
             variance = stored.m_variance;
             filter.m_weights[index] = std::clamp(stored.m_weight, 0.0, largestWeight);
         }
--- a/src/fleet/fleetduty.cpp
+++ b/src/fleet/fleetduty.cpp
@@ -64,6 +64,11 @@
     }
 }
 
+auto FleetDuty::on(OwnershipClaimed &&input, TimePoint now) -> void
+{
+    m_scheduler.prepare(input.m_epoch, now);
+}
+
 auto FleetDuty::on(OwnershipTaken &&input, TimePoint now) -> void
 {
     m_scheduler.begin(input.m_epoch, std::move(input.m_jobs), now, wallNow());
@@ -113,7 +118,9 @@
 
 auto FleetDuty::on(CommitAnswer &&input, TimePoint now) -> void
 {
-    m_load.recordCommit(input.m_isStored, now);
+    if (!m_scheduler.isPreparing()) {
+        m_load.recordCommit(input.m_isStored, now);
+    }
     m_scheduler.handleAnswer(input, now);
 }
 
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -16,11 +16,26 @@
 
 FleetScheduler::~FleetScheduler() = default;
 
-auto FleetScheduler::begin(Epoch epoch, std::vector<StoredJob> &&jobs, TimePoint now, WallTime wallNow) -> void
+auto FleetScheduler::prepare(Epoch epoch, TimePoint now) -> void
 {
     resign();
     m_epoch = epoch;
+    m_isPreparing = true;
     m_storeConfirmedAt = now;
+    m_inheritedLeaseEnd = now + m_limits.m_inheritedLease;
+}
+
+auto FleetScheduler::begin(Epoch epoch, std::vector<StoredJob> &&jobs, TimePoint now, WallTime wallNow) -> void
+{
+    if (!m_isPreparing || m_epoch != epoch) {
+        prepare(epoch, now);
+    }
+    m_isPreparing = false;
+    for (auto &[id, worker] : m_workers) {
+        // Tasks are placed on a worker only after a report that was compared with the stored runs.
+        worker.m_hasReported = false;
+        worker.m_reportDue = now;
+    }
     m_nextCommit = now;
     m_nextModelWrite = now + m_limits.m_modelInterval;
     std::vector<std::string> ended; ///< jobs whose end the previous owner has stored
@@ -69,6 +84,7 @@
 
 auto FleetScheduler::resign() -> void
 {
+    m_isPreparing = false;
     m_epoch = 0;
     m_jobListTime.reset();
     m_activeJobs.clear();
@@ -85,6 +101,8 @@
     m_commitNumber = 0;
     m_waitingCount = 0;
     m_waitingFillCpu = 0;
+    m_startWindow.reset();
+    m_assignedSinceCommit = 0;
 }
 
 auto FleetScheduler::restoreRuns(FleetJob &job, TimePoint now) -> void
@@ -105,14 +123,14 @@
         WorkerRecord record;
         record.m_id = task.m_worker;
         record.m_incarnation = task.m_incarnation;
-        auto &worker = m_workers.try_emplace(task.m_worker, record, m_limits, now + m_limits.m_inheritedLease).first->second;
+        auto &worker = m_workers.try_emplace(task.m_worker, record, m_limits, m_inheritedLeaseEnd).first->second;
         if (task.m_incarnation < worker.m_record.m_incarnation) {
             // A task was assigned to a later incarnation, so this one no longer exists.
             endTask(job, id, RunEnd::LeaseLapsed, task.m_checkpoint);
             continue;
         }
         if (task.m_incarnation > worker.m_record.m_incarnation) {
-            replaceIncarnation(worker, record, now);
+            replaceIncarnation(worker, record);
         }
         TaskRun run;
         run.m_job = &job;
@@ -149,7 +167,8 @@
 
 auto FleetScheduler::addJob(TaskJob &&job, TimePoint now, WallTime wallNow) -> void
 {
-    if (!isOwner() || m_jobs.contains(job.m_id) || m_archived.contains(job.m_id)) {
+    // A job that is stored while the jobs are read is passed again after begin().
+    if (!isOwner() || m_isPreparing || m_jobs.contains(job.m_id) || m_archived.contains(job.m_id)) {
         return;
     }
     const std::string id = job.m_id;
@@ -264,7 +283,7 @@
 
 auto FleetScheduler::markArchived(std::span<const std::string> ids, TimePoint now) -> void
 {
-    if (!isOwner()) {
+    if (!isOwner() || m_isPreparing) {
         return;
     }
     for (const auto &id : ids) {
@@ -321,12 +340,15 @@
     if (!isOwner()) {
         return TimePoint::max();
     }
+    if (m_isPreparing) {
+        return pollWorkers(now);
+    }
     TimePoint next = startDueOccurrences(now, wallNow);
     forgetArchivedJobs(now);
     for (auto &[id, worker] : m_workers) {
         drainWorker(worker, now);
         next = std::min(next, sendStops(worker, now));
-        if (!worker.m_runs.empty() && now >= worker.m_workerLease.latestExpiry()) {
+        if (!worker.m_runs.empty() && worker.hasLapsed(now)) {
             markSentRunsLost(worker, "lease_lapsed");
         }
     }
@@ -429,10 +451,10 @@
     order.m_epoch = m_epoch;
     order.m_waiting = waitingJobs();
     commit->m_number = order.m_number;
-    commit->m_sentAt = now;
     commit->m_deletes = order.m_deletes;
     m_commands.emplace_back(std::move(order));
     m_commit = std::move(commit);
+    m_assignedSinceCommit = 0;
     m_lastCommit = now;
     m_nextCommit = now + m_limits.m_commitInterval;
     return TimePoint::max();
@@ -440,7 +462,13 @@
 
 auto FleetScheduler::handleAnswer(const CommitAnswer &answer, TimePoint now) -> void
 {
-    if (!m_commit || answer.m_epoch != m_epoch || answer.m_number != m_commit->m_number) {
+    if (answer.m_epoch != m_epoch) {
+        return;
+    }
+    if (answer.m_isStored) {
+        m_storeConfirmedAt = std::max(m_storeConfirmedAt, answer.m_sentAt);
+    }
+    if (!m_commit || answer.m_number != m_commit->m_number) {
         return;
     }
     const auto commit = std::move(m_commit);
@@ -456,7 +484,6 @@
         m_nextCommit = now + m_limits.m_commitRetryDelay;
         return;
     }
-    m_storeConfirmedAt = commit->m_sentAt;
     requestArchiving(commit->m_jobs);
     for (const auto &ack : commit->m_acks) {
         auto *const worker = findWorker(ack.m_worker);
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -137,8 +137,19 @@
     return tasks;
 }
 
+auto FleetScheduler::mayAssign() const noexcept -> bool
+{
+    return m_startWindow.room() > m_assignedSinceCommit;
+}
+
 auto FleetScheduler::placeWhenDue(TimePoint now) -> TimePoint
 {
+    if (!mayAssign()) {
+        // The next answer to a start order makes room.
+        m_resumeAt.reset();
+        m_needsPlacement = true;
+        return TimePoint::max();
+    }
     const bool isDue = m_needsPlacement || m_resumeAt || (m_waitingCount > 0 && now >= m_nextPlacement);
     // An assignment takes effect only with a commit, so a round before a commit is possible would only have to be repeated.
     const bool isUseful = m_resumeAt || (!m_commit && now >= m_nextCommit);
@@ -180,6 +191,10 @@
     m_triesLeft = m_limits.m_triesPerRound;
     while (const auto group = order.next()) {
         if (!placeGroup(*group, order, pools, now)) {
+            if (!mayAssign()) {
+                m_needsPlacement = true;
+                break;
+            }
             m_resumeAt = PlacementPosition{group->m_rank, group->m_job->job().m_id, group->m_step->m_occurrence, group->m_step->m_step};
             ++m_placementCounters.m_truncatedRounds;
             break;
@@ -192,7 +207,7 @@
 
 auto FleetScheduler::placeGroup(const PlacementGroup &group, PlacementOrder &order, PoolCapacities &pools, TimePoint now) -> bool
 {
-    if (m_triesLeft == 0) {
+    if (m_triesLeft == 0 || !mayAssign()) {
         return false;
     }
     const auto tasks = tasksOf(group, now);
@@ -209,7 +224,7 @@
         return true;
     }
     for (const auto &task : tasks) {
-        if (m_triesLeft == 0) {
+        if (m_triesLeft == 0 || !mayAssign()) {
             return false;
         }
         countTries(1);
@@ -312,6 +327,7 @@
     for (std::size_t i = 0; i < chosen.size(); ++i) {
         // Nothing was stored or sent since the assignment, so it can be undone.
         chosen[i]->removeRun(members[i].id().text());
+        --m_assignedSinceCommit;
         pools.update(*chosen[i]);
         auto &task = *members[i].m_progress;
         task.m_phase = TaskPhase::Waiting;
@@ -341,6 +357,7 @@
     waiting.m_job->setPhase(JobPhase::Running);
     waiting.m_job->markChanged();
     waiting.m_job->invalidateBacklog();
+    ++m_assignedSinceCommit;
     logEvent(LogLevel::Info,
              "task_assigned",
              {{"job", id.m_job},
@@ -367,6 +384,8 @@
         return;
     }
     run.m_stage = RunStage::Starting;
+    run.m_startSentAt = now;
+    m_startWindow.recordSent();
     m_commands.emplace_back(RunStartOrder{addressOf(worker), run.m_task, run.m_run, run.m_job->job().m_payload, run.m_checkpoint, *lease});
 }
 }
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -77,12 +77,12 @@
     for (const auto &record : changed) {
         auto *worker = findWorker(record.m_id);
         if (worker == nullptr) {
-            worker = &m_workers.try_emplace(record.m_id, record, m_limits, now).first->second;
+            worker = &m_workers.try_emplace(record.m_id, record, m_limits, m_inheritedLeaseEnd).first->second;
             logEvent(LogLevel::Info, "worker_added", {{"worker", record.m_id}, {"incarnation", record.m_incarnation}, {"workers", m_workers.size()}});
         } else if (record.m_incarnation < worker->m_record.m_incarnation) {
             continue;
         } else if (record.m_incarnation > worker->m_record.m_incarnation) {
-            replaceIncarnation(*worker, record, now);
+            replaceIncarnation(*worker, record);
         }
         const bool wasLeaving = worker->m_record.m_drainRemaining.has_value();
         worker->m_record = record;
@@ -113,11 +113,12 @@
     m_commands.emplace_back(OwnershipResigned{epoch});
 }
 
-auto FleetScheduler::replaceIncarnation(FleetWorker &worker, const WorkerRecord &record, TimePoint now) -> void
+auto FleetScheduler::replaceIncarnation(FleetWorker &worker, const WorkerRecord &record) -> void
 {
     markRunsLost(worker, "worker_restarted");
     const auto id = worker.m_record.m_id;
-    worker = FleetWorker(record, m_limits, now);
+    // After a takeover, the later incarnation may hold a lease of the previous owner too.
+    worker = FleetWorker(record, m_limits, m_inheritedLeaseEnd);
     worker.m_record.m_id = id;
 }
 
@@ -179,8 +180,9 @@
         ReportOrder order;
         order.m_address = addressOf(worker);
         order.m_ackedEnd = worker.m_durableEnd;
-        order.m_wait =
-            waitsForStore || !worker.m_hasReported || !worker.m_isAnswering ? Milliseconds{0} : m_reportPacing.wait(m_limits, worker.m_runs.empty(), now);
+        order.m_wait = waitsForStore || m_isPreparing || !worker.m_hasReported || !worker.m_isAnswering
+            ? Milliseconds{0}
+            : m_reportPacing.wait(m_limits, worker.m_runs.empty(), now);
         // The lease of a worker that does not answer must not be extended, or its tasks would never count as lost.
         if (mayRenew && worker.m_isAnswering) {
             order.m_leaseUntil = worker.m_workerLease.extendLease(m_limits.m_lease, now);
@@ -201,6 +203,7 @@
     worker->m_reportInFlight = false;
     worker->m_reportDue = now;
     worker->m_isAnswering = answer.m_outcome == OrderOutcome::Accepted;
+    worker->m_unansweredReports = worker->m_isAnswering ? 0 : worker->m_unansweredReports + 1;
     if (answer.m_outcome == OrderOutcome::Fenced) {
         resignAfterFencing(*worker);
         return;
@@ -219,7 +222,7 @@
         if (answer.m_report.m_incarnation > worker->m_record.m_incarnation) {
             auto record = worker->m_record;
             record.m_incarnation = answer.m_report.m_incarnation;
-            replaceIncarnation(*worker, record, now);
+            replaceIncarnation(*worker, record);
             worker->m_isListed = true;
         }
         worker->m_reportDue = now + m_limits.m_reportRetryDelay;
@@ -230,6 +233,11 @@
     }
     worker->m_workerLease.recordClock(answer.m_report.m_clock, answer.m_receivedAt);
     worker->m_lastReportAt = now;
+    if (m_isPreparing) {
+        // The first report tells the worker's clock, the second one renews its lease; the ends are listed again until they are acknowledged.
+        worker->m_reportDue = worker->m_workerLease.grantedDeadline() ? now + renewalInterval : now;
+        return;
+    }
     processEnds(*worker, answer.m_report.m_ended, now);
     processRunningTasks(*worker, answer, now);
     adjustFillingPaces(*worker, now);
@@ -449,9 +457,24 @@
     endTask(job, id, RunEnd::Stopped, {});
 }
 
+auto FleetScheduler::recordStartAnswer(const StartAnswer &answer, const TaskRun *run, TimePoint now) -> void
+{
+    if (!isOwner() || answer.m_address.m_epoch != m_epoch) {
+        return;
+    }
+    if (run == nullptr || answer.m_outcome == OrderOutcome::NoAnswer) {
+        m_startWindow.recordUnanswered();
+    } else {
+        m_startWindow.recordAnswered(now - run->m_startSentAt, now);
+    }
+}
+
 auto FleetScheduler::handleAnswer(const StartAnswer &answer, TimePoint now) -> void
 {
     auto *const worker = findAddressedWorker(answer.m_address);
+    auto *const found = worker == nullptr ? nullptr : worker->findRun(answer.m_task.text());
+    auto *const run = found != nullptr && found->m_run == answer.m_run ? found : nullptr;
+    recordStartAnswer(answer, run, now);
     if (worker == nullptr) {
         return;
     }
@@ -460,10 +483,9 @@
         return;
     }
     if (answer.m_clock) {
-        worker->m_workerLease.recordClock(*answer.m_clock, now);
+        worker->m_workerLease.recordClock(*answer.m_clock, answer.m_receivedAt);
     }
-    auto *const run = worker->findRun(answer.m_task.text());
-    if (run == nullptr || run->m_run != answer.m_run) {
+    if (run == nullptr) {
         return;
     }
     logEvent(LogLevel::Info,
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -415,6 +415,12 @@
     m_release.reset();
     m_hasLoadedJobs = false;
     m_jobsAsOf = Clock::now();
+    m_toScheduler->push(OwnershipClaimed{row.m_epoch});
+    // Before the jobs, because the reports that follow them are compared with the model.
+    m_store->read(modelKey, [this, epoch = row.m_epoch](Result<std::vector<TableRow>> &&rows) {
+        restoreModel(epoch, std::move(rows));
+    });
+    followWorkers();
     m_jobLoad = std::make_unique<JobLoad>(*m_store,
                                           JobLoad::Scope::Everything,
                                           JobLoad::Listener{.m_loaded =
@@ -446,15 +452,12 @@
     }
     logEvent(LogLevel::Info, "ownership_begun", {{"epoch", m_commits->row().m_epoch}, {"jobs", loaded.m_jobs.size()}, {"version", loaded.m_version}});
     m_hasLoadedJobs = true;
-    m_store->read(modelKey, [this, epoch = m_commits->row().m_epoch](Result<std::vector<TableRow>> &&rows) {
-        restoreModel(epoch, std::move(rows));
-    });
     m_archive->begin();
     m_toScheduler->push(OwnershipTaken{m_commits->row().m_epoch, std::move(loaded.m_jobs), m_jobsAsOf, std::move(loaded.m_archived)});
-    followFleet(loaded.m_version);
+    followJobs(loaded.m_version);
 }
 
-auto FleetStoreDuty::followFleet(std::uint64_t version) -> void
+auto FleetStoreDuty::followJobs(std::uint64_t version) -> void
 {
     const auto wait = [this](Milliseconds pause, std::function<void()> call) {
         later(pause, std::move(call));
@@ -473,6 +476,10 @@
                                                                             },
                                                                         .m_runLater = wait});
     m_jobRows->startAfter(version);
+}
+
+auto FleetStoreDuty::followWorkers() -> void
+{
     m_knownWorkers.clear();
     m_workerRows = std::make_unique<TableFollower>(*m_store,
                                                    m_codec->workerTable(),
@@ -485,7 +492,10 @@
                                                                                [this](const RowPage &page, TimePoint /*confirmedAt*/) {
                                                                                    forwardWorkers(page, false);
                                                                                },
-                                                                           .m_runLater = wait});
+                                                                           .m_runLater =
+                                                                               [this](Milliseconds pause, std::function<void()> call) {
+                                                                                   later(pause, std::move(call));
+                                                                               }});
     m_workerRows->start();
 }
 
@@ -594,6 +604,15 @@
     m_toScheduler->push(std::move(stored));
 }
 
+auto FleetStoreDuty::logUnreadableWorker(const TableRow &row, const Error &error) -> void
+{
+    if (const auto heldBack = m_workerLog.admit(Clock::now())) {
+        logEvent(LogLevel::Warning,
+                 "worker_row_unreadable",
+                 {{"worker", rowName(row.m_key)}, {"version", row.m_version}, {"reason", error.m_message}, {"held_back", *heldBack}});
+    }
+}
+
 auto FleetStoreDuty::forwardWorkers(const RowPage &page, bool isWhole) -> void
 {
     WorkersChanged changes;
@@ -604,15 +623,6 @@
         if (!worker) {
             if (!change.m_isDeleted) {
                 logUnreadableWorker(change.m_row, worker.error());
-auto FleetStoreDuty::logUnreadableWorker(const TableRow &row, const Error &error) -> void
-{
-    if (const auto heldBack = m_workerLog.admit(Clock::now())) {
-        logEvent(LogLevel::Warning,
-                 "worker_row_unreadable",
-                 {{"worker", rowName(row.m_key)}, {"version", row.m_version}, {"reason", error.m_message}, {"held_back", *heldBack}});
-    }
-}
-
             }
             // An entry that cannot be read names no worker to use; what runs there keeps its lease.
             if (m_knownWorkers.erase(id) > 0) {
--- a/src/fleet/fleetworker.cpp
+++ b/src/fleet/fleetworker.cpp
@@ -12,6 +12,10 @@
 {
 namespace
 {
+/// Consecutive unanswered reports after which a worker counts as silent. A single one may be caused by the connection, e.g. one that was
+/// silently dropped; the next report uses a new connection.
+constexpr std::uint32_t silentReports = 2;
+
 auto adjustJobRunCount(const TaskRun &run, int change) noexcept -> void
 {
     if (run.m_job != nullptr) {
@@ -115,6 +119,13 @@
     }));
 }
 
+auto FleetWorker::hasLapsed(TimePoint now) const noexcept -> bool
+{
+    // A worker without an address is in no list, so it is never asked.
+    const bool isSilent = m_record.m_endpoint.m_port == 0 || m_unansweredReports >= silentReports;
+    return isSilent && now >= m_workerLease.latestExpiry();
+}
+
 auto FleetWorker::acceptsTasks(const FleetLimits &limits, TimePoint now) const noexcept -> bool
 {
     return m_isListed && m_hasReported && !m_record.m_drainRemaining && !m_hasUnknownRuns && now - m_lastReportAt <= limits.m_reportMaxAge;
--- a/src/fleet/ownerload.cpp
+++ b/src/fleet/ownerload.cpp
@@ -36,7 +36,10 @@
 {
     m_sums.m_commits += isStored ? 1 : 0;
     m_sums.m_refusedCommits += isStored ? 0 : 1;
-    m_sums.m_longestCommit = std::max(m_sums.m_longestCommit, now - m_commitSentAt);
+    // A sign of life of the store duty is answered before the first commit of the scheduler is sent.
+    if (m_commitSentAt != TimePoint{}) {
+        m_sums.m_longestCommit = std::max(m_sums.m_longestCommit, now - m_commitSentAt);
+    }
 }
 
 auto OwnerLoad::recordRound(const FleetScheduler &scheduler, std::size_t inputs, TimePoint beganAt, TimePoint now) -> void
--- a/tests/fillinterferencemodeltest.cpp
+++ b/tests/fillinterferencemodeltest.cpp
@@ -70,3 +70,25 @@
     model.learn(use, serving, 5.0);
     EXPECT_DOUBLE_EQ(model.weight(fill, serving), before);
 }
+
+// Guards against a restored weight that the next sample of another image changes: what was learned of both together before the restore
+// stayed in the filter, and after a takeover filling tasks were slowed and held back for many seconds.
+TEST(FillInterferenceModelTest, ARestoredWeightIsIndependentOfEarlierSamples)
+{
+    FillInterferenceModel model;
+    const auto known = model.imageId("known");
+    const auto other = model.imageId("other");
+    const auto serving = model.imageId("serving");
+    const std::array<FillUse, 2> both{{{known, 0.4}, {other, 0.4}}};
+    for (int i = 0; i < 5; ++i) {
+        model.learn(both, serving, 1.0);
+    }
+    const std::vector<InterferencePair> stored{{"known", "serving", light, 0.05}};
+    model.restore(stored);
+    const std::array<FillUse, 1> alone{{{other, 0.4}}};
+    for (int i = 0; i < 5; ++i) {
+        model.learn(alone, serving, heavy * 0.4);
+    }
+    EXPECT_NEAR(model.weight(known, serving), light, 0.05);
+    EXPECT_NEAR(model.weight(other, serving), heavy, 1.0);
+}
--- a/tests/fleetsimulation.hpp
+++ b/tests/fleetsimulation.hpp
@@ -66,6 +66,25 @@
     /// @param factor relative to the declared duration
     auto setDurationFactor(std::string_view job, std::uint32_t index, double factor) -> void;
 
+    /// @brief Makes every owner slow: it processes its inputs in rounds, and each input occupies it for a time.
+    auto setInputCost(Duration cost) noexcept -> void
+    {
+        m_inputCost = cost;
+    }
+
+    /// @brief Delays the effect of every commit.
+    auto setCommitDelay(Milliseconds delay) noexcept -> void
+    {
+        m_commitDelay = delay;
+    }
+
+    /// @brief Counts a success as known 100 ms after the worker has reported it, as the platform does without a disruption, whether or not
+    /// the owner has read the report. A later start of the task is then a violation.
+    auto requireReportedEnds() noexcept -> void
+    {
+        m_requiresReportedEnds = true;
+    }
+
     /// @brief Advances the virtual time.
     auto run(Milliseconds length) -> void;
 
@@ -97,6 +116,18 @@
     /// @brief Time of the first start of any task after a time; empty if there was none.
     [[nodiscard]] auto firstStartAfter(TimePoint time) const -> std::optional<TimePoint>;
 
+    /// @brief Number of runs that workers have ended because their lease had expired.
+    [[nodiscard]] auto lapsedRuns() const noexcept -> std::size_t
+    {
+        return m_lapsedRuns;
+    }
+
+    /// @brief Largest number of inputs that waited for a slow owner, and of commands that one round has produced.
+    [[nodiscard]] auto mostWaiting() const noexcept -> std::size_t
+    {
+        return m_mostWaiting;
+    }
+
     std::vector<std::string> m_violations; ///< rule, task and history of the task
     std::vector<std::string> m_jobs; ///< ids of all submitted jobs
 
@@ -118,7 +149,17 @@
         }
     };
 
+    /// Inputs of an owner that are not processed yet.
+    struct Inbox {
+        std::vector<std::function<void()>> m_waiting;
+        TimePoint m_busyUntil;
+    };
+
     auto schedule(Milliseconds delay, std::function<void()> call) -> void;
+    /// @brief Passes an input to an owner, at once unless owners are slow.
+    auto deliver(const FleetScheduler &owner, std::function<void()> input) -> void;
+    /// @brief Confirms the ownership of an owner that reads its jobs, as its signs of life do.
+    auto confirmWhilePreparing(FleetScheduler &owner) -> void;
     auto advanceOwner(FleetScheduler &owner) -> void;
     auto send(FleetScheduler &owner, const FleetCommand &command) -> void;
     auto commit(FleetScheduler &owner, const CommitOrder &order) -> void;
@@ -162,6 +203,13 @@
     std::map<std::string, StoredJob, std::less<>> m_store;
     std::map<std::string, JobPhase, std::less<>> m_finals; ///< jobs that were moved to the table of ended jobs
     std::map<const FleetScheduler *, JobArchive> m_archives;
+    std::map<const FleetScheduler *, Inbox> m_inboxes;
+    Duration m_inputCost{0};
+    Milliseconds m_commitDelay{0};
+    bool m_requiresReportedEnds = false;
+    std::size_t m_lapsedRuns = 0;
+    std::size_t m_mostWaiting = 0;
+    std::map<std::string, TimePoint, std::less<>> m_reportedDone; ///< time of the first report that lists the success of a task
     std::optional<CommitOrder> m_lateCommit;
     std::map<std::string, TaskJob, std::less<>> m_submittedJobs;
     std::set<std::string, std::less<>> m_acknowledgedDone; ///< tasks whose successful end was acknowledged
--- /dev/null
+++ b/tests/startwindowtest.cpp
@@ -0,0 +1,60 @@
+#include "burdockspur/fleet/startwindow.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace Burdockspur;
+
+namespace
+{
+const TimePoint start = TimePoint{} + std::chrono::hours(1);
+
+/// @brief Size of a window without orders under way.
+[[nodiscard]] auto sizeOf(const StartWindow &window) -> std::size_t
+{
+    return window.room();
+}
+}
+
+// Guards against orders beyond the bound, and against a bound that an unanswered order occupies for ever.
+TEST(StartWindowTest, OrdersUnderWayTakeRoomUntilTheyEnd)
+{
+    StartWindow window;
+    const auto size = sizeOf(window);
+    for (std::size_t i = 0; i < size; ++i) {
+        window.recordSent();
+    }
+    EXPECT_EQ(window.room(), 0U);
+    window.recordUnanswered();
+    EXPECT_EQ(window.room(), 1U);
+    window.reset();
+    EXPECT_EQ(window.room(), size);
+}
+
+// Guards against an owner that lets answers wait in its queues, and against one that collapses because many answers are late at once.
+TEST(StartWindowTest, LateAnswersShrinkItOncePerRoundTrip)
+{
+    StartWindow window;
+    const auto size = sizeOf(window);
+    for (int i = 0; i < 100; ++i) {
+        window.recordAnswered(Milliseconds{900}, start + Milliseconds{i});
+    }
+    EXPECT_LT(sizeOf(window), size);
+    EXPECT_GT(sizeOf(window), size / 2);
+    for (int i = 0; i < 100; ++i) {
+        window.recordAnswered(Milliseconds{900}, start + i * Milliseconds{300});
+    }
+    EXPECT_GT(sizeOf(window), 0U) << "an owner that is slow must still start something";
+    EXPECT_LT(sizeOf(window), size / 8);
+}
+
+// Guards against a window that stays small after a short delay, e.g. of a slow store.
+TEST(StartWindowTest, PromptAnswersWidenItAgain)
+{
+    StartWindow window;
+    window.recordAnswered(Milliseconds{900}, start);
+    const auto small = sizeOf(window);
+    for (int i = 0; i < 1'000; ++i) {
+        window.recordAnswered(Milliseconds{20}, start);
+    }
+    EXPECT_GT(sizeOf(window), 2 * small);
+}
