--- a/tests/fleetscheduleroverloadtest.cpp
+++ b/tests/fleetscheduleroverloadtest.cpp
@@ -60,7 +60,7 @@
 }
 
 // Ten times the load that an owner carries. Guards against an owner that is wrong because it is late: runs that it repeats although their
-// success was reported, ends that it loses, and leases that it takes for expired or lets expire (TWICE and LOST on the large site, 2026-12-05).
+// success was reported, ends that it loses, and leases that it takes for expired or lets expire.
 TEST_F(FleetSchedulerOverload, NothingIsRepeatedLostOrGivenUp)
 {
     overload();
--- a/tests/fleetschedulertest.cpp
+++ b/tests/fleetschedulertest.cpp
@@ -476,8 +476,8 @@
     EXPECT_EQ(fleet.m_starts.size(), 1U) << "the task has succeeded and must not run again";
 }
 
-// Guards against an owner that counts a lease as expired because it is late itself: the success of the task waited in an answer that the
-// owner had not read, and the task was started again (TWICE, large site with four plays at a time, 2026-12-05).
+// Guards against an owner that counts a lease as expired because it is late itself: the success of the task waits in an answer that the
+// owner has not read, and the task is started again.
 TEST(FleetSchedulerTest, ALateOwnerReadsTheReportBeforeItGivesUpARun)
 {
     ManualFleet fleet;
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -507,8 +507,8 @@
     expectBody(1, "ok");
 }
 
-// Guards against a process that was delayed and gives up a call although its response had arrived in time: an owner of a large fleet took
-// workers for silent and started their tasks again (TWICE, large site, 2026-12-05).
+// Guards against a process that was delayed and gives up a call although its response had arrived in time: a late owner of a large fleet
+// would take workers for silent.
 TEST_F(HttpClientTest, AResponseThatArrivedInTimeIsReadByALateProcess)
 {
     RawServer server;
