--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -163,6 +163,12 @@
 
     async def main():
         deployment = Deployment(folder, **options)
+
+        def stop():
+            deployment.end()
+            os._exit(COULD_NOT_RUN)
+
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
         try:
             await deployment.start()
             faults = await asyncio.wait_for(scenario(deployment, trouble), LONGEST_SECONDS)
