Send orders only to the incarnation of a worker that they are meant for

Cause: a call names a worker by its id, which a restart keeps. Start orders that waited in connections opened during the cut were carried out by the new incarnation, while the owner counted the runs of the former one as lost. A report order brought it acknowledgements and deadlines of the former one, so it dropped ends that nobody had read. The owner also took any entry with a later number for a restart, and ignored reports with a lower one. Ruled out: accounting in the owner alone, since an order may be carried out seconds late. Change: a connection ends with the process that accepted it. HttpClient sends a request for a certain process only on a connection whose process has identified itself, by a probe on new connections (HttpPeer). Starts, acknowledgements and leases use it. A worker's incarnation is taken from its own answers only, in the order of the calls. Bounds: too early (TWICE): runs are lost at once only when another incarnation has answered a call sent after the last answer of the former one. Too late (LOST): otherwise after the lease of 5 s, 2% drift, and two unanswered reports, as before. Tests: PlatformCallsTest.AStartReachesOnlyTheAddressedIncarnation, AcknowledgementsAndLeasesReachOnlyTheAddressedIncarnation, ARefusalBeforeTheOrderCounts, FleetSchedulerTest.AnEntryDoesNotEndTheRunsOfAWorker, ARestartAfterTheClockJumpedBackEndsTheFormerRuns, AWorkerFoundToBeAnotherIncarnationIsAskedWithoutALease and FleetSchedulerProperty/restarts_unseen failed on. FleetSchedulerGuards.OrdersThatReachAnotherIncarnationRunTasksTwice: the simulation without this rule breaks runs_twice. Two tests of PlatformCallsTest let their stand-in answer the probe now; what they check is unchanged.

--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -194,7 +194,8 @@
     /// @param run the run that the order has started; nullptr if it is not known any more
     auto recordStartAnswer(const StartAnswer &answer, const TaskRun *run, TimePoint now) -> void;
     auto resignAfterFencing(const FleetWorker &worker) -> void;
-    auto replaceIncarnation(FleetWorker &worker, const WorkerRecord &record) -> void;
+    /// @brief Marks all runs of a worker as lost, and continues with another incarnation of it.
+    auto replaceIncarnation(FleetWorker &worker, std::uint64_t incarnation, std::string_view reason) -> void;
     auto processEnds(FleetWorker &worker, std::span<const EndedTask> ended, TimePoint now) -> void;
     /// @brief Processes the end of a run that was already counted as lost.
     auto processLateEnd(const EndedTask &end) -> void;
--- a/include/burdockspur/fleet/fleetworker.hpp
+++ b/include/burdockspur/fleet/fleetworker.hpp
@@ -29,6 +29,7 @@
     WorkerRecord m_record;
     bool m_isListed = false; ///< in the platform's list; an unlisted worker gets no new tasks
     bool m_hasReported = false; ///< has accepted an order of this owner, and therefore rejects those of earlier owners
+    bool m_isIncarnationConfirmed = false; ///< the incarnation has answered this owner; until then it is taken from an entry or a stored task
     bool m_reportInFlight = false;
     /// False after a report order without an accepted answer. Decides whether the lease is renewed; the time of the last report cannot
     /// decide that, because it is also long ago when the owner itself is late.
--- a/include/burdockspur/link/httpclient.hpp
+++ b/include/burdockspur/link/httpclient.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,11 +26,25 @@
 struct HttpFailure {
     Error m_error; ///< ConnectionClosed, Timeout, Overloaded, AnswerCorrupt, or BadRequest for a request that is not valid HTTP
     bool m_sent = false; ///< false when no byte of the request was sent; when true, the server may have received the request
+    bool m_isOtherProcess = false; ///< the process at the endpoint is not the one that HttpPeer names; the request was not sent
 };
 
 /// @brief Result of a call: a response or a failure.
 using HttpReply = std::expected<HttpResponse, HttpFailure>;
 
+/// @brief Names the process that may receive a request.
+///
+/// An endpoint can belong to another process a moment later, e.g. after a restart. A connection cannot: it ends with the process that has
+/// accepted it. So a request reaches only the intended process if that process has identified itself on the same connection before.
+struct HttpPeer {
+    /// @brief Reads the identity of the process from a successful response; nothing if it has none.
+    using Identify = auto (*)(const HttpResponse &response) -> std::optional<std::uint64_t>;
+
+    std::optional<std::uint64_t> m_process; ///< identity of the process; if not set, every process may receive the request
+    std::function<HttpRequest()> m_makeProbe; ///< makes the request that a connection whose process is not known carries first; harmless to any
+    Identify m_identify = nullptr; ///< applied to the response to the probe, and to the response to a request for every process
+};
+
 /// @brief Limits and timeouts of a client.
 struct HttpClientLimits {
     std::size_t m_maxConnectionsPerEndpoint = 8;
@@ -67,6 +82,16 @@
     /// @param callback receives the reply
     auto call(const HttpEndpoint &endpoint, HttpRequest &&request, Duration timeout, Callback callback) -> void;
 
+    /// @brief Sends a request that only a certain process may receive.
+    ///
+    /// The probe and its response count towards the timeout. A response to the probe with another status than 200 is the reply to the call.
+    /// @param endpoint the server
+    /// @param request the request to send
+    /// @param timeout covers waiting for a connection, connecting, identifying the process, sending and receiving
+    /// @param callback receives the reply; HttpFailure::m_isOtherProcess if another process uses the endpoint
+    /// @param peer the process, and how it identifies itself
+    auto call(const HttpEndpoint &endpoint, HttpRequest &&request, Duration timeout, Callback callback, HttpPeer &&peer) -> void;
+
     /// @brief Number of calls without a reply.
     [[nodiscard]] auto openCalls() const noexcept -> std::size_t;
 
--- a/include/burdockspur/port/runworkerport.hpp
+++ b/include/burdockspur/port/runworkerport.hpp
@@ -10,7 +10,8 @@
 /// @brief Sends orders to workers that run tasks.
 ///
 /// Lives in the thread of the worker calls. Callbacks run there, exactly once, never from within the call. The port never
-/// repeats an order.
+/// repeats an order. Starts, acknowledgements and leases reach only the incarnation in WorkerAddress; a worker that restarts under its id must
+/// not carry out what was meant for its former incarnation.
 class RunWorkerPort
 {
 public:
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -124,13 +124,15 @@
         record.m_id = task.m_worker;
         record.m_incarnation = task.m_incarnation;
         auto &worker = m_workers.try_emplace(task.m_worker, record, m_limits, m_inheritedLeaseEnd).first->second;
-        if (task.m_incarnation < worker.m_record.m_incarnation) {
-            // A task was assigned to a later incarnation, so this one no longer exists.
-            endTask(job, id, RunEnd::LeaseLapsed, task.m_checkpoint);
-            continue;
-        }
-        if (task.m_incarnation > worker.m_record.m_incarnation) {
-            replaceIncarnation(worker, record);
+        if (task.m_incarnation != worker.m_record.m_incarnation) {
+            // A worker that has answered this owner is in its latest incarnation. Until then, the stored tasks tell: one that was assigned
+            // to a later incarnation shows that the earlier ones have ended. An entry of the platform's list tells nothing.
+            const bool isOver = worker.m_isIncarnationConfirmed || (!worker.m_runs.empty() && task.m_incarnation < worker.m_record.m_incarnation);
+            if (isOver) {
+                endTask(job, id, RunEnd::LeaseLapsed, task.m_checkpoint);
+                continue;
+            }
+            replaceIncarnation(worker, task.m_incarnation, "worker_restarted");
         }
         TaskRun run;
         run.m_job = &job;
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -42,6 +42,9 @@
 /// The worker counts as slow when runs of at least this many jobs are slow on it.
 constexpr std::size_t minSlowJobs = 2;
 
+/// Incarnation of a worker that was found to be another one than the addressed, until its next report tells it.
+constexpr std::uint64_t unknownIncarnation = 0;
+
 /// Smaller changes of a pace are not sent, unless the new pace is 0 or fullPacePercent.
 constexpr int minPaceChangePercent = 10;
 constexpr int fullPacePercent = 100;
@@ -79,13 +82,13 @@
         if (worker == nullptr) {
             worker = &m_workers.try_emplace(record.m_id, record, m_limits, m_inheritedLeaseEnd).first->second;
             logEvent(LogLevel::Info, "worker_added", {{"worker", record.m_id}, {"incarnation", record.m_incarnation}, {"workers", m_workers.size()}});
-        } else if (record.m_incarnation < worker->m_record.m_incarnation) {
-            continue;
-        } else if (record.m_incarnation > worker->m_record.m_incarnation) {
-            replaceIncarnation(*worker, record);
         }
         const bool wasLeaving = worker->m_record.m_drainRemaining.has_value();
+        // Only the worker's own answers tell that an incarnation has ended: an entry may be late, may be of another writer, and wall clocks
+        // jump, so that a later incarnation may even have a lower number.
+        const auto incarnation = worker->m_record.m_incarnation;
         worker->m_record = record;
+        worker->m_record.m_incarnation = incarnation;
         worker->m_isListed = true;
         if (!record.m_drainRemaining) {
             worker->m_drainEndsAt = TimePoint::max();
@@ -113,13 +116,15 @@
     m_commands.emplace_back(OwnershipResigned{epoch});
 }
 
-auto FleetScheduler::replaceIncarnation(FleetWorker &worker, const WorkerRecord &record) -> void
+auto FleetScheduler::replaceIncarnation(FleetWorker &worker, std::uint64_t incarnation, std::string_view reason) -> void
 {
-    markRunsLost(worker, "worker_restarted");
-    const auto id = worker.m_record.m_id;
-    // After a takeover, the later incarnation may hold a lease of the previous owner too.
-    worker = FleetWorker(record, m_limits, m_inheritedLeaseEnd);
-    worker.m_record.m_id = id;
+    markRunsLost(worker, reason);
+    // After a takeover, the other incarnation may hold a lease of the previous owner too.
+    FleetWorker next(worker.m_record, m_limits, m_inheritedLeaseEnd);
+    next.m_record.m_incarnation = incarnation;
+    next.m_isListed = worker.m_isListed;
+    next.m_drainEndsAt = worker.m_drainEndsAt;
+    worker = std::move(next);
 }
 
 auto FleetScheduler::markRunsLost(FleetWorker &worker, std::string_view reason) -> void
@@ -209,9 +214,10 @@
         return;
     }
     if (answer.m_outcome == OrderOutcome::OtherIncarnation) {
-        markRunsLost(*worker, "other_incarnation");
-        worker->m_hasReported = false;
-        worker->m_reportDue = now + m_limits.m_reportRetryDelay;
+        // The first report after this is sent at once, and tells the incarnation unless the endpoint belongs to another worker.
+        const bool isRepeated = worker->m_record.m_incarnation == unknownIncarnation;
+        replaceIncarnation(*worker, unknownIncarnation, "other_incarnation");
+        worker->m_reportDue = isRepeated ? now + m_limits.m_reportRetryDelay : now;
         return;
     }
     if (answer.m_outcome != OrderOutcome::Accepted) {
@@ -219,15 +225,11 @@
         return;
     }
     if (answer.m_report.m_incarnation != worker->m_record.m_incarnation) {
-        if (answer.m_report.m_incarnation > worker->m_record.m_incarnation) {
-            auto record = worker->m_record;
-            record.m_incarnation = answer.m_report.m_incarnation;
-            replaceIncarnation(*worker, record);
-            worker->m_isListed = true;
-        }
-        worker->m_reportDue = now + m_limits.m_reportRetryDelay;
+        // One report is requested at a time, so this one is later than all that were received from the former incarnation.
+        replaceIncarnation(*worker, answer.m_report.m_incarnation, "worker_restarted");
         return;
     }
+    worker->m_isIncarnationConfirmed = true;
     if (!std::exchange(worker->m_hasReported, true)) {
         m_needsPlacement = true;
     }
@@ -504,7 +506,7 @@
         run->m_confirmedAt = now;
         return;
     case OrderOutcome::OtherIncarnation:
-        markRunsLost(*worker, "other_incarnation");
+        replaceIncarnation(*worker, unknownIncarnation, "other_incarnation");
         return;
     case OrderOutcome::NoAnswer:
         ++run->m_unansweredStarts;
--- a/src/link/httpclient.cpp
+++ b/src/link/httpclient.cpp
@@ -33,6 +33,9 @@
 /// A response that has arrived in time is read even by a process that is late, but at most this long after the deadline of the call.
 constexpr std::chrono::seconds maxReadDelay{5};
 
+/// Status of a response from which a process can be identified.
+constexpr int okStatus = 200;
+
 /// Prevents an overflow when a timeout is added to the current time.
 constexpr std::chrono::hours maxTimeout{24};
 
@@ -44,11 +47,19 @@
 };
 
 struct Call {
+    /// True if the request may be sent on a connection, or could be after a probe.
+    [[nodiscard]] auto accepts(const std::optional<std::uint64_t> &process) const noexcept -> bool
+    {
+        return !m_peer || !m_peer->m_process || !process || *process == *m_peer->m_process;
+    }
+
     QByteArray m_bytes;
     HttpClient::Callback m_callback;
     TimePoint m_deadline;
+    std::optional<HttpPeer> m_peer;
+    QByteArray m_probeBytes; ///< encoded probe of m_peer, unless the call got a connection that needs none
     bool m_isHead = false;
-    bool m_sent = false; ///< at least one byte was accepted by the kernel
+    bool m_sent = false; ///< at least one byte of the request was accepted by the kernel
 };
 
 struct Pool;
@@ -104,6 +115,8 @@
     std::optional<Call> m_call; ///< set while busy
     ResponseParser m_parser;
     InputBuffer m_input;
+    std::optional<std::uint64_t> m_process; ///< identity of the process that has accepted the connection, once it is known
+    bool m_isProbing = false; ///< the probe of m_call was sent, the request was not
     bool m_hasCompletedCall = false; ///< an earlier call on this connection got its response
     bool m_hasInput = false; ///< bytes of the response to m_call were received
 };
@@ -166,7 +179,7 @@
 
 [[nodiscard]] auto callFailure(ErrorCode code, std::string message, bool sent) -> HttpReply
 {
-    return std::unexpected(HttpFailure{.m_error = {code, std::move(message)}, .m_sent = sent});
+    return std::unexpected(HttpFailure{.m_error = {code, std::move(message)}, .m_sent = sent, .m_isOtherProcess = false});
 }
 }
 
@@ -181,12 +194,13 @@
     {
     }
 
-    auto call(const HttpEndpoint &endpoint, const HttpRequest &request, Duration timeout, Callback callback) -> void
+    auto call(const HttpEndpoint &endpoint, const HttpRequest &request, Duration timeout, Callback callback, std::optional<HttpPeer> &&peer) -> void
     {
         ++m_openCalls;
         ++m_deferDepth;
         Call call;
         call.m_callback = std::move(callback);
+        call.m_peer = std::move(peer);
         call.m_deadline = Clock::now() + std::min<Duration>(timeout, maxTimeout);
         call.m_isHead = request.m_method == "HEAD";
         auto bytes = encodeRequest(endpoint, request);
@@ -218,7 +232,16 @@
 
     auto assignConnection(Pool &pool, Call &&call) -> void
     {
-        if (Connection *const idle = takeIdleConnection(pool); idle != nullptr) {
+        Connection *const idle = takeIdleConnection(pool, call);
+        const bool needsProbe = call.m_peer && call.m_peer->m_process && (idle == nullptr || !idle->m_process);
+        if (needsProbe && !encodeProbe(pool, call)) {
+            if (idle != nullptr) {
+                makeIdle(*idle);
+            }
+            deliver(std::move(call), callFailure(ErrorCode::BadRequest, "the probe is not a valid HTTP message", false));
+            return;
+        }
+        if (idle != nullptr) {
             start(*idle, std::move(call));
             return;
         }
@@ -231,13 +254,26 @@
         openConnections(pool);
     }
 
-    /// @returns an idle connection that is still open, or nullptr
-    [[nodiscard]] auto takeIdleConnection(Pool &pool) -> Connection *
+    /// @returns false if the probe is not a valid message
+    [[nodiscard]] static auto encodeProbe(const Pool &pool, Call &call) -> bool
+    {
+        auto bytes = encodeRequest(pool.m_endpoint, call.m_peer->m_makeProbe());
+        if (bytes) {
+            call.m_probeBytes = std::move(*bytes);
+        }
+        return bytes.has_value();
+    }
+
+    /// @returns an idle connection that is still open and may carry the call, preferably one that needs no probe; nullptr if there is none
+    [[nodiscard]] auto takeIdleConnection(Pool &pool, const Call &call) -> Connection *
     {
         while (!pool.m_idle.empty()) {
-            Connection *const connection = pool.m_idle.back();
-            if (connection->isUsable()) {
-                pool.m_idle.pop_back();
+            const auto known = std::ranges::find_if(pool.m_idle.rbegin(), pool.m_idle.rend(), [](const Connection *connection) {
+                return connection->m_process.has_value();
+            });
+            Connection *const connection = known == pool.m_idle.rend() ? pool.m_idle.back() : *known;
+            if (call.accepts(connection->m_process) && connection->isUsable()) {
+                std::erase(pool.m_idle, connection);
                 return connection;
             }
             close(*connection);
@@ -271,7 +307,7 @@
             handleReadyRead(raw->shared_from_this());
         });
         QObject::connect(socket, &QTcpSocket::bytesWritten, &m_context, [raw] {
-            if (raw->m_call) {
+            if (raw->m_call && !raw->m_isProbing) {
                 raw->m_call->m_sent = true;
             }
         });
@@ -312,7 +348,7 @@
     auto dispatchQueue(Pool &pool) -> void
     {
         while (!pool.m_queue.empty()) {
-            Connection *const idle = takeIdleConnection(pool);
+            Connection *const idle = takeIdleConnection(pool, pool.m_queue.front());
             if (idle == nullptr) {
                 openConnections(pool);
                 return;
@@ -327,12 +363,19 @@
     {
         connection.m_state = ConnectionState::Busy;
         connection.m_deadline = TimePoint::max();
-        connection.m_hasInput = false;
-        connection.m_parser.restart(call.m_isHead);
-        const ConnectionPointer self = connection.shared_from_this();
+        connection.m_isProbing = call.m_peer && call.m_peer->m_process && !connection.m_process;
         connection.m_call = std::move(call);
+        write(connection);
+    }
+
+    /// Sends the probe or the request of the call of a connection.
+    auto write(Connection &connection) -> void
+    {
+        const ConnectionPointer self = connection.shared_from_this();
+        connection.m_hasInput = false;
+        connection.m_parser.restart(connection.m_call->m_isHead && !connection.m_isProbing);
         // The call and the socket share the bytes without a copy; the call keeps them, to be queued again if none is sent.
-        connection.m_socket->write(connection.m_call->m_bytes);
+        connection.m_socket->write(connection.m_isProbing ? connection.m_call->m_probeBytes : connection.m_call->m_bytes);
         // Without flush(), Qt would send only in the next iteration of the event loop.
         connection.m_socket->flush();
     }
@@ -368,16 +411,44 @@
         const bool isReusable = connection->m_parser.keepsAlive() && connection->m_input.empty() && socket.bytesAvailable() == 0 && socket.bytesToWrite() == 0
             && socket.state() == QAbstractSocket::ConnectedState;
         HttpResponse response = connection->m_parser.take();
+        connection->m_hasCompletedCall = true;
+        const bool wasProbe = std::exchange(connection->m_isProbing, false);
+        const auto &peer = connection->m_call->m_peer;
+        if (peer && !connection->m_process && response.m_status == okStatus) {
+            connection->m_process = peer->m_identify(response);
+        }
+        const bool isIntended = !wasProbe || connection->m_process == peer->m_process;
+        if (wasProbe && isIntended && isReusable) {
+            write(*connection);
+            return;
+        }
         Call call = std::move(*connection->m_call);
         connection->m_call.reset();
-        connection->m_hasCompletedCall = true;
         if (isReusable) {
             makeIdle(*connection);
         } else {
             close(*connection);
         }
         dispatchQueue(connection->m_pool);
-        deliver(std::move(call), std::move(response));
+        if (wasProbe && response.m_status == okStatus) {
+            deliver(std::move(call), probeFailure(*connection, isIntended));
+        } else {
+            deliver(std::move(call), std::move(response));
+        }
+    }
+
+    /// Reply to a call whose probe was answered, but whose request was not sent.
+    [[nodiscard]] static auto probeFailure(const Connection &connection, bool isIntended) -> HttpReply
+    {
+        if (isIntended) {
+            return callFailure(ErrorCode::ConnectionClosed, "the connection closed after the process was identified", false);
+        }
+        if (!connection.m_process) {
+            return callFailure(ErrorCode::AnswerCorrupt, "the process did not identify itself", false);
+        }
+        auto reply = callFailure(ErrorCode::ConnectionClosed, "another process uses the endpoint", false);
+        reply.error().m_isOtherProcess = true;
+        return reply;
     }
 
     /// Handles a connection that the server has closed or that could not be opened.
@@ -579,7 +650,12 @@
 
 auto HttpClient::call(const HttpEndpoint &endpoint, HttpRequest &&request, Duration timeout, Callback callback) -> void
 {
-    m_d->call(endpoint, request, timeout, std::move(callback));
+    m_d->call(endpoint, request, timeout, std::move(callback), std::nullopt);
+}
+
+auto HttpClient::call(const HttpEndpoint &endpoint, HttpRequest &&request, Duration timeout, Callback callback, HttpPeer &&peer) -> void
+{
+    m_d->call(endpoint, request, timeout, std::move(callback), std::move(peer));
 }
 
 auto HttpClient::openCalls() const noexcept -> std::size_t
--- a/tests/fleetschedulerpropertytest.cpp
+++ b/tests/fleetschedulerpropertytest.cpp
@@ -15,13 +15,14 @@
 };
 
 /// Each fault alone, then combined; a scheduler that wrongly relies on an answer, a clock or a lease runs a task twice in one of them.
-const std::array<Scenario, 10> scenarios{{
+const std::array<Scenario, 11> scenarios{{
     {"calm", {}},
     {"answers_lost", {.m_answerLost = 0.1}},
     {"orders_late", {.m_orderLate = 0.1}},
     {"orders_lost", {.m_orderLost = 0.1}},
     {"commits_fail", {.m_commitFails = 0.2, .m_commitLate = 0.2}},
     {"workers_lost", {.m_crashesPerSecond = 0.3, .m_outagesPerSecond = 0.3}},
+    {"restarts_unseen", {.m_orderLate = 0.05, .m_takeoversPerSecond = 0.1, .m_hiddenRestartsPerSecond = 0.5, .m_foreignEntriesPerSecond = 0.5}},
     {"takeovers", {.m_orderLate = 0.05, .m_takeoversPerSecond = 0.3}},
     {"moves_unanswered", {.m_archiveUnanswered = 0.5, .m_reloadsPerSecond = 1.0}},
     {"takeovers_and_moves", {.m_takeoversPerSecond = 0.5, .m_archiveUnanswered = 0.5, .m_reloadsPerSecond = 1.0}},
@@ -71,3 +72,21 @@
     return std::string(info.param.m_name);
 });
 }
+
+// Shows which failure RunWorkerPort prevents by sending orders to the addressed incarnation only: a start order that reaches the next incarnation
+// of a restarted worker runs beside the one that replaces it.
+TEST(FleetSchedulerGuards, OrdersThatReachAnotherIncarnationRunTasksTwice)
+{
+    constexpr std::uint64_t seeds = 25;
+    std::vector<std::string> violations;
+    for (std::uint64_t seed = 1; seed <= seeds && violations.empty(); ++seed) {
+        FleetSimulation simulation(seed, workers, {.m_orderLate = 0.05, .m_hiddenRestartsPerSecond = 0.5, .m_ordersReachAnyIncarnation = true});
+        for (int i = 0; i < 30; ++i) {
+            simulation.submitRandomJob();
+            simulation.run(Milliseconds{300});
+        }
+        violations = simulation.m_violations;
+    }
+    ASSERT_FALSE(violations.empty());
+    EXPECT_TRUE(violations.front().starts_with("runs_twice") || violations.front().starts_with("started_after_done")) << violations.front();
+}
--- a/tests/fleetschedulertest.cpp
+++ b/tests/fleetschedulertest.cpp
@@ -231,6 +231,7 @@
             } else if (const auto *const stop = std::get_if<RunStopOrder>(&command)) {
                 m_stops.push_back(*stop);
             } else if (const auto *const report = std::get_if<ReportOrder>(&command)) {
+                m_reports.push_back(*report);
                 m_highestAckedEnd = std::max(m_highestAckedEnd, report->m_ackedEnd);
                 m_highestLease = std::max(m_highestLease, report->m_leaseUntil);
             }
@@ -247,10 +248,11 @@
     }
 
     /// @brief Delivers a report of a worker.
-    auto report(std::uint16_t worker, std::vector<RunningTask> running, std::vector<EndedTask> ended) -> void
+    /// @param incarnation of the worker that answers; the order was sent to incarnation 5
+    auto report(std::uint16_t worker, std::vector<RunningTask> running, std::vector<EndedTask> ended, std::uint64_t incarnation = 5) -> void
     {
         ReportAnswer answer{{"worker-" + std::to_string(worker), {"127.0.0.1", worker}, 5, epoch}, OrderOutcome::Accepted, {}, m_now, m_now};
-        answer.m_report.m_incarnation = 5;
+        answer.m_report.m_incarnation = incarnation;
         answer.m_report.m_clock = std::chrono::duration_cast<Milliseconds>(m_now - TimePoint{});
         answer.m_report.m_running = std::move(running);
         answer.m_report.m_ended = std::move(ended);
@@ -272,6 +274,7 @@
     std::vector<CommitOrder> m_commits;
     std::vector<RunStartOrder> m_starts;
     std::vector<RunStopOrder> m_stops;
+    std::vector<ReportOrder> m_reports;
     std::optional<Milliseconds> m_highestLease; ///< latest deadline in a report order; empty if none renewed a lease
     std::uint64_t m_highestAckedEnd = 0; ///< highest sequence number that was acknowledged to any worker
 };
@@ -745,3 +748,80 @@
     EXPECT_EQ(simulation.phaseOf(hexOf(1)), JobPhase::Completed);
     EXPECT_EQ(simulation.startsOf(hexOf(1)), 12U);
 }
+
+namespace
+{
+/// @brief Starts the task of a job on worker 1, which confirms it; worker 2 may take tasks as well.
+/// @returns the start order
+[[nodiscard]] auto startOnFirstWorker(ManualFleet &fleet) -> RunStartOrder
+{
+    fleet.report(1, {}, {});
+    fleet.m_scheduler.addJob(makeJob(1, 1, 1'000, Milliseconds{500}), fleet.m_now, FleetScheduler::WallTime{});
+    fleet.advance(Milliseconds{1});
+    fleet.storeCommits();
+    const auto start = fleet.m_starts.at(0);
+    fleet.m_scheduler.handleAnswer(StartAnswer{start.m_address, start.m_task, start.m_run, OrderOutcome::Accepted, {}, fleet.m_now}, fleet.m_now);
+    fleet.report(2, {}, {});
+    return start;
+}
+
+auto advanceAndStore(ManualFleet &fleet) -> void
+{
+    for (int i = 0; i < 3; ++i) {
+        fleet.advance(Milliseconds{200});
+        fleet.storeCommits();
+    }
+}
+}
+
+// Guards against a second run beside the first (TWICE): an entry of another writer under a worker's id counted as a restart of the worker,
+// and its later reports were ignored.
+TEST(FleetSchedulerTest, AnEntryDoesNotEndTheRunsOfAWorker)
+{
+    ManualFleet fleet;
+    const auto start = startOnFirstWorker(fleet);
+    WorkerRecord foreign;
+    foreign.m_id = "worker-1";
+    foreign.m_endpoint = {"127.0.0.1", 1};
+    foreign.m_incarnation = 6;
+    foreign.m_capacity = {16'000, 64'000, 0};
+    fleet.m_scheduler.updateWorkers(std::span(&foreign, 1), {}, fleet.m_now);
+    advanceAndStore(fleet);
+    EXPECT_EQ(fleet.m_starts.size(), 1U);
+    fleet.report(1, {}, {EndedTask{1, start.m_task, start.m_run, RunEnd::Done, {}}});
+    advanceAndStore(fleet);
+    EXPECT_EQ(fleet.m_starts.size(), 1U);
+    EXPECT_EQ(fleet.m_highestAckedEnd, 1U) << "the worker's own report counts";
+}
+
+// Guards against runs that hang for good (LOST): the wall clock of a worker had jumped back before its restart, so that its reports seemed to
+// be of an earlier incarnation and were ignored.
+TEST(FleetSchedulerTest, ARestartAfterTheClockJumpedBackEndsTheFormerRuns)
+{
+    ManualFleet fleet;
+    const auto start = startOnFirstWorker(fleet);
+    fleet.report(1, {}, {}, 4);
+    fleet.report(2, {}, {});
+    advanceAndStore(fleet);
+    ASSERT_EQ(fleet.m_starts.size(), 2U);
+    EXPECT_EQ(fleet.m_starts.back().m_run, start.m_run + 1);
+}
+
+// Guards against orders with a lease or an acknowledgement for an incarnation that is over, which no connection can deliver any more, and
+// against tasks for a worker whose present incarnation is not known.
+TEST(FleetSchedulerTest, AWorkerFoundToBeAnotherIncarnationIsAskedWithoutALease)
+{
+    ManualFleet fleet;
+    const auto start = startOnFirstWorker(fleet);
+    fleet.m_reports.clear();
+    fleet.m_scheduler.handleAnswer(StartAnswer{start.m_address, start.m_task, start.m_run, OrderOutcome::OtherIncarnation, {}, fleet.m_now}, fleet.m_now);
+    advanceAndStore(fleet);
+    const auto order = std::ranges::find(fleet.m_reports, "worker-1", [](const ReportOrder &report) {
+        return report.m_address.m_worker;
+    });
+    ASSERT_NE(order, fleet.m_reports.end());
+    EXPECT_FALSE(order->m_leaseUntil);
+    EXPECT_EQ(order->m_ackedEnd, 0U);
+    ASSERT_EQ(fleet.m_starts.size(), 2U);
+    EXPECT_EQ(fleet.m_starts.back().m_address.m_worker, "worker-2");
+}
--- a/tests/fleetsimulation.cpp
+++ b/tests/fleetsimulation.cpp
@@ -21,6 +21,7 @@
 constexpr Milliseconds heartbeatInterval{400};
 constexpr Milliseconds orderTimeout{1'500};
 constexpr std::size_t inputsPerRound = 64; ///< of a slow owner
+constexpr std::uint64_t incarnationStep = 1'000'000; ///< between two incarnations of a worker whose wall clock is right
 /// Time after which the platform counts a reported end as known.
 constexpr Milliseconds reportedEndDelay{100};
 }
@@ -51,6 +52,7 @@
 FleetSimulation::FleetSimulation(std::uint64_t seed, std::size_t workers, const FleetFaults &faults)
     : m_random(seed)
     , m_archiveRandom(~seed)
+    , m_restartRandom(seed ^ 0x5bd1e995U)
     , m_faults(faults)
     , m_now(TimePoint{} + std::chrono::hours(1))
 {
@@ -62,7 +64,7 @@
         worker->m_record.m_labels = {"a", "rack-" + std::to_string(i / 8)};
         worker->m_record.m_rack = worker->m_record.m_labels.back();
         worker->m_record.m_capacity = {workerCpu, workerMemory, 0};
-        worker->m_record.m_incarnation = 1'000 + i;
+        worker->m_record.m_incarnation = incarnationStep + i;
         worker->m_startedAt = m_now;
         worker->m_clockRate = 0.98 + 0.02 * m_random.unit();
         m_workers.push_back(std::move(worker));
@@ -350,20 +352,56 @@
 }
 
 auto FleetSimulation::crash(std::size_t index) -> void
+{
+    restart(index, incarnationOf(index) + incarnationStep, Milliseconds(500 + m_random.below(1'000)));
+}
+
+auto FleetSimulation::restart(std::size_t index, std::uint64_t incarnation, Milliseconds entryDelay) -> void
 {
     auto &worker = *m_workers[index];
     auto record = worker.m_record;
-    record.m_incarnation += 1'000'000;
+    record.m_incarnation = incarnation;
     const double speed = worker.m_clockRate;
     worker = SimulatedWorker{};
     worker.m_record = record;
     worker.m_clockRate = speed;
     worker.m_startedAt = m_now;
-    schedule(Milliseconds(500 + m_random.below(1'000)), [this, index] {
+    schedule(entryDelay, [this, index] {
         sendListEntry(index);
     });
 }
 
+auto FleetSimulation::incarnationOf(std::size_t worker) const -> std::uint64_t
+{
+    return m_workers[worker]->m_record.m_incarnation;
+}
+
+auto FleetSimulation::sendForeignEntry(std::size_t worker) -> void
+{
+    auto record = m_workers[worker]->m_record;
+    record.m_incarnation += incarnationStep / 2;
+    schedule(networkDelay(), [this, record] {
+        m_owners.back()->updateWorkers(std::span(&record, 1), {}, m_now);
+    });
+    // The worker writes its own entry again with its next heartbeat.
+    schedule(heartbeatInterval, [this, worker] {
+        sendListEntry(worker);
+    });
+}
+
+auto FleetSimulation::restartUnseen(std::size_t worker) -> void
+{
+    const Milliseconds cut(200 + m_restartRandom.below(1'800));
+    const Milliseconds restartDelay(m_restartRandom.below(static_cast<std::uint32_t>(cut.count())));
+    makeUnreachable(worker, cut);
+    schedule(restartDelay, [this, worker, rest = cut - restartDelay] {
+        const bool hasClockJumped = m_restartRandom.below(4) == 0;
+        const auto former = incarnationOf(worker);
+        restart(worker, hasClockJumped ? former - 1 : former + incarnationStep, rest);
+        makeUnreachable(worker, rest);
+    });
+}
+
 auto FleetSimulation::injectFaults() -> void
 {
     const double share = std::chrono::duration<double>(faultInterval).count();
@@ -376,6 +414,12 @@
     if (chance(m_faults.m_takeoversPerSecond * share)) {
         takeOver(Milliseconds(1 + m_archiveRandom.below(300)));
     }
+    if (m_faults.m_hiddenRestartsPerSecond > 0 && m_restartRandom.unit() < m_faults.m_hiddenRestartsPerSecond * share) {
+        restartUnseen(m_restartRandom.below(static_cast<std::uint32_t>(m_workers.size())));
+    }
+    if (m_faults.m_foreignEntriesPerSecond > 0 && m_restartRandom.unit() < m_faults.m_foreignEntriesPerSecond * share) {
+        sendForeignEntry(m_restartRandom.below(static_cast<std::uint32_t>(m_workers.size())));
+    }
     if (m_faults.m_reloadsPerSecond > 0 && m_archiveRandom.unit() < m_faults.m_reloadsPerSecond * share) {
         reloadJobs(*m_owners.back(), Milliseconds(1 + m_archiveRandom.below(3'000)));
     }
@@ -630,8 +674,14 @@
         answer.m_outcome = OrderOutcome::Fenced;
         return answer;
     }
+    const bool isAddressed = m_faults.m_ordersReachAnyIncarnation || order.m_address.m_incarnation == worker.m_record.m_incarnation;
     worker.m_fencingEpoch = order.m_address.m_epoch;
-    if (order.m_address.m_incarnation == worker.m_record.m_incarnation) {
+    if (!isAddressed && (order.m_ackedEnd > 0 || order.m_leaseUntil)) {
+        // Sent only on a connection on which the addressed incarnation has reported.
+        answer.m_outcome = OrderOutcome::OtherIncarnation;
+        return answer;
+    }
+    if (isAddressed) {
         while (!worker.m_ended.empty() && worker.m_ended.front().m_sequence <= order.m_ackedEnd) {
             const auto &end = worker.m_ended.front();
             recordHistory(end.m_task.text(), "end of run " + std::to_string(end.m_run) + " acknowledged by epoch " + std::to_string(order.m_address.m_epoch));
@@ -664,7 +714,7 @@
 auto FleetSimulation::execute(SimulatedWorker &worker, const RunStartOrder &order) -> WorkerAnswer
 {
     StartAnswer answer{order.m_address, order.m_task, order.m_run, OrderOutcome::Accepted, clockOf(worker), {}};
-    if (order.m_address.m_incarnation != worker.m_record.m_incarnation) {
+    if (!m_faults.m_ordersReachAnyIncarnation && order.m_address.m_incarnation != worker.m_record.m_incarnation) {
         answer.m_outcome = OrderOutcome::OtherIncarnation;
         return answer;
     }
--- a/tests/fleetsimulation.hpp
+++ b/tests/fleetsimulation.hpp
@@ -28,6 +28,9 @@
     double m_outagesPerSecond = 0; ///< a worker is unreachable for seconds
     double m_takeoversPerSecond = 0; ///< a new owner takes over
     double m_archiveUnanswered = 0; ///< move of ended jobs is not answered; equally likely carried out, carried out seconds later, or lost
+    double m_hiddenRestartsPerSecond = 0; ///< a worker restarts while it is unreachable for up to 2 s; its wall clock may have jumped back
+    double m_foreignEntriesPerSecond = 0; ///< another writer leaves an entry under a worker's id, as of a later incarnation
+    bool m_ordersReachAnyIncarnation = false; ///< an order is carried out by the incarnation that it reaches, not only by the addressed one
     double m_reloadsPerSecond = 0; ///< the owner reads the list of jobs again, and receives it up to 3 s later
 };
 
@@ -61,6 +64,16 @@
     /// @brief Restarts a worker under the same id with a new incarnation.
     auto crash(std::size_t worker) -> void;
 
+    /// @brief Restarts a worker under the same id.
+    /// @param incarnation new incarnation; lower than the former one if the wall clock of the worker has jumped back
+    /// @param entryDelay time until its entry in the platform's list is delivered
+    auto restart(std::size_t worker, std::uint64_t incarnation, Milliseconds entryDelay) -> void;
+
+    /// @brief Delivers an entry of another writer, under the id and with the address of a worker, but as of a later incarnation.
+    auto sendForeignEntry(std::size_t worker) -> void;
+
+    [[nodiscard]] auto incarnationOf(std::size_t worker) const -> std::uint64_t;
+
     /// @brief Multiplies the duration of a task on every worker.
     /// @param index index of the task in any step
     /// @param factor relative to the declared duration
@@ -179,6 +192,8 @@
     [[nodiscard]] auto chance(double share) -> bool;
     [[nodiscard]] auto networkDelay() -> Milliseconds;
     auto injectFaults() -> void;
+    /// @brief Makes a worker unreachable for up to 2 s, and restarts it meanwhile.
+    auto restartUnseen(std::size_t worker) -> void;
     auto sendListEntry(std::size_t worker) -> void;
     [[nodiscard]] auto percentOf(const SimulatedRun &run) const -> double;
     [[nodiscard]] auto durationFactorOf(const TaskId &task) const -> double;
@@ -197,6 +212,7 @@
 
     RandomSource m_random;
     RandomSource m_archiveRandom; ///< separate, so that archiving does not change the other faults of a seed
+    RandomSource m_restartRandom; ///< separate for the same reason
     FleetFaults m_faults;
     TimePoint m_now;
     std::uint64_t m_eventNumber = 0;
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -52,6 +52,27 @@
         });
     }
 
+    /// Starts a call that only a certain process may receive; a process identifies itself by the body of its answer to `/who`.
+    auto callProcess(std::uint16_t port, std::uint64_t process, HttpRequest &&request) -> void
+    {
+        HttpPeer peer;
+        peer.m_process = process;
+        peer.m_makeProbe = [] {
+            return HttpClientTest::request("GET", "/who");
+        };
+        peer.m_identify = [](const HttpResponse &response) -> std::optional<std::uint64_t> {
+            return response.m_body.empty() ? std::nullopt : std::optional<std::uint64_t>(response.m_body.front() - '0');
+        };
+        m_client->call(
+            endpoint(port),
+            std::move(request),
+            longTimeout,
+            [this](HttpReply &&reply) {
+                m_replies.push_back(std::move(reply));
+            },
+            std::move(peer));
+    }
+
     auto waitForReplies(std::size_t count) -> void
     {
         waitUntil([&] {
@@ -80,6 +101,8 @@
 };
 
 constexpr std::string_view okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+constexpr std::string_view sevenResponse = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7";
+constexpr std::string_view eightResponse = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n8";
 }
 
 // Guards against a client that loses parts of a request or response, or opens a connection for each call.
@@ -531,3 +554,53 @@
     std::this_thread::sleep_for(2 * timeout);
     expectFailure(0, ErrorCode::Timeout, true);
 }
+
+// Guards against a request that reaches the process that has taken the place of the intended one: a server that restarts at the same address
+// accepts the connections that are opened meanwhile.
+TEST_F(HttpClientTest, ARequestIsNotSentToAnotherProcess)
+{
+    RawServer server;
+    callProcess(server.port(), 7, request("POST", "/order"));
+    server.peer(0).waitForText("/who");
+    server.peer(0).send(sevenResponse);
+    server.peer(0).waitForText("/order");
+    server.peer(0).send(okResponse);
+    expectBody(0, "ok");
+    callProcess(server.port(), 7, request("POST", "/order"));
+    server.peer(0).send(okResponse);
+    expectBody(1, "ok");
+    EXPECT_EQ(countOf(server.allReceived(), "/who"), 1U) << "the process of a connection does not change";
+    server.peer(0).close();
+    callProcess(server.port(), 7, request("POST", "/order"));
+    server.peer(1).waitForText("/who");
+    server.peer(1).send(eightResponse);
+    expectFailure(2, ErrorCode::ConnectionClosed, false);
+    EXPECT_TRUE(m_replies[2].error().m_isOtherProcess);
+    callProcess(server.port(), 8, request("POST", "/order"));
+    server.peer(1).waitForText("/order");
+    server.peer(1).send(okResponse);
+    expectBody(3, "ok");
+    EXPECT_EQ(countOf(server.allReceived(), "/order"), 3U);
+    EXPECT_EQ(countOf(server.allReceived(), "/who"), 2U);
+}
+
+// Guards against a request that counts as sent although only the probe was sent, and against a request that is sent after the probe failed.
+TEST_F(HttpClientTest, AFailedProbeLeavesTheRequestUnsent)
+{
+    RawServer server;
+    callProcess(server.port(), 7, request("POST", "/order"));
+    server.peer(0).waitForText("/who");
+    server.peer(0).close();
+    expectFailure(0, ErrorCode::ConnectionClosed, false);
+    EXPECT_FALSE(m_replies[0].error().m_isOtherProcess);
+    callProcess(server.port(), 7, request("POST", "/order"));
+    server.peer(1).waitForText("/who");
+    server.peer(1).send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    waitForReplies(2);
+    ASSERT_TRUE(m_replies[1]) << "a refusal of the probe is the reply to the call";
+    EXPECT_EQ(m_replies[1]->m_status, 503);
+    callProcess(server.port(), 7, request("POST", "/order"));
+    server.peer(1).send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    expectFailure(2, ErrorCode::AnswerCorrupt, false);
+    EXPECT_EQ(countOf(server.allReceived(), "/order"), 0U);
+}
--- a/tests/platformcallstest.cpp
+++ b/tests/platformcallstest.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace Burdockspur;
 
 namespace
@@ -47,6 +49,22 @@
         return {"i-1", m_stub.endpoint(), 42, 7};
     }
 
+    /// @brief Answers as a worker: a report without a lease with its incarnation, every other order with the given response.
+    auto respondAsWorker(std::uint64_t incarnation, int status, std::string_view body) -> void
+    {
+        m_stub.respondWith([incarnation, status, body = std::string(body)](const HttpRequest &request) {
+            const bool isProbe = request.m_target == "/hold" && request.m_body == R"({"fencing_token":7})";
+            const auto report = R"({"clock_ms":5,"born":)" + std::to_string(incarnation) + R"(,"running":[],"finished":[]})";
+            return isProbe ? jsonResponse(200, report) : jsonResponse(status, body);
+        });
+    }
+
+    /// @brief Number of requests for a path.
+    auto requestCount(std::string_view path) -> std::ptrdiff_t
+    {
+        return std::ranges::count(m_stub.requests(), path, &HttpRequest::m_target);
+    }
+
     HttpStub m_stub;
     Platform::RowStore m_store{m_stub.client(), m_stub.endpoint(), longTimeout, 65'536};
     Platform::WorkerCalls m_workers{m_stub.client()};
@@ -137,7 +155,7 @@
 // Guards against orders that lose the fencing token, the worker's id or the lease.
 TEST_F(PlatformCallsTest, SendsOrdersToWorkers)
 {
-    m_stub.respondWith(200, R"({"clock_ms":482113})");
+    respondAsWorker(42, 200, R"({"clock_ms":482113})");
     const auto started = std::get<StartAnswer>(send(RunStartOrder{address(), m_task, 2, "text", "cp", Milliseconds{486'000}}));
     EXPECT_EQ(lastRequest(),
               R"(POST /run-start {"task":"5c0e7a21d94b36f8.0.1.17","run":2,"fencing_token":7,"spec":"text","deadline_ms":486000,"checkpoint":"cp"})");
@@ -169,7 +187,7 @@
                               Case{429, "{}", OrderOutcome::Unhealthy},
                               Case{503, "", OrderOutcome::Unhealthy},
                               Case{500, "", OrderOutcome::NoAnswer}}) {
-        m_stub.respondWith(entry.m_status, entry.m_body);
+        respondAsWorker(42, entry.m_status, entry.m_body);
         EXPECT_EQ(std::get<StartAnswer>(send(RunStartOrder{address(), m_task, 2, "", "", Milliseconds{1}})).m_outcome, entry.m_expected)
             << entry.m_status << entry.m_body;
     }
@@ -196,3 +214,55 @@
     m_stub.respondWith(200, R"({"clock_ms":482113,"running":[],"finished":[]})");
     EXPECT_EQ(std::get<ReportAnswer>(send(order)).m_outcome, OrderOutcome::Malformed);
 }
+
+// Guards against a task that runs twice (TWICE): a worker that restarts under its id carried out start orders that were meant for its former
+// incarnation, and the owner started the same tasks elsewhere.
+TEST_F(PlatformCallsTest, AStartReachesOnlyTheAddressedIncarnation)
+{
+    respondAsWorker(43, 200, R"({"clock_ms":482113})");
+    const RunStartOrder order{address(), m_task, 2, "text", "", Milliseconds{486'000}};
+    EXPECT_EQ(std::get<StartAnswer>(send(order)).m_outcome, OrderOutcome::OtherIncarnation);
+    EXPECT_EQ(requestCount("/run-start"), 0);
+    auto later = order;
+    later.m_address.m_incarnation = 43;
+    EXPECT_EQ(std::get<StartAnswer>(send(later)).m_outcome, OrderOutcome::Accepted);
+    EXPECT_EQ(std::get<StartAnswer>(send(later)).m_outcome, OrderOutcome::Accepted);
+    EXPECT_EQ(requestCount("/run-start"), 2);
+    EXPECT_EQ(requestCount("/hold"), 1) << "a connection is asked once";
+}
+
+// Guards against ends that a restarted worker drops unseen, because a report order acknowledged ends of its former incarnation (TWICE), and
+// against a lease by the former incarnation's clock, which is longer than the owner knows.
+TEST_F(PlatformCallsTest, AcknowledgementsAndLeasesReachOnlyTheAddressedIncarnation)
+{
+    respondAsWorker(43, 200, R"({"clock_ms":5,"born":43,"running":[],"finished":[]})");
+    for (const auto &order : {ReportOrder{address(), 57, std::nullopt, Milliseconds{0}}, ReportOrder{address(), 0, Milliseconds{486'000}, Milliseconds{0}}}) {
+        EXPECT_EQ(std::get<ReportAnswer>(send(order)).m_outcome, OrderOutcome::OtherIncarnation);
+    }
+    EXPECT_TRUE(std::ranges::all_of(m_stub.requests(), [](const HttpRequest &request) {
+        return request.m_body == R"({"fencing_token":7})";
+    }));
+}
+
+// Guards against a first report order that only the expected incarnation may answer: its answer tells the owner of the restart.
+TEST_F(PlatformCallsTest, AnyIncarnationMayReport)
+{
+    m_stub.respondWith(200, R"({"clock_ms":5,"born":43,"running":[],"finished":[]})");
+    const auto answer = std::get<ReportAnswer>(send(ReportOrder{address(), 0, std::nullopt, Milliseconds{100}}));
+    ASSERT_EQ(answer.m_outcome, OrderOutcome::Accepted);
+    EXPECT_EQ(answer.m_report.m_incarnation, 43U);
+    ASSERT_EQ(m_stub.requests().size(), 1U);
+}
+
+// Guards against a refusal of the worker that is taken for a lost answer when it comes before the order itself.
+TEST_F(PlatformCallsTest, ARefusalBeforeTheOrderCounts)
+{
+    const RunStartOrder order{address(), m_task, 2, "text", "", Milliseconds{486'000}};
+    m_stub.respondWith(409, R"({"clock_ms":5,"reason":"fence"})");
+    EXPECT_EQ(std::get<StartAnswer>(send(order)).m_outcome, OrderOutcome::Fenced);
+    m_stub.respondWith(421, "{}");
+    EXPECT_EQ(std::get<StartAnswer>(send(order)).m_outcome, OrderOutcome::OtherIncarnation);
+    m_stub.respondWith(200, "{}");
+    EXPECT_EQ(std::get<StartAnswer>(send(order)).m_outcome, OrderOutcome::NoAnswer) << "the worker did not tell its incarnation";
+    EXPECT_EQ(requestCount("/run-start"), 0);
+}
