Keep a cancelled submission in flight from being stored

Cause: JobStore::cancel() answered 410 when it found no row, and left nothing in the store that a late submission would conflict with. Ruled out: a cancellation that is stored and ignored, or carried out late (it requires the version of the submission). Change: before 410, the cancellation stores a final row on condition that neither the submission nor a final row exists; a submission requires that both are absent. The row is marked unsubmitted, so the job stays unknown. A later submission is answered 2xx and shown as cancelled, as it is after the cancellation of a stored job. The owner reads the final rows every 150 s and removes those of other hosts after their retention. Checked paths: submissions in another host's queue, repeated submissions, a submission stored between the reads, lost answers of the cancellation (504), moves to the final rows. Tests: JobStoreTest.ACancelledSubmissionInFlightIsNotStored, AJobSubmittedAfterItsCancellationIsCancelled and ACancellationSeesASubmissionThatIsStoredMeanwhile failed on; JobArchiveTest.RemovesFinalRowsOfOtherHosts. The simulated store returns the current rows after a conflict, as the platform does.

--- a/include/burdockspur/fleet/fleetrows.hpp
+++ b/include/burdockspur/fleet/fleetrows.hpp
@@ -68,6 +68,7 @@
 struct FinalRow {
     JobPhase m_phase = JobPhase::Completed;
     TaskJob::WallTime m_endedAt; ///< by the clock of the host that wrote the row
+    bool m_isUnsubmitted = false; ///< the job was cancelled before a submission was stored; the row keeps one in flight from being stored
 
     [[nodiscard]] auto operator==(const FinalRow &) const -> bool = default;
 };
--- a/include/burdockspur/fleet/jobarchive.hpp
+++ b/include/burdockspur/fleet/jobarchive.hpp
@@ -28,7 +28,7 @@
     Transaction m_transaction;
 };
 
-/// @brief A read of final rows, to find those that former owners have stored.
+/// @brief A read of final rows, to find those that former owners and other hosts have stored.
 struct ArchiveRead {
     std::uint64_t m_number = 0; ///< identifies the call in its answer
     std::string_view m_partition;
--- a/src/fleet/fleetrows.cpp
+++ b/src/fleet/fleetrows.cpp
@@ -344,6 +344,10 @@
     writer.StartObject();
     putText(writer, "state", phaseName(row.m_phase));
     putNumber(writer, "ended", row.m_endedAt.time_since_epoch().count());
+    if (row.m_isUnsubmitted) {
+        putName(writer, "unsubmitted");
+        writer.Bool(true);
+    }
     writer.EndObject();
     return JsonValue::textOf(buffer);
 }
@@ -505,7 +509,9 @@
     if (!phase || !isFinal(*phase)) {
         return failure(ErrorCode::AnswerCorrupt, "the final row of a job lacks a final state");
     }
-    return FinalRow{*phase, TaskJob::WallTime(Milliseconds(integer<std::int64_t>(document, "ended").value_or(0)))};
+    return FinalRow{*phase,
+                    TaskJob::WallTime(Milliseconds(integer<std::int64_t>(document, "ended").value_or(0))),
+                    boolean(document, "unsubmitted").value_or(false)};
 }
 
 auto decodeFleetOwnerRow(std::string_view value) -> Result<FleetOwnerRow>
--- a/src/fleet/jobarchive.cpp
+++ b/src/fleet/jobarchive.cpp
@@ -31,6 +31,9 @@
 constexpr Milliseconds retryPause{1'000};
 /// Time from the takeover until the final rows of former owners are read; the takeover needs the link for its own reads.
 constexpr Milliseconds firstReadDelay{5'000};
+/// Time between two reads of all final rows. Other hosts write one for each cancelled job of which no submission is stored, and this owner is
+/// not told of them; they have to be removed some time after their retention.
+constexpr Milliseconds listInterval{150'000};
 /// Rows of one read. With one read per second and about 200 bytes per row in the answer, this uses 40 KB/s of a link of 1.25 MB/s.
 constexpr std::uint32_t rowsPerRead = 200;
 constexpr Milliseconds readInterval{1'000};
@@ -216,7 +219,7 @@
 
 auto JobArchive::nextRead(TimePoint now) -> std::optional<ArchiveRead>
 {
-    if (m_readInFlight != 0 || now < m_nextRead || m_readPartition == m_partitions.size()) {
+    if (m_readInFlight != 0 || now < m_nextRead) {
         return std::nullopt;
     }
     m_readInFlight = ++m_number;
@@ -246,6 +249,11 @@
     }
     if (++m_readPartition == m_partitions.size()) {
         logEvent(LogLevel::Info, "archive_listed", {{"ended", m_known.size()}});
+        m_readPartition = 0;
+        m_nextRead = now + listInterval;
+        for (auto &listed : m_partitions) {
+            listed.m_listedUpTo.clear();
+        }
     }
 }
 }
--- a/src/fleet/jobstore.cpp
+++ b/src/fleet/jobstore.cpp
@@ -2,12 +2,22 @@
 
 #include "burdockspur/fleet/fleetrows.hpp"
 
+#include <algorithm>
+#include <chrono>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace Burdockspur
 {
+namespace
+{
+[[nodiscard]] auto wallNow() -> TaskJob::WallTime
+{
+    return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
+}
+}
+
 JobStore::JobStore(ChangeStore &store)
     : m_store(store)
 {
@@ -22,9 +32,11 @@
     m_store.commit(transaction, [this, id = job.m_id, callback = std::move(callback)](CommitResult &&result) mutable {
         switch (result.m_status) {
         case CommitResult::Status::Committed:
-        case CommitResult::Status::Conflict: // A submission with this id was stored before.
             callback(JobPhase::Queued);
             return;
+        case CommitResult::Status::Conflict:
+            handleRepeatedSubmission(id, result.m_rows, std::move(callback));
+            return;
         case CommitResult::Status::NotApplied:
             callback(failure(ErrorCode::Unavailable, result.m_error.m_message));
             return;
@@ -35,6 +47,38 @@
     });
 }
 
+auto JobStore::handleRepeatedSubmission(std::string_view id, std::span<const TableRow> rows, PhaseCallback callback) -> void
+{
+    const auto final = std::ranges::find(rows, finalKey(id), &TableRow::m_key);
+    const auto row = final == rows.end() ? Result<FinalRow>(failure(ErrorCode::UnknownJob, "no final row")) : decodeFinalRow(final->m_value);
+    if (row && row->m_isUnsubmitted) {
+        showCancelled(id, final->m_version, std::move(callback));
+    } else {
+        callback(JobPhase::Queued);
+    }
+}
+
+auto JobStore::showCancelled(std::string_view id, std::uint64_t version, PhaseCallback callback) -> void
+{
+    Transaction transaction;
+    transaction.m_conditions.push_back({finalKey(id), version});
+    transaction.m_puts.push_back({finalKey(id), encodeRow(FinalRow{JobPhase::Cancelled, wallNow(), false})});
+    m_store.commit(transaction, [callback = std::move(callback)](CommitResult &&result) {
+        switch (result.m_status) {
+        case CommitResult::Status::Committed:
+        case CommitResult::Status::Conflict: // Another submission with this id was first.
+            callback(JobPhase::Queued);
+            return;
+        case CommitResult::Status::NotApplied:
+            callback(failure(ErrorCode::Unavailable, result.m_error.m_message));
+            return;
+        case CommitResult::Status::Unknown:
+            callback(failure(ErrorCode::OutcomeUnknown, result.m_error.m_message));
+            return;
+        }
+    });
+}
+
 auto JobStore::confirmStored(std::string_view id, PhaseCallback callback) -> void
 {
     m_store.read(jobKey(id), [this, id = std::string(id), callback = std::move(callback)](Result<std::vector<TableRow>> &&rows) mutable {
@@ -43,7 +87,7 @@
             return;
         }
         // A short job may have ended meanwhile, and its submission may have been moved to the final rows.
-        readFinal(id, [callback = std::move(callback)](Result<JobPhase> &&phase) {
+        readFinalPhase(id, [callback = std::move(callback)](Result<JobPhase> &&phase) {
             if (phase) {
                 callback(JobPhase::Queued);
             } else {
@@ -82,7 +126,7 @@
         if (!rows) {
             callback(failure(ErrorCode::Unavailable, rows.error().m_message));
         } else if (rows->empty()) {
-            readFinal(id, std::move(callback));
+            readFinalPhase(id, std::move(callback));
         } else {
             const bool isCancelled = rows->back().m_key == cancelKey(id);
             callback(isCancelled ? JobPhase::Cancelled : JobPhase::Queued);
@@ -90,26 +134,39 @@
     });
 }
 
-auto JobStore::readFinal(std::string_view id, PhaseCallback callback) -> void
+auto JobStore::readFinal(std::string_view id, FinalCallback callback) -> void
 {
-    m_store.read(finalKey(id), [id = std::string(id), callback = std::move(callback)](Result<std::vector<TableRow>> &&rows) {
+    m_store.read(finalKey(id), [callback = std::move(callback)](Result<std::vector<TableRow>> &&rows) {
         if (!rows) {
             callback(failure(ErrorCode::Unavailable, rows.error().m_message));
             return;
         }
         if (rows->empty()) {
-            callback(failure(ErrorCode::UnknownJob, "no job " + id));
+            callback(std::nullopt);
             return;
         }
         const auto row = decodeFinalRow(rows->front().m_value);
         if (row) {
-            callback(row->m_phase);
+            callback(*row);
         } else {
             callback(failure(ErrorCode::Unavailable, row.error().m_message));
         }
     });
 }
 
+auto JobStore::readFinalPhase(std::string_view id, PhaseCallback callback) -> void
+{
+    readFinal(id, [id = std::string(id), callback = std::move(callback)](Result<std::optional<FinalRow>> &&row) {
+        if (!row) {
+            callback(std::unexpected(row.error()));
+        } else if (!*row || (*row)->m_isUnsubmitted) {
+            callback(failure(ErrorCode::UnknownJob, "no job " + id));
+        } else {
+            callback((*row)->m_phase);
+        }
+    });
+}
+
 auto JobStore::cancel(std::string_view id, PhaseCallback callback) -> void
 {
     m_store.read(jobKey(id), [this, id = std::string(id), callback = std::move(callback)](Result<std::vector<TableRow>> &&rows) mutable {
@@ -148,9 +205,42 @@
 
 auto JobStore::confirmEnded(std::string_view id, PhaseCallback callback) -> void
 {
-    readFinal(id, [callback = std::move(callback)](Result<JobPhase> &&phase) {
-        // An ended job has no running task, so there is nothing to cancel.
-        callback(phase ? Result<JobPhase>(JobPhase::Cancelled) : std::move(phase));
+    readFinal(id, [this, id = std::string(id), callback = std::move(callback)](Result<std::optional<FinalRow>> &&row) mutable {
+        if (!row) {
+            callback(std::unexpected(row.error()));
+        } else if (!*row) {
+            preventSubmission(id, std::move(callback));
+        } else if ((*row)->m_isUnsubmitted) {
+            callback(failure(ErrorCode::UnknownJob, "no job " + id));
+        } else {
+            // An ended job has no running task, so there is nothing to cancel.
+            callback(JobPhase::Cancelled);
+        }
+    });
+}
+
+auto JobStore::preventSubmission(std::string_view id, PhaseCallback callback) -> void
+{
+    // A submission whose answer was lost may still be carried out by the store; it requires that there is no final row.
+    Transaction transaction;
+    transaction.m_conditions.push_back({jobKey(id), 0});
+    transaction.m_conditions.push_back({finalKey(id), 0});
+    transaction.m_puts.push_back({finalKey(id), encodeRow(FinalRow{JobPhase::Cancelled, wallNow(), true})});
+    m_store.commit(transaction, [this, id = std::string(id), callback = std::move(callback)](CommitResult &&result) mutable {
+        switch (result.m_status) {
+        case CommitResult::Status::Committed:
+            callback(failure(ErrorCode::UnknownJob, "no job " + id));
+            return;
+        case CommitResult::Status::Conflict: // One of the rows was written after it was read.
+            cancel(id, std::move(callback));
+            return;
+        case CommitResult::Status::NotApplied:
+            callback(failure(ErrorCode::Unavailable, result.m_error.m_message));
+            return;
+        case CommitResult::Status::Unknown:
+            callback(failure(ErrorCode::OutcomeUnknown, result.m_error.m_message));
+            return;
+        }
     });
 }
 }
--- a/tests/jobarchivetest.cpp
+++ b/tests/jobarchivetest.cpp
@@ -280,3 +280,19 @@
     EXPECT_TRUE(owner.m_moved.contains(id));
     EXPECT_TRUE(store.contains(finalKey(id)));
 }
+
+// Guards against rows that stay for ever: another host has written the final row of a job that was cancelled before it was submitted, and the
+// owner is not told of it.
+TEST(JobArchiveTest, RemovesFinalRowsOfOtherHosts)
+{
+    MemoryStore store;
+    Owner owner(store);
+    owner.m_calls.begin();
+    store.run(std::chrono::seconds(60));
+    const auto id = idOf(1);
+    store.put(finalKey(id), encodeRow(FinalRow{JobPhase::Cancelled, {}, true}));
+    store.run(retention);
+    EXPECT_TRUE(store.contains(finalKey(id))) << "a submission in flight must not be stored yet";
+    store.run(2 * retention);
+    EXPECT_FALSE(store.contains(finalKey(id)));
+}
--- a/tests/jobstoretest.cpp
+++ b/tests/jobstoretest.cpp
@@ -143,3 +143,61 @@
     EXPECT_EQ(awaitResult().value_or(JobPhase::Queued), JobPhase::Cancelled);
     EXPECT_FALSE(m_store.contains(cancelKey(id)));
 }
+
+// Guards against a job that runs after its cancellation was acknowledged (UNASKED): the store carried out a submission late whose answer was
+// lost, after the caller had cancelled the job.
+TEST_F(JobStoreTest, ACancelledSubmissionInFlightIsNotStored)
+{
+    m_store.m_nextFault = [] {
+        return MemoryStore::Fault::RequestLate;
+    };
+    m_jobs.submit(sampleJob(), storeResult());
+    m_store.run(MemoryStore::timeout + Milliseconds{100});
+    ASSERT_TRUE(m_result);
+    ASSERT_FALSE(*m_result);
+    EXPECT_EQ(m_result->error().m_code, ErrorCode::OutcomeUnknown);
+    m_store.m_nextFault = nullptr;
+    m_jobs.cancel(id, storeResult());
+    m_store.run(Milliseconds{100});
+    ASSERT_TRUE(m_result);
+    ASSERT_FALSE(*m_result);
+    EXPECT_EQ(m_result->error().m_code, ErrorCode::UnknownJob);
+    m_store.run(2 * MemoryStore::lateDelay);
+    EXPECT_FALSE(m_store.contains(jobKey(id)));
+    EXPECT_TRUE(m_store.m_violations.empty());
+}
+
+// Guards against a cancelled job that runs after all because it is submitted again, and against a job that was never submitted but is shown.
+TEST_F(JobStoreTest, AJobSubmittedAfterItsCancellationIsCancelled)
+{
+    for (int i = 0; i < 2; ++i) {
+        m_jobs.cancel(id, storeResult());
+        EXPECT_EQ(awaitResult().error().m_code, ErrorCode::UnknownJob);
+    }
+    m_jobs.readPhase(id, storeResult());
+    EXPECT_EQ(awaitResult().error().m_code, ErrorCode::UnknownJob);
+    for (int i = 0; i < 2; ++i) {
+        m_jobs.submit(sampleJob(), storeResult());
+        EXPECT_TRUE(awaitResult());
+        EXPECT_FALSE(m_store.contains(jobKey(id)));
+        m_jobs.readPhase(id, storeResult());
+        EXPECT_EQ(awaitResult().value(), JobPhase::Cancelled);
+    }
+    m_jobs.cancel(id, storeResult());
+    EXPECT_TRUE(awaitResult());
+}
+
+// Guards against a cancellation that misses a submission which is stored while the job is looked for.
+TEST_F(JobStoreTest, ACancellationSeesASubmissionThatIsStoredMeanwhile)
+{
+    int reads = 0;
+    m_store.m_beforeRead = [this, &reads] {
+        if (++reads == 2) {
+            m_store.put(jobKey(id), encodeRow(sampleJob()));
+        }
+    };
+    m_jobs.cancel(id, storeResult());
+    EXPECT_EQ(awaitResult().value(), JobPhase::Cancelled);
+    EXPECT_TRUE(m_store.contains(cancelKey(id)));
+    EXPECT_FALSE(m_store.contains(finalKey(id)));
+}
--- a/tests/memorystore.hpp
+++ b/tests/memorystore.hpp
@@ -214,13 +214,19 @@
 
     auto apply(const Transaction &transaction) -> CommitResult
     {
-        CommitResult result{CommitResult::Status::Committed, {}, {}};
+        CommitResult conflict{CommitResult::Status::Conflict, {}, {}};
+        bool holds = true;
         for (const auto &condition : transaction.m_conditions) {
             const auto row = m_rows.find(condition.m_key);
-            if ((row == m_rows.end() ? 0 : row->second.m_version) != condition.m_version) {
-                return {CommitResult::Status::Conflict, {}, {}};
+            holds = holds && (row == m_rows.end() ? 0 : row->second.m_version) == condition.m_version;
+            if (row != m_rows.end()) {
+                conflict.m_rows.push_back(row->second);
             }
         }
+        if (!holds) {
+            return conflict;
+        }
+        CommitResult result{CommitResult::Status::Committed, {}, {}};
         for (const auto &change : transaction.m_puts) {
             put(change.m_key, change.m_value);
             result.m_rows.push_back({change.m_key, m_version, {}});
