Tell a successor which leases are not renewed, and since when

Cause: a successor waited 9.4 s from its own claim for the lease of a worker that does not answer. The former owner had renewed for 4 s after its last commit at most, about 2 s before the claim, and had known that the worker was silent. Each further loss of an owner began the wait anew. Ruled out: shorter leases (they outlast a takeover) and a shorter renewal without the store (tasks outlive outages by it). Change: the wait counts from the last commit of the former owner, which was stored before its first read was answered. The owner's row lists silent workers with the time left of their leases; a listed worker gets no lease until a commit is stored that does not list it. The time for which an owner renews leases without the store counts from its claim instead of the moment its scheduler learns of it (a pause in between was not counted; found by reading). Bounds: too early (TWICE): 4 s of renewal + 5 s lease + 0.08 s of reckoned clock, at 2% drift 9.2 s after the last commit; 9.4 s are waited from a time not before it. Listed: the time left by the owner's own reckoning, from a time not before the write. Too late (LOST): 3 s contact + 4 s + 3 s = 10 s after the kill; the wait ends 9 to 9.8 s after it, for a listed worker with the lease it had. Checked paths: releases, claims whose answer was lost, unreadable owner rows, restarts of workers, two losses of owners, outages of the store, rows of earlier versions.

--- a/include/burdockspur/fleet/fleetcommand.hpp
+++ b/include/burdockspur/fleet/fleetcommand.hpp
@@ -4,6 +4,7 @@
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/fleet/jobprogress.hpp"
+#include "burdockspur/fleet/silentworker.hpp"
 #include "burdockspur/fleet/waitingjobs.hpp"
 #include "burdockspur/link/httpclient.hpp"
 #include "burdockspur/port/tablestore.hpp"
@@ -64,6 +65,7 @@
     std::vector<RowPut> m_puts;
     std::vector<std::string> m_deletes;
     std::optional<WaitingJobs> m_waiting; ///< empty until the list of jobs is complete
+    std::vector<SilentWorker> m_silentWorkers; ///< see FleetOwnerRow
 };
 
 /// @brief A job whose final phase is stored in its progress row.
--- a/include/burdockspur/fleet/fleetlimits.hpp
+++ b/include/burdockspur/fleet/fleetlimits.hpp
@@ -13,8 +13,9 @@
     /// report); a longer lease delays the restart of the tasks of a lost worker.
     Milliseconds m_lease{5'000};
 
-    /// How long after a takeover a worker that does not answer may still run tasks that the previous owner started: the
-    /// longest time that an owner renews leases without the store (m_renewWithoutStore), plus one lease, plus the clock drift.
+    /// How long after the last commit of the previous owner a worker that does not answer may still run tasks that it started: the
+    /// longest time that an owner renews leases without the store (m_renewWithoutStore), plus one lease, plus the clock drift. Shorter for a worker
+    /// that the previous owner has listed as silent.
     Milliseconds m_inheritedLease{9'400};
 
     /// An owner that cannot reach the store stops renewing leases after this time, so that a successor that cannot reach a
--- a/include/burdockspur/fleet/fleetrings.hpp
+++ b/include/burdockspur/fleet/fleetrings.hpp
@@ -6,6 +6,7 @@
 #include "burdockspur/fleet/fleetanswer.hpp"
 #include "burdockspur/fleet/fleetcommand.hpp"
 #include "burdockspur/fleet/fleetscheduler.hpp"
+#include "burdockspur/fleet/formerowner.hpp"
 #include "burdockspur/fleet/waitingjobs.hpp"
 
 #include <cstdint>
@@ -59,6 +60,8 @@
 /// @brief This host has become the owner, and reads the jobs now.
 struct OwnershipClaimed {
     Epoch m_epoch = 0;
+    TimePoint m_claimedAt; ///< when the claim was sent
+    FormerOwner m_former;
 };
 
 /// @brief This host is the owner and has read the jobs.
--- a/include/burdockspur/fleet/fleetrows.hpp
+++ b/include/burdockspur/fleet/fleetrows.hpp
@@ -8,7 +8,9 @@
 #include "burdockspur/fleet/hostcapacity.hpp"
 #include "burdockspur/fleet/jobprogress.hpp"
 #include "burdockspur/fleet/knowncapacity.hpp"
+#include "burdockspur/fleet/silentworker.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -42,6 +44,9 @@
 /// Key of the owner's row.
 inline constexpr std::string_view fleetOwnerKey = "owner/fleet/owner";
 
+/// Largest number of silent workers in the owner's row. When more are silent, the owner itself is probably cut off.
+inline constexpr std::size_t maxSilentWorkers = 32;
+
 /// Key of the interference model.
 inline constexpr std::string_view modelKey = "model/fleet/pressures";
 
@@ -91,6 +96,7 @@
     std::string m_successor; ///< host to which the ownership was released; empty when any host may claim
     std::string m_successorIncarnation;
     bool m_hasFailed = false; ///< true when the ownership was released because the owner could not read the jobs
+    std::vector<SilentWorker> m_silentWorkers; ///< at most maxSilentWorkers
 
     [[nodiscard]] auto operator==(const FleetOwnerRow &) const -> bool = default;
 };
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -6,6 +6,7 @@
 #include "burdockspur/fleet/fleetjob.hpp"
 #include "burdockspur/fleet/fleetlimits.hpp"
 #include "burdockspur/fleet/fleetworker.hpp"
+#include "burdockspur/fleet/formerowner.hpp"
 #include "burdockspur/fleet/jobchanges.hpp"
 #include "burdockspur/fleet/pacecontroller.hpp"
 #include "burdockspur/fleet/placementcounters.hpp"
@@ -62,8 +63,9 @@
     /// Until begin() is called for the same epoch, the workers' leases are renewed and nothing else is decided: reading the jobs of a
     /// large fleet over a narrow link takes longer than a lease.
     /// @param epoch fencing token of this ownership
-    /// @param now a time at which the ownership was stored already
-    auto prepare(Epoch epoch, TimePoint now) -> void;
+    /// @param claimedAt a time before the claim of the ownership was stored; leases are renewed for a limited time from then on
+    /// @param former what is known of the leases of the former owner
+    auto prepare(Epoch epoch, TimePoint claimedAt, FormerOwner former) -> void;
 
     /// @brief Starts an ownership, or continues a prepared one; drops all jobs and workers of an earlier one.
     /// @param epoch fencing token of this ownership
@@ -194,6 +196,13 @@
     /// @param run the run that the order has started; nullptr if it is not known any more
     auto recordStartAnswer(const StartAnswer &answer, const TaskRun *run, TimePoint now) -> void;
     auto resignAfterFencing(const FleetWorker &worker) -> void;
+    /// @brief Latest end of a lease that the former owner may have granted to a worker.
+    [[nodiscard]] auto inheritedLeaseEndOf(std::string_view worker) const -> TimePoint;
+    /// @brief True if a lease of a worker may be extended now.
+    [[nodiscard]] auto mayRenewLease(const FleetWorker &worker, TimePoint now) const -> bool;
+    /// @brief Workers that are silent and have runs, for a commit.
+    /// @param commit number of the commit
+    [[nodiscard]] auto declareSilentWorkers(std::uint64_t commit, TimePoint now) -> std::vector<SilentWorker>;
     /// @brief Marks all runs of a worker as lost, and continues with another incarnation of it.
     auto replaceIncarnation(FleetWorker &worker, std::uint64_t incarnation, std::string_view reason) -> void;
     auto processEnds(FleetWorker &worker, std::span<const EndedTask> ended, TimePoint now) -> void;
@@ -266,7 +275,10 @@
     FleetLimits m_limits;
     Epoch m_epoch = 0;
     TimePoint m_storeConfirmedAt; ///< send time of the last commit that was stored
-    TimePoint m_inheritedLeaseEnd; ///< until then, workers may hold a lease of the previous owner
+    FormerOwner m_former;
+    /// Workers that a commit has listed as silent, and the number of the last such commit. Until a later commit is stored, a successor may rely on
+    /// the list.
+    std::map<std::string, std::uint64_t, std::less<>> m_declaredSilent;
     bool m_isPreparing = false; ///< see prepare()
     std::optional<TimePoint> m_jobListTime; ///< see setJobListTime()
     std::shared_ptr<const FleetConfiguration> m_configuration;
--- a/include/burdockspur/fleet/fleetstoreduty.hpp
+++ b/include/burdockspur/fleet/fleetstoreduty.hpp
@@ -66,7 +66,7 @@
     auto readOwner() -> void;
     auto handleOwnerRow(Result<std::vector<TableRow>> &&rows, TimePoint sentAt) -> void;
     auto claim(const ClaimAttempt &attempt) -> void;
-    auto beginOwnership(const FleetOwnerRow &row, std::uint64_t version) -> void;
+    auto beginOwnership(const ClaimAttempt &attempt, std::uint64_t version, TimePoint claimedAt) -> void;
     auto handleJobsLoaded(JobLoad::Jobs &&loaded) -> void;
     auto handleLoadFailure(const Error &error) -> void;
     auto followJobs(std::uint64_t version) -> void;
--- a/include/burdockspur/fleet/ownershipclaim.hpp
+++ b/include/burdockspur/fleet/ownershipclaim.hpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/fleet/fleetrows.hpp"
+#include "burdockspur/fleet/formerowner.hpp"
 #include "burdockspur/fleet/waitingjobs.hpp"
 #include "burdockspur/operations/logthrottle.hpp"
 #include "burdockspur/port/tablestore.hpp"
@@ -17,6 +18,7 @@
 struct ClaimAttempt {
     std::uint64_t m_expectedVersion = 0; ///< version of the owner's row that the write requires
     FleetOwnerRow m_row; ///< row to write
+    FormerOwner m_former; ///< what the present row tells of the leases of its owner
 };
 
 /// @brief Decides when this host claims the ownership of the fleet.
@@ -67,6 +69,7 @@
     [[nodiscard]] auto waitingJobs() const -> std::optional<WaitingJobs>;
 
 private:
+    [[nodiscard]] auto formerOwner(TimePoint now) const -> FormerOwner;
     /// @brief Time for which the last read row must stay unchanged before this host claims it.
     [[nodiscard]] auto requiredWait() const noexcept -> Milliseconds;
 
@@ -84,6 +87,7 @@
     TimePoint m_backOffUntil; ///< no claims before this time
     std::uint64_t m_version = 0; ///< version of the row as last read; 0 when it was absent
     std::optional<TimePoint> m_unchangedSince; ///< first read of this version; nothing after a read without an answer
+    std::optional<TimePoint> m_writtenBefore; ///< when the answer to the first read of this version arrived
     std::optional<TimePoint> m_lastReadAt; ///< time at which the last answered read was sent
     std::optional<TimePoint> m_writtenAfter; ///< earliest time at which the current row can have been written
     FleetOwnerRow m_owner;
--- a/src/fleet/fleetduty.cpp
+++ b/src/fleet/fleetduty.cpp
@@ -64,9 +64,9 @@
     }
 }
 
-auto FleetDuty::on(OwnershipClaimed &&input, TimePoint now) -> void
+auto FleetDuty::on(OwnershipClaimed &&input, TimePoint /*now*/) -> void
 {
-    m_scheduler.prepare(input.m_epoch, now);
+    m_scheduler.prepare(input.m_epoch, input.m_claimedAt, std::move(input.m_former));
 }
 
 auto FleetDuty::on(OwnershipTaken &&input, TimePoint now) -> void
--- a/src/fleet/fleetrows.cpp
+++ b/src/fleet/fleetrows.cpp
@@ -229,14 +229,51 @@
     return isInRange(capacity.m_processors) && isInRange(capacity.m_linkMbps) ? capacity : HostCapacity{};
 }
 
+/// Longest time in a row, in milliseconds; sums with it do not overflow.
+constexpr std::int64_t maxAge = 1'000'000'000;
+
 /// An age is a whole number of milliseconds; one that cannot be an age is read as absent.
 [[nodiscard]] auto readAge(const Value &value, std::string_view name) -> std::optional<Milliseconds>
 {
-    constexpr std::int64_t maxAge = 1'000'000'000;
     const auto age = JsonValue::integer<std::int64_t>(value, name);
     return age && *age >= 0 && *age <= maxAge ? std::optional(Milliseconds(*age)) : std::nullopt;
 }
 
+/// A silent worker is [id, time left of its lease]; the list is omitted when it is empty.
+auto writeSilentWorkers(Writer &writer, std::span<const SilentWorker> workers) -> void
+{
+    if (workers.empty()) {
+        return;
+    }
+    putName(writer, "silent");
+    writer.StartArray();
+    for (const auto &worker : workers) {
+        writer.StartArray();
+        put(writer, worker.m_worker);
+        writer.Int64(worker.m_leaseLeft.count());
+        writer.EndArray();
+    }
+    writer.EndArray();
+}
+
+/// An entry that is not valid is left out; a successor then waits for the longest lease that the owner can have granted.
+[[nodiscard]] auto readSilentWorkers(const Value &document) -> std::vector<SilentWorker>
+{
+    using namespace JsonValue;
+    std::vector<SilentWorker> workers;
+    const auto *const entries = array(document, "silent");
+    for (std::size_t i = 0; entries != nullptr && i < std::min(entries->size(), maxSilentWorkers); ++i) {
+        const auto &entry = (*entries)[i];
+        const bool isEntry = entry.is_array() && entry.size() == 2;
+        const auto id = isEntry ? text(entry[0]) : std::nullopt;
+        const auto left = isEntry ? integer<std::int64_t>(entry[1]) : std::nullopt;
+        if (id && !id->empty() && left && *left >= 0 && *left <= maxAge) {
+            workers.push_back({std::string(*id), Milliseconds(*left)});
+        }
+    }
+    return workers;
+}
+
 [[nodiscard]] auto keyOf(std::string_view table, std::string_view partition, std::string_view name, std::string_view suffix = {}) -> std::string
 {
     std::string key(table);
@@ -383,6 +420,7 @@
         putName(writer, "failed");
         writer.Bool(true);
     }
+    writeSilentWorkers(writer, row.m_silentWorkers);
     writer.EndObject();
     return JsonValue::textOf(buffer);
 }
@@ -540,6 +578,7 @@
     row.m_successor = text(document, "successor").value_or(std::string_view{});
     row.m_successorIncarnation = text(document, "successor_incarnation").value_or(std::string_view{});
     row.m_hasFailed = boolean(document, "failed").value_or(false);
+    row.m_silentWorkers = readSilentWorkers(document);
     return row;
 }
 
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -9,6 +9,16 @@
 
 namespace Burdockspur
 {
+namespace
+{
+/// A worker with an unanswered report is listed as silent after this time without a report. It is longer than the time in which a worker answers
+/// again whose connections were reset.
+constexpr Milliseconds minSilence{1'000};
+/// No worker is listed as silent when the store has not confirmed a commit for this long: the leases of a listed worker are not renewed until
+/// the next commit is stored.
+constexpr Milliseconds maxStoreSilence{1'000};
+}
+
 FleetScheduler::FleetScheduler(const FleetLimits &limits)
     : m_limits(limits)
 {
@@ -16,19 +26,26 @@
 
 FleetScheduler::~FleetScheduler() = default;
 
-auto FleetScheduler::prepare(Epoch epoch, TimePoint now) -> void
+auto FleetScheduler::prepare(Epoch epoch, TimePoint claimedAt, FormerOwner former) -> void
 {
     resign();
     m_epoch = epoch;
     m_isPreparing = true;
-    m_storeConfirmedAt = now;
-    m_inheritedLeaseEnd = now + m_limits.m_inheritedLease;
+    m_storeConfirmedAt = claimedAt;
+    m_former = std::move(former);
+}
+
+auto FleetScheduler::inheritedLeaseEndOf(std::string_view worker) const -> TimePoint
+{
+    const auto longest = m_former.m_lastSign + m_limits.m_inheritedLease;
+    const auto silent = m_former.m_silentWorkers.find(worker);
+    return silent == m_former.m_silentWorkers.end() ? longest : std::min(longest, silent->second);
 }
 
 auto FleetScheduler::begin(Epoch epoch, std::vector<StoredJob> &&jobs, TimePoint now, WallTime wallNow) -> void
 {
     if (!m_isPreparing || m_epoch != epoch) {
-        prepare(epoch, now);
+        prepare(epoch, now, FormerOwner{now, {}});
     }
     m_isPreparing = false;
     for (auto &[id, worker] : m_workers) {
@@ -98,6 +115,7 @@
     m_deletes.clear();
     m_commands.clear();
     m_commit.reset();
+    m_declaredSilent.clear();
     m_commitNumber = 0;
     m_waitingCount = 0;
     m_waitingFillCpu = 0;
@@ -123,7 +141,7 @@
         WorkerRecord record;
         record.m_id = task.m_worker;
         record.m_incarnation = task.m_incarnation;
-        auto &worker = m_workers.try_emplace(task.m_worker, record, m_limits, m_inheritedLeaseEnd).first->second;
+        auto &worker = m_workers.try_emplace(task.m_worker, record, m_limits, inheritedLeaseEndOf(task.m_worker)).first->second;
         if (task.m_incarnation != worker.m_record.m_incarnation) {
             // A worker that has answered this owner is in its latest incarnation. Until then, the stored tasks tell: one that was assigned
             // to a later incarnation shows that the earlier ones have ended. An entry of the platform's list tells nothing.
@@ -378,9 +396,14 @@
 
 auto FleetScheduler::hasChanges() const -> bool
 {
-    return !m_changes.m_dirtyJobs.empty() || !m_deletes.empty() || std::ranges::any_of(m_workers, [](const auto &entry) {
-        return entry.second.m_processedEnd > entry.second.m_durableEnd;
+    const bool hasUndeclared = std::ranges::any_of(m_declaredSilent, [this](const auto &entry) {
+        const auto worker = m_workers.find(entry.first);
+        return worker != m_workers.end() && worker->second.m_isAnswering;
     });
+    // The leases of a worker that answers again are renewed only after a commit that does not list it as silent.
+    return hasUndeclared || !m_changes.m_dirtyJobs.empty() || !m_deletes.empty() || std::ranges::any_of(m_workers, [](const auto &entry) {
+               return entry.second.m_processedEnd > entry.second.m_durableEnd;
+           });
 }
 
 auto FleetScheduler::collectRows(CommitOrder &order, CommitInFlight &commit) -> void
@@ -452,6 +475,7 @@
     order.m_number = ++m_commitNumber;
     order.m_epoch = m_epoch;
     order.m_waiting = waitingJobs();
+    order.m_silentWorkers = declareSilentWorkers(order.m_number, now);
     commit->m_number = order.m_number;
     commit->m_deletes = order.m_deletes;
     m_commands.emplace_back(std::move(order));
@@ -462,6 +486,26 @@
     return TimePoint::max();
 }
 
+auto FleetScheduler::declareSilentWorkers(std::uint64_t commit, TimePoint now) -> std::vector<SilentWorker>
+{
+    std::vector<SilentWorker> silent;
+    if (now - m_storeConfirmedAt > maxStoreSilence) {
+        return silent;
+    }
+    for (const auto &[id, worker] : m_workers) {
+        if (worker.m_unansweredReports == 0 || worker.m_runs.empty() || now - worker.m_lastReportAt < minSilence) {
+            continue;
+        }
+        const auto left = std::chrono::ceil<Milliseconds>(worker.m_workerLease.latestExpiry() - now);
+        silent.push_back({id, std::max(left, Milliseconds{0})});
+        m_declaredSilent[id] = commit;
+        if (silent.size() == maxSilentWorkers) {
+            break;
+        }
+    }
+    return silent;
+}
+
 auto FleetScheduler::handleAnswer(const CommitAnswer &answer, TimePoint now) -> void
 {
     if (answer.m_epoch != m_epoch) {
@@ -486,6 +530,9 @@
         m_nextCommit = now + m_limits.m_commitRetryDelay;
         return;
     }
+    std::erase_if(m_declaredSilent, [&commit](const auto &entry) {
+        return entry.second < commit->m_number;
+    });
     requestArchiving(commit->m_jobs);
     for (const auto &ack : commit->m_acks) {
         auto *const worker = findWorker(ack.m_worker);
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -372,8 +372,7 @@
 
 auto FleetScheduler::sendStart(FleetWorker &worker, TaskRun &run, TimePoint now) -> void
 {
-    const bool mayRenew = now - m_storeConfirmedAt <= m_limits.m_renewWithoutStore && worker.m_isAnswering;
-    const auto lease = mayRenew ? worker.m_workerLease.extendLease(m_limits.m_lease, now) : std::nullopt;
+    const auto lease = mayRenewLease(worker, now) ? worker.m_workerLease.extendLease(m_limits.m_lease, now) : std::nullopt;
     const bool mayStart = !run.m_isStopRequested && worker.m_isListed && !worker.m_record.m_drainRemaining && !isFinal(run.m_job->progress().m_phase);
     if (run.m_stage == RunStage::Unsent && (!lease || !mayStart)) {
         requeueRun(worker, run, !lease ? "no_lease" : "no_longer_wanted");
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -80,7 +80,7 @@
     for (const auto &record : changed) {
         auto *worker = findWorker(record.m_id);
         if (worker == nullptr) {
-            worker = &m_workers.try_emplace(record.m_id, record, m_limits, m_inheritedLeaseEnd).first->second;
+            worker = &m_workers.try_emplace(record.m_id, record, m_limits, inheritedLeaseEndOf(record.m_id)).first->second;
             logEvent(LogLevel::Info, "worker_added", {{"worker", record.m_id}, {"incarnation", record.m_incarnation}, {"workers", m_workers.size()}});
         }
         const bool wasLeaving = worker->m_record.m_drainRemaining.has_value();
@@ -120,7 +120,7 @@
 {
     markRunsLost(worker, reason);
     // After a takeover, the other incarnation may hold a lease of the previous owner too.
-    FleetWorker next(worker.m_record, m_limits, m_inheritedLeaseEnd);
+    FleetWorker next(worker.m_record, m_limits, inheritedLeaseEndOf(worker.m_record.m_id));
     next.m_record.m_incarnation = incarnation;
     next.m_isListed = worker.m_isListed;
     next.m_drainEndsAt = worker.m_drainEndsAt;
@@ -167,10 +167,15 @@
     }
 }
 
+auto FleetScheduler::mayRenewLease(const FleetWorker &worker, TimePoint now) const -> bool
+{
+    // The lease of a worker that does not answer must not be extended, or its tasks would never count as lost.
+    return worker.m_isAnswering && now - m_storeConfirmedAt <= m_limits.m_renewWithoutStore && !m_declaredSilent.contains(worker.m_record.m_id);
+}
+
 auto FleetScheduler::pollWorkers(TimePoint now) -> TimePoint
 {
     TimePoint next = TimePoint::max();
-    const bool mayRenew = now - m_storeConfirmedAt <= m_limits.m_renewWithoutStore;
     for (auto &[id, worker] : m_workers) {
         if (worker.m_reportInFlight || worker.m_record.m_endpoint.m_port == 0) {
             continue;
@@ -188,8 +193,7 @@
         order.m_wait = waitsForStore || m_isPreparing || !worker.m_hasReported || !worker.m_isAnswering
             ? Milliseconds{0}
             : m_reportPacing.wait(m_limits, worker.m_runs.empty(), now);
-        // The lease of a worker that does not answer must not be extended, or its tasks would never count as lost.
-        if (mayRenew && worker.m_isAnswering) {
+        if (mayRenewLease(worker, now)) {
             order.m_leaseUntil = worker.m_workerLease.extendLease(m_limits.m_lease, now);
         }
         worker.m_reportInFlight = true;
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -395,27 +395,28 @@
     Transaction transaction;
     transaction.m_conditions.push_back({std::string(fleetOwnerKey), attempt.m_expectedVersion});
     transaction.m_puts.push_back({std::string(fleetOwnerKey), encodeRow(attempt.m_row)});
-    m_ownerStore->commit(transaction, [this, row = attempt.m_row](CommitResult &&result) {
+    m_ownerStore->commit(transaction, [this, attempt, sentAt = Clock::now()](CommitResult &&result) {
         m_isOwnerCallInFlight = false;
         // A claim whose answer was lost is found at the next read of the row, and this host then claims again.
         if (result.m_status == CommitResult::Status::Committed && !result.m_rows.empty()) {
             m_claim.recordClaimConfirmed();
-            beginOwnership(row, result.m_rows.front().m_version);
+            beginOwnership(attempt, result.m_rows.front().m_version, sentAt);
         }
         // A drain that began meanwhile has waited for this answer.
         releaseWhenIdle();
     });
 }
 
-auto FleetStoreDuty::beginOwnership(const FleetOwnerRow &row, std::uint64_t version) -> void
+auto FleetStoreDuty::beginOwnership(const ClaimAttempt &attempt, std::uint64_t version, TimePoint claimedAt) -> void
 {
+    const auto &row = attempt.m_row;
     logEvent(LogLevel::Info, "ownership_taken", {{"epoch", row.m_epoch}, {"version", version}});
     m_commits->begin(row, version);
     m_handOver.begin(row, Clock::now());
     m_release.reset();
     m_hasLoadedJobs = false;
     m_jobsAsOf = Clock::now();
-    m_toScheduler->push(OwnershipClaimed{row.m_epoch});
+    m_toScheduler->push(OwnershipClaimed{row.m_epoch, claimedAt, attempt.m_former});
     // Before the jobs, because the reports that follow them are compared with the model.
     m_store->read(modelKey, [this, epoch = row.m_epoch](Result<std::vector<TableRow>> &&rows) {
         restoreModel(epoch, std::move(rows));
--- a/src/fleet/ownercommit.cpp
+++ b/src/fleet/ownercommit.cpp
@@ -55,6 +55,7 @@
     m_pendingRow = m_row;
     m_pendingRow.m_commit = order.m_number;
     m_pendingRow.m_best = best;
+    m_pendingRow.m_silentWorkers = order.m_silentWorkers;
     m_pendingRow.m_waiting.clear();
     m_pendingRow.m_waitingAge.reset();
     if (order.m_waiting) {
--- a/src/fleet/ownershipclaim.cpp
+++ b/src/fleet/ownershipclaim.cpp
@@ -68,11 +68,16 @@
     if (!m_unchangedSince || version != m_version) {
         m_unchangedSince = now;
     }
+    if (version != m_version || !m_writtenBefore) {
+        m_writtenBefore = now;
+    }
     if (version != m_version) {
         m_writtenAfter = m_lastReadAt;
     }
     m_lastReadAt = sentAt;
     m_version = version;
+    // A row that cannot be read, or that is gone, tells nothing of leases.
+    m_owner.m_silentWorkers.clear();
     if (row) {
         if (auto decoded = decodeFleetOwnerRow(row->m_value)) {
             m_owner = std::move(*decoded);
@@ -106,7 +111,18 @@
     attempt.m_row.m_epoch = m_owner.m_epoch + 1;
     attempt.m_row.m_capacity = m_capacity;
     attempt.m_row.m_best = m_owner.m_best.updated(unchangedFor, m_capacity);
+    attempt.m_former = formerOwner(now);
     m_unansweredEpoch = attempt.m_row.m_epoch;
     return attempt;
 }
+
+auto OwnershipClaim::formerOwner(TimePoint now) const -> FormerOwner
+{
+    // An outage of the store does not matter here: the version was written before it was first read.
+    FormerOwner former{m_writtenBefore.value_or(now), {}};
+    for (const auto &worker : m_owner.m_silentWorkers) {
+        former.m_silentWorkers.emplace(worker.m_worker, former.m_lastSign + worker.m_leaseLeft);
+    }
+    return former;
+}
 }
--- a/tests/fleetrowstest.cpp
+++ b/tests/fleetrowstest.cpp
@@ -95,6 +95,20 @@
     EXPECT_EQ(earlier->m_best, KnownCapacity{});
 }
 
+// Guards against a successor that counts a lease as over because of an odd entry (TWICE).
+TEST(FleetRowsTest, SilentWorkersAreDecodedUnchanged)
+{
+    FleetOwnerRow row{.m_host = "host-1", .m_incarnation = "1", .m_epoch = 3};
+    row.m_silentWorkers = {{"worker-1", Milliseconds{4'300}}, {"worker-2", Milliseconds{0}}};
+    const auto decoded = decodeFleetOwnerRow(encodeRow(row));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(*decoded, row);
+    const auto odd = decodeFleetOwnerRow(
+        R"({"host":"h","incarnation":"1","epoch":3,"silent":[["a",-1],["b",1e30],["c"],[7,5],["",5],"d",["e",9223372036854775807],["f",5,6],["g",12]]})");
+    ASSERT_TRUE(odd);
+    EXPECT_EQ(odd->m_silentWorkers, (std::vector<SilentWorker>{{"g", Milliseconds{12}}}));
+}
+
 // Guards against missing counts that are read as zero waiting jobs (MIXED, incident of 2026-12-05).
 TEST(FleetRowsTest, CountsWithoutAnAgeAreNoCounts)
 {
--- a/tests/fleetschedulertest.cpp
+++ b/tests/fleetschedulertest.cpp
@@ -171,6 +171,56 @@
     EXPECT_TRUE(simulation.m_violations.empty());
 }
 
+// Guards against a new owner that waits for the longest lease although the former one knew that the worker was silent: lasting tasks stayed
+// away for 14 s (LOST). The rule leaves 7 s from the last disruption.
+TEST(FleetSchedulerTest, TasksOfAWorkerThatIsLostBeforeTheOwnerRunAgain)
+{
+    FleetSimulation simulation(seed, 2, {});
+    simulation.submit(makeServingJob(1, "image"));
+    simulation.run(Milliseconds{2'000});
+    simulation.makeUnreachable(0, Milliseconds{600'000});
+    simulation.run(Milliseconds{3'000});
+    simulation.killOwner();
+    simulation.run(Milliseconds{2'000});
+    simulation.takeOver(Milliseconds{100});
+    simulation.run(Milliseconds{5'000});
+    EXPECT_EQ(simulation.startsOf(hexOf(1)), 6U);
+    EXPECT_TRUE(simulation.m_violations.empty());
+}
+
+// Guards against a lease that is counted from the takeover instead of the last sign of the former owner (LOST). The rule leaves 10 s from the
+// last disruption to a machine that has to be in touch for 3 s first.
+TEST(FleetSchedulerTest, TasksOfAWorkerThatIsLostAtTheSameTimeAsTheOwnerRunAgain)
+{
+    FleetSimulation simulation(seed, 2, {});
+    simulation.submit(makeServingJob(1, "image"));
+    simulation.run(Milliseconds{2'000});
+    simulation.makeUnreachable(0, Milliseconds{600'000});
+    simulation.killOwner();
+    simulation.run(Milliseconds{2'000});
+    simulation.takeOver(Milliseconds{100});
+    simulation.run(Milliseconds{8'000});
+    EXPECT_EQ(simulation.startsOf(hexOf(1)), 6U);
+    EXPECT_TRUE(simulation.m_violations.empty());
+}
+
+// Guards against a wait that each further loss of an owner begins anew (LOST).
+TEST(FleetSchedulerTest, ASecondLossOfTheOwnerDoesNotProlongALease)
+{
+    FleetSimulation simulation(seed, 2, {});
+    simulation.submit(makeServingJob(1, "image"));
+    simulation.run(Milliseconds{2'000});
+    simulation.makeUnreachable(0, Milliseconds{600'000});
+    for (int i = 0; i < 2; ++i) {
+        simulation.killOwner();
+        simulation.run(Milliseconds{2'000});
+        simulation.takeOver(Milliseconds{100});
+        simulation.run(Milliseconds{3'000});
+    }
+    EXPECT_EQ(simulation.startsOf(hexOf(1)), 6U) << "10 s after the loss of the worker";
+    EXPECT_TRUE(simulation.m_violations.empty());
+}
+
 // Guards against a count of waiting jobs that omits jobs whose start is not confirmed yet, e.g. because the store is slow (MIXED, hunt
 // `hunt-7c50-7` of the second site, 2026-12-04).
 TEST(FleetSchedulerTest, AJobWaitsUntilAWorkerHasConfirmedItsStart)
@@ -302,6 +352,41 @@
 }
 }
 
+namespace
+{
+/// @brief Starts the task of a job on worker 1, which confirms it; worker 2 may take tasks as well.
+/// @returns the start order
+[[nodiscard]] auto startOnFirstWorker(ManualFleet &fleet) -> RunStartOrder
+{
+    fleet.report(1, {}, {});
+    fleet.m_scheduler.addJob(makeJob(1, 1, 1'000, Milliseconds{500}), fleet.m_now, FleetScheduler::WallTime{});
+    fleet.advance(Milliseconds{1});
+    fleet.storeCommits();
+    const auto start = fleet.m_starts.at(0);
+    fleet.m_scheduler.handleAnswer(StartAnswer{start.m_address, start.m_task, start.m_run, OrderOutcome::Accepted, {}, fleet.m_now}, fleet.m_now);
+    fleet.report(2, {}, {});
+    return start;
+}
+
+auto advanceAndStore(ManualFleet &fleet) -> void
+{
+    for (int i = 0; i < 3; ++i) {
+        fleet.advance(Milliseconds{200});
+        fleet.storeCommits();
+    }
+}
+
+/// @brief Lease in the last report order to a worker.
+[[nodiscard]] auto leaseOf(const ManualFleet &fleet, std::string_view worker) -> std::optional<Milliseconds>
+{
+    std::optional<Milliseconds> lease;
+    for (const auto &order : fleet.m_reports) {
+        lease = order.m_address.m_worker == worker ? order.m_leaseUntil : lease;
+    }
+    return lease;
+}
+}
+
 // Guards against acknowledging a late success without storing it while the next run continues: a successor started a third run (review
 // of the incident of 2026-12-05).
 TEST(FleetSchedulerTest, ALateSuccessStopsTheNextRunAndIsStoredBeforeItIsAcknowledged)
@@ -554,6 +639,74 @@
     EXPECT_FALSE(fleet.m_highestLease) << "a report order renewed a lease";
 }
 
+// Guards against a host that was paused between its claim and the start of its ownership, and then renews leases longer than its successor
+// waits (TWICE): the time for which it may renew them counts from the claim.
+TEST(FleetSchedulerTest, AnOwnerThatWasPausedAfterItsClaimRenewsNoLease)
+{
+    ManualFleet fleet;
+    const TimePoint claimedAt = fleet.m_now;
+    fleet.m_now += Milliseconds{4'500};
+    fleet.m_scheduler.prepare(ManualFleet::epoch, claimedAt, FormerOwner{claimedAt, {}});
+    WorkerRecord record;
+    record.m_id = "worker-1";
+    record.m_endpoint = {"127.0.0.1", 1};
+    record.m_incarnation = 5;
+    fleet.m_scheduler.updateWorkers(std::span(&record, 1), {}, fleet.m_now);
+    fleet.m_highestLease.reset();
+    for (int i = 0; i < 3; ++i) {
+        fleet.advance(Milliseconds{1});
+        fleet.report(1, {}, {});
+    }
+    EXPECT_FALSE(fleet.m_highestLease);
+    fleet.m_scheduler.handleAnswer(CommitAnswer{0, ManualFleet::epoch, fleet.m_now, true}, fleet.m_now);
+    fleet.advance(Milliseconds{2'000});
+    EXPECT_TRUE(fleet.m_highestLease) << "the store has confirmed the ownership";
+}
+
+// Guards against a lease that outlives what the owner's row tells a successor (TWICE): a worker that answers again gets no lease before a commit
+// is stored that does not list it as silent.
+TEST(FleetSchedulerTest, AListedWorkerGetsALeaseOnlyAfterTheNextCommit)
+{
+    ManualFleet fleet;
+    const auto start = startOnFirstWorker(fleet);
+    fleet.loseReports(1);
+    fleet.advance(Milliseconds{600});
+    fleet.storeCommits();
+    fleet.advance(Milliseconds{600});
+    ASSERT_EQ(fleet.m_commits.size(), 1U);
+    ASSERT_EQ(fleet.m_commits[0].m_silentWorkers.size(), 1U);
+    EXPECT_EQ(fleet.m_commits[0].m_silentWorkers[0].m_worker, "worker-1");
+    EXPECT_LE(fleet.m_commits[0].m_silentWorkers[0].m_leaseLeft, Milliseconds{3'910}) << "5.1 s from the last order with a lease";
+    const std::vector<RunningTask> running{{start.m_task, start.m_run, {}, 50.0, 500.0}};
+    fleet.report(1, running, {});
+    fleet.m_reports.clear();
+    fleet.advance(Milliseconds{50});
+    EXPECT_FALSE(leaseOf(fleet, "worker-1")) << "the commit that lists the worker is in flight";
+    fleet.storeCommits();
+    fleet.report(1, running, {});
+    fleet.m_reports.clear();
+    fleet.advance(Milliseconds{50});
+    EXPECT_FALSE(leaseOf(fleet, "worker-1")) << "the stored row lists the worker";
+    ASSERT_EQ(fleet.m_commits.size(), 1U) << "the next commit does not wait for a change of a job";
+    EXPECT_TRUE(fleet.m_commits[0].m_silentWorkers.empty());
+    fleet.storeCommits();
+    fleet.report(1, running, {});
+    fleet.m_reports.clear();
+    fleet.advance(Milliseconds{50});
+    EXPECT_TRUE(leaseOf(fleet, "worker-1"));
+}
+
+// Guards against leases that expire during an outage of the store because a worker was listed as silent at its beginning.
+TEST(FleetSchedulerTest, NoWorkerIsListedWhileTheStoreIsSilent)
+{
+    ManualFleet fleet;
+    static_cast<void>(startOnFirstWorker(fleet));
+    fleet.loseReports(1);
+    fleet.advance(Milliseconds{1'500});
+    ASSERT_EQ(fleet.m_commits.size(), 1U);
+    EXPECT_TRUE(fleet.m_commits[0].m_silentWorkers.empty());
+}
+
 // Guards against leases that expire while a new owner reads the jobs, which takes longer than a lease over a narrow link (lapsed ends,
 // worker-cuts with seed 380126113910).
 TEST(FleetSchedulerTest, LeasesAreRenewedWhileTheJobsAreRead)
@@ -749,31 +902,6 @@
     EXPECT_EQ(simulation.startsOf(hexOf(1)), 12U);
 }
 
-namespace
-{
-/// @brief Starts the task of a job on worker 1, which confirms it; worker 2 may take tasks as well.
-/// @returns the start order
-[[nodiscard]] auto startOnFirstWorker(ManualFleet &fleet) -> RunStartOrder
-{
-    fleet.report(1, {}, {});
-    fleet.m_scheduler.addJob(makeJob(1, 1, 1'000, Milliseconds{500}), fleet.m_now, FleetScheduler::WallTime{});
-    fleet.advance(Milliseconds{1});
-    fleet.storeCommits();
-    const auto start = fleet.m_starts.at(0);
-    fleet.m_scheduler.handleAnswer(StartAnswer{start.m_address, start.m_task, start.m_run, OrderOutcome::Accepted, {}, fleet.m_now}, fleet.m_now);
-    fleet.report(2, {}, {});
-    return start;
-}
-
-auto advanceAndStore(ManualFleet &fleet) -> void
-{
-    for (int i = 0; i < 3; ++i) {
-        fleet.advance(Milliseconds{200});
-        fleet.storeCommits();
-    }
-}
-}
-
 // Guards against a second run beside the first (TWICE): an entry of another writer under a worker's id counted as a restart of the worker,
 // and its later reports were ignored.
 TEST(FleetSchedulerTest, AnEntryDoesNotEndTheRunsOfAWorker)
--- a/tests/fleetsimulation.cpp
+++ b/tests/fleetsimulation.cpp
@@ -114,6 +114,7 @@
 auto FleetSimulation::confirmWhilePreparing(FleetScheduler &owner) -> void
 {
     if (owner.isPreparing() && owner.epoch() == m_epoch) {
+        m_lastStoredAt = m_now;
         owner.handleAnswer(CommitAnswer{0, m_epoch, m_now, true}, m_now);
         schedule(heartbeatInterval, [this, &owner] {
             confirmWhilePreparing(owner);
@@ -208,11 +209,13 @@
     auto &owner = *m_owners.emplace_back(std::make_unique<FleetScheduler>(FleetLimits{}));
     m_archives.emplace(&owner, FleetLimits{}.m_retention);
     const Epoch epoch = ++m_epoch;
+    owner.prepare(epoch, m_now, formerOwner());
+    m_lastStoredAt = m_now;
+    m_storedSilentWorkers.clear();
     if (reading.count() == 0) {
         beginOwner(owner, epoch, readSubmissions(), readProgress());
         return;
     }
-    owner.prepare(epoch, m_now);
     confirmWhilePreparing(owner);
     for (std::size_t i = 0; i < m_workers.size(); ++i) {
         sendListEntry(i);
@@ -226,6 +229,21 @@
     });
 }
 
+auto FleetSimulation::killOwner() -> void
+{
+    m_owners.back()->resign();
+    m_archives.at(m_owners.back().get()).end();
+}
+
+auto FleetSimulation::formerOwner() const -> FormerOwner
+{
+    FormerOwner former{m_owners.size() > 1 ? m_lastStoredAt : m_now, {}};
+    for (const auto &worker : m_storedSilentWorkers) {
+        former.m_silentWorkers.emplace(worker.m_worker, m_lastStoredAt + worker.m_leaseLeft);
+    }
+    return former;
+}
+
 auto FleetSimulation::readSubmissions() const -> std::map<std::string, StoredJob>
 {
     std::map<std::string, StoredJob> rows;
@@ -580,6 +598,8 @@
 
 auto FleetSimulation::store(const CommitOrder &order) -> void
 {
+    m_lastStoredAt = m_now;
+    m_storedSilentWorkers = order.m_silentWorkers;
     for (const auto &put : order.m_puts) {
         const auto job = m_store.find(rowName(put.m_key));
         if (job == m_store.end()) {
--- a/tests/fleetsimulation.hpp
+++ b/tests/fleetsimulation.hpp
@@ -58,6 +58,9 @@
     /// @param reading time between the first and the last list that the new owner reads; the store may change meanwhile
     auto takeOver(Milliseconds reading = Milliseconds{0}) -> void;
 
+    /// @brief Ends the current owner at once; the workers are without one until takeOver().
+    auto killOwner() -> void;
+
     /// @brief Makes a worker unreachable in both directions for a time.
     auto makeUnreachable(std::size_t worker, Milliseconds length) -> void;
 
@@ -184,6 +187,7 @@
     auto runArchive(FleetScheduler &owner) -> void;
     auto move(FleetScheduler &owner, const ArchiveWrite &write) -> void;
     auto store(const Transaction &transaction) -> void;
+    [[nodiscard]] auto formerOwner() const -> FormerOwner;
     auto beginOwner(FleetScheduler &owner, Epoch epoch, std::map<std::string, StoredJob> submissions, const std::map<std::string, JobProgress> &progress)
         -> void;
     [[nodiscard]] auto readSubmissions() const -> std::map<std::string, StoredJob>;
@@ -231,6 +235,8 @@
     std::size_t m_mostWaiting = 0;
     std::map<std::string, TimePoint, std::less<>> m_reportedDone; ///< time of the first report that lists the success of a task
     std::optional<CommitOrder> m_lateCommit;
+    TimePoint m_lastStoredAt; ///< when the last commit or claim was stored
+    std::vector<SilentWorker> m_storedSilentWorkers; ///< of that commit
     std::map<std::string, TaskJob, std::less<>> m_submittedJobs;
     std::set<std::string, std::less<>> m_acknowledgedDone; ///< tasks whose successful end was acknowledged
     std::set<std::string, std::less<>> m_done; ///< tasks of which a run has succeeded
--- a/tests/ownershipclaimtest.cpp
+++ b/tests/ownershipclaimtest.cpp
@@ -254,3 +254,37 @@
     EXPECT_EQ(attempt->m_expectedVersion, 312U);
     EXPECT_GT(attempt->m_row.m_epoch, 312U) << "each claim was one transaction, so no epoch is above the version";
 }
+
+// Guards against a lease of the former owner that is counted from the claim (LOST), and against one that is counted as over too early (TWICE):
+// the row was written before its first read was answered, and an outage of the store does not change that.
+TEST_F(OwnershipClaimTest, TellsWhenTheFormerOwnerLastWrote)
+{
+    FleetOwnerRow row{.m_host = "other", .m_incarnation = "1", .m_epoch = 4, .m_commit = 9};
+    row.m_silentWorkers = {{"worker-1", Milliseconds{3'000}}};
+    const TableRow stored{std::string(fleetOwnerKey), 9, encodeRow(row)};
+    const TimePoint firstRead = m_now;
+    EXPECT_FALSE(m_claim.observe(stored, m_now - readLatency, m_now));
+    m_claim.observeUnreachable();
+    m_now += Milliseconds{1'000};
+    EXPECT_FALSE(m_claim.observe(stored, m_now - readLatency, m_now));
+    m_now += ownerTimeout;
+    const auto attempt = m_claim.observe(stored, m_now - readLatency, m_now);
+    ASSERT_TRUE(attempt);
+    EXPECT_EQ(attempt->m_former.m_lastSign, firstRead);
+    ASSERT_EQ(attempt->m_former.m_silentWorkers.size(), 1U);
+    EXPECT_EQ(attempt->m_former.m_silentWorkers.at("worker-1"), firstRead + Milliseconds{3'000});
+    EXPECT_TRUE(attempt->m_row.m_silentWorkers.empty()) << "the new owner may renew every lease";
+}
+
+// Guards against a list of silent workers that outlives its row (TWICE): a later owner may have renewed their leases.
+TEST_F(OwnershipClaimTest, AnUnreadableRowTellsNothingOfLeases)
+{
+    FleetOwnerRow row{.m_host = "other", .m_incarnation = "1", .m_epoch = 4, .m_commit = 9};
+    row.m_silentWorkers = {{"worker-1", Milliseconds{3'000}}};
+    EXPECT_FALSE(m_claim.observe(TableRow{std::string(fleetOwnerKey), 9, encodeRow(row)}, m_now - readLatency, m_now));
+    EXPECT_FALSE(m_claim.observe(TableRow{std::string(fleetOwnerKey), 10, "{"}, m_now - readLatency, m_now));
+    m_now += ownerTimeout;
+    const auto attempt = m_claim.observe(TableRow{std::string(fleetOwnerKey), 10, "{"}, m_now - readLatency, m_now);
+    ASSERT_TRUE(attempt);
+    EXPECT_TRUE(attempt->m_former.m_silentWorkers.empty());
+}
