Keep capacity for a lasting task that fits nowhere

Cause: the task was tried first after 1.5 s, but what became free was given to short tasks again: three of them free 4.8 cores on a worker, it needs 5.1. Ruled out: the order of placement and the wait of 1.5 s. Change: a serving task that may not wait and fits nowhere reserves capacity on the worker that has to free the least, from round to round. After 2.5 s finite runs are stopped there, the latest first, but no members of gangs. A serving task that has run before goes first of all priorities, at once. A run is stopped within 200 ms, so preemption after 2.5 s leaves time for the report and the start. Checked paths: long finite tasks, a serving queue of lower priority, rounds that are continued, serving tasks that fill a worker for good.

--- a/include/burdockspur/fleet/fleetlimits.hpp
+++ b/include/burdockspur/fleet/fleetlimits.hpp
@@ -70,10 +70,14 @@
     /// processed, so that reports, leases and commits are delayed by milliseconds only on a host with 0.12 processors.
     std::size_t m_triesPerRound = 128;
 
-    /// A serving task that has waited longer is placed before finite work of the same priority, which would otherwise take all
-    /// capacity that becomes free. It has to run again within 6 s (platform's bound), and capacity has to become free first.
+    /// A serving task that has waited longer for its first run is placed before finite work of the same priority, and capacity is kept for it;
+    /// otherwise finite work would take all capacity that becomes free. One that has run before does not wait: it has to run again within 6 s
+    /// (platform's bound), and capacity has to become free first.
     Milliseconds m_servingMaxWait{1'500};
 
+    /// After this time, finite runs are stopped on the worker whose capacity is kept for a serving task. Most finite runs end sooner by themselves.
+    Milliseconds m_servingPreemptionWait{2'500};
+
     /// Time between two orders to stop the same run.
     Milliseconds m_stopRetryInterval{700};
 
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -162,6 +162,12 @@
     struct WaitingTask;
     struct WorkerChoice;
     struct CommitInFlight;
+
+    /// Capacity of a worker that is kept for a waiting task.
+    struct CapacityReservation {
+        std::string m_worker; ///< id
+        Resources m_demand;
+    };
     using WorkerMap = std::map<std::string, FleetWorker, std::less<>>;
 
     // Jobs
@@ -246,6 +252,8 @@
     [[nodiscard]] auto mayAssign() const noexcept -> bool;
     auto updateBacklogs(TimePoint now) -> void;
     [[nodiscard]] auto rankOf(const FleetJob &job, TimePoint now) const -> JobRank;
+    /// @brief True if a serving task may wait until finite work has been placed.
+    [[nodiscard]] auto mayDefer(const JobBacklog::Task &task, TimePoint now) const noexcept -> bool;
     /// @brief Adds the waiting tasks of a job to the order of this round.
     auto addGroups(FleetJob &job, PlacementOrder &order, TimePoint now) -> void;
     /// @brief Waiting tasks of a group.
@@ -255,6 +263,9 @@
     [[nodiscard]] auto placeGroup(const PlacementGroup &group, PlacementOrder &order, PoolCapacities &pools, TimePoint now) -> bool;
     /// @brief Finds the best worker with free capacity for a task.
     [[nodiscard]] auto chooseWorker(const WaitingTask &waiting, PoolCapacities &pools, TimePoint now) -> WorkerChoice;
+    /// @brief Keeps capacity for a serving task that fits nowhere, on the worker that needs to free the least.
+    /// @returns false if no worker could free enough
+    [[nodiscard]] auto reserveCapacity(const WaitingTask &waiting, PoolCapacities &pools, TimePoint now) -> bool;
     /// @brief Assigns all tasks of a gang, or none.
     [[nodiscard]] auto placeGang(std::span<const WaitingTask> members, PoolCapacities &pools, TimePoint now) -> bool;
     /// @brief Assigns a task to a worker; the start order follows once the assignment is stored.
@@ -300,6 +311,7 @@
     TimePoint m_lastCommit;
     TimePoint m_nextPlacement; ///< time of the next round while tasks wait and nothing changes
     TimePoint m_nextModelWrite; ///< when to store the interference model again
+    std::vector<CapacityReservation> m_reservations; ///< of the current round, and of its continuation
     std::optional<PlacementPosition> m_resumeAt; ///< position at which the last round ran out of tries
     StartWindow m_startWindow;
     std::size_t m_assignedSinceCommit = 0; ///< runs whose start orders are not sent yet, because no commit contains them
--- a/include/burdockspur/fleet/fleetworker.hpp
+++ b/include/burdockspur/fleet/fleetworker.hpp
@@ -76,9 +76,25 @@
     /// @brief Finds the run of a task; nullptr if there is none.
     [[nodiscard]] auto findRun(std::string_view task) noexcept -> TaskRun *;
 
+    [[nodiscard]] auto hasRun(std::string_view task) const noexcept -> bool
+    {
+        return m_runs.contains(task);
+    }
+
     /// @brief Capacity minus the reserved resources.
     [[nodiscard]] auto freeResources() const noexcept -> Resources;
 
+    /// @brief Resources reserved for runs that end by themselves.
+    [[nodiscard]] auto finiteResources() const noexcept -> const Resources &
+    {
+        return m_finiteReserved;
+    }
+
+    /// @brief Stops finite runs, the latest first, until a demand fits once they have ended. Members of gangs are left alone.
+    /// @param free free resources that the demand may use; may be negative
+    /// @returns number of runs that were marked for a stop
+    auto stopFiniteRuns(const Resources &demand, Resources free) -> std::size_t;
+
     /// @brief Estimated processor capacity for further filling tasks, in thousandths of a core; may be negative.
     /// @param limits assumed use of serving tasks and highest total use
     [[nodiscard]] auto freeFillingCpu(const FleetLimits &limits) const noexcept -> std::int64_t;
@@ -104,6 +120,7 @@
 
     std::deque<EndMark> m_endMarks; ///< marks of ends that are not durable, in ascending order
     Resources m_reserved;
+    Resources m_finiteReserved; ///< part of m_reserved
     std::int64_t m_servingCpu = 0; ///< declared demand of the serving runs, in thousandths of a core
     std::int64_t m_otherCpu = 0; ///< declared demand of all other runs, in thousandths of a core
 };
--- a/include/burdockspur/fleet/poolcapacities.hpp
+++ b/include/burdockspur/fleet/poolcapacities.hpp
@@ -17,7 +17,8 @@
 /// @brief Free capacity of a worker that accepts new tasks.
 struct FreeCapacity {
     FleetWorker *m_worker = nullptr;
-    Resources m_free;
+    Resources m_free; ///< without m_reserved; negative while what is reserved has not become free yet
+    Resources m_reserved; ///< kept for waiting tasks, see PoolCapacities::reserve()
     std::int64_t m_freeFillingCpu = 0; ///< thousandths of a core, see FleetWorker::freeFillingCpu()
     bool m_isTrusted = false; ///< see WorkerHealth::isTrusted()
 };
@@ -38,6 +39,10 @@
 
     [[nodiscard]] auto freeCapacitiesOf(std::string_view pool) noexcept -> std::span<FreeCapacity>;
 
+    /// @brief Keeps capacity of a worker for a waiting task, so that smaller tasks do not use up what becomes free.
+    /// @param worker id of a worker; ignored if the worker accepts no tasks
+    auto reserve(std::string_view worker, const Resources &demand) noexcept -> void;
+
     /// @brief Recomputes the free capacity of a worker after its runs have changed.
     auto update(const FleetWorker &worker) noexcept -> void;
 
--- a/include/burdockspur/impl/fleetschedulerparts.hpp
+++ b/include/burdockspur/impl/fleetschedulerparts.hpp
@@ -16,6 +16,7 @@
     std::uint32_t m_stepNumber = 0;
     std::uint32_t m_index = 0;
     TaskProgress *m_progress = nullptr;
+    TimePoint m_waitingSince; ///< see JobBacklog::Task
     const TaskStep *m_step = nullptr;
     const JobQueuePolicy *m_policy = nullptr;
 
--- a/src/fleet/fleetrows.cpp
+++ b/src/fleet/fleetrows.cpp
@@ -547,9 +547,8 @@
     if (!phase || !isFinal(*phase)) {
         return failure(ErrorCode::AnswerCorrupt, "the final row of a job lacks a final state");
     }
-    return FinalRow{*phase,
-                    TaskJob::WallTime(Milliseconds(integer<std::int64_t>(document, "ended").value_or(0))),
-                    boolean(document, "unsubmitted").value_or(false)};
+    return FinalRow{
+        *phase, TaskJob::WallTime(Milliseconds(integer<std::int64_t>(document, "ended").value_or(0))), boolean(document, "unsubmitted").value_or(false)};
 }
 
 auto decodeFleetOwnerRow(std::string_view value) -> Result<FleetOwnerRow>
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -39,6 +39,11 @@
     return isEmpty ? 1 : 2;
 }
 
+[[nodiscard]] auto hasRun(const JobBacklog::Task &task) noexcept -> bool
+{
+    return task.m_progress->m_run > 0;
+}
+
 [[nodiscard]] auto hasLabel(const WorkerRecord &record, std::string_view label) noexcept -> bool
 {
     return label.empty() || std::ranges::find(record.m_labels, label) != record.m_labels.end();
@@ -89,6 +94,11 @@
     }
 }
 
+auto FleetScheduler::mayDefer(const JobBacklog::Task &task, TimePoint now) const noexcept -> bool
+{
+    return !hasRun(task) && now - task.m_waitingSince < m_limits.m_servingMaxWait;
+}
+
 auto FleetScheduler::addGroups(FleetJob &job, PlacementOrder &order, TimePoint now) -> void
 {
     const auto add = [&](const PlacementGroup &group) {
@@ -102,17 +112,20 @@
             add({rank, &job, &step});
             continue;
         }
-        // Serving tasks that have waited longer than m_servingMaxWait form a group of their own, which is not deferred.
-        const auto isWithinMaxWait = [&](const JobBacklog::Task &task) {
-            return now - task.m_waitingSince < m_limits.m_servingMaxWait;
+        // Serving tasks that may not wait any longer form a group of their own, which is not deferred.
+        const auto canWait = [&](const JobBacklog::Task &task) {
+            return mayDefer(task, now);
         };
-        const auto withinMaxWait = static_cast<std::size_t>(std::ranges::count_if(step.m_tasks, isWithinMaxWait));
-        for (const bool isDeferred : {false, true}) {
-            if (isDeferred ? withinMaxWait > 0 : withinMaxWait < step.m_tasks.size()) {
-                auto groupRank = rank;
-                groupRank.m_isDeferred = isDeferred;
-                add({groupRank, &job, &step});
-            }
+        const auto deferrable = static_cast<std::size_t>(std::ranges::count_if(step.m_tasks, canWait));
+        if (deferrable > 0) {
+            add({rank, &job, &step});
+        }
+        if (deferrable < step.m_tasks.size()) {
+            auto groupRank = rank;
+            groupRank.m_isDeferred = false;
+            // A task that has run has to run again whatever else waits.
+            groupRank.m_priority = std::ranges::any_of(step.m_tasks, hasRun) ? 0 : rank.m_priority;
+            add({groupRank, &job, &step});
         }
     }
 }
@@ -123,13 +136,14 @@
     const auto &step = *group.m_step;
     tasks.reserve(step.m_tasks.size());
     for (const auto &task : step.m_tasks) {
-        const bool isOfGroup = !group.m_job->isServing() || (now - task.m_waitingSince < m_limits.m_servingMaxWait) == group.m_rank.m_isDeferred;
+        const bool isOfGroup = !group.m_job->isServing() || mayDefer(task, now) == group.m_rank.m_isDeferred;
         if (isOfGroup) {
             tasks.push_back({group.m_job,
                              step.m_occurrence,
                              step.m_step,
                              task.m_index,
                              task.m_progress,
+                             task.m_waitingSince,
                              &group.m_job->job().m_steps[step.m_step],
                              group.m_job->backlog().m_policy});
         }
@@ -182,6 +196,12 @@
         pools.add(worker);
         capacity += static_cast<double>(worker.m_record.m_capacity.m_cpuMillis);
     }
+    if (!m_resumeAt) {
+        m_reservations.clear();
+    }
+    for (const auto &reservation : m_reservations) {
+        pools.reserve(reservation.m_worker, reservation.m_demand);
+    }
     PlacementOrder order(m_kinds);
     for (auto *const job : m_changes.m_waiting) {
         addGroups(*job, order, now);
@@ -234,6 +254,10 @@
             pools.update(*choice.m_worker);
             continue;
         }
+        const bool mayReserve = task.m_step->m_isServing && !group.m_rank.m_isDeferred;
+        if (mayReserve && reserveCapacity(task, pools, now)) {
+            continue;
+        }
         const bool hasStepLimit = task.m_step->m_maxPerWorker != 0;
         if (hasStepLimit && choice.m_hasEarlierRun) {
             // The worker that still has a run of this task may accept another task of the step.
@@ -301,6 +325,49 @@
     return best;
 }
 
+auto FleetScheduler::reserveCapacity(const WaitingTask &waiting, PoolCapacities &pools, TimePoint now) -> bool
+{
+    const auto &step = *waiting.m_step;
+    const auto &demand = step.m_demand;
+    const auto task = waiting.id();
+    const FreeCapacity *best = nullptr;
+    std::tuple<bool, std::int64_t, std::int64_t> bestRank;
+    for (const auto &candidate : pools.freeCapacitiesOf(waiting.m_policy->m_pool)) {
+        const auto &worker = *candidate.m_worker;
+        Resources reclaimable = candidate.m_free;
+        reclaimable += worker.finiteResources();
+        if (!demand.fitsInto(reclaimable) || !hasLabel(worker.m_record, step.m_requiredLabel)) {
+            continue;
+        }
+        // The worker with the most free capacity keeps it from round to round, so it is chosen until the task fits.
+        const std::tuple rank(candidate.m_isTrusted,
+                              std::min(std::int64_t{0}, candidate.m_free.m_cpuMillis - demand.m_cpuMillis),
+                              candidate.m_free.m_memoryMb - demand.m_memoryMb);
+        if (best != nullptr && rank <= bestRank) {
+            continue;
+        }
+        const bool isStepLimitReached = step.m_maxPerWorker != 0 && worker.countTasksOfStep(task) >= step.m_maxPerWorker;
+        if (!isStepLimitReached && !worker.hasRun(task.text())) {
+            best = &candidate;
+            bestRank = rank;
+        }
+    }
+    if (best == nullptr) {
+        return false;
+    }
+    auto &worker = *best->m_worker;
+    if (now - waiting.m_waitingSince >= m_limits.m_servingPreemptionWait) {
+        if (const auto stopped = worker.stopFiniteRuns(demand, best->m_free); stopped > 0) {
+            logEvent(LogLevel::Info,
+                     "runs_preempted",
+                     {{"job", task.m_job}, {"task", task.text()}, {"worker", worker.m_record.m_id}, {"runs", stopped}, {"epoch", m_epoch}});
+        }
+    }
+    m_reservations.push_back({worker.m_record.m_id, demand});
+    pools.reserve(worker.m_record.m_id, demand);
+    return true;
+}
+
 auto FleetScheduler::placeGang(std::span<const WaitingTask> members, PoolCapacities &pools, TimePoint now) -> bool
 {
     RunNumber run = 0;
--- a/src/fleet/fleetworker.cpp
+++ b/src/fleet/fleetworker.cpp
@@ -5,6 +5,7 @@
 #include "burdockspur/fleet/fleetlimits.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <utility>
 
@@ -33,6 +34,9 @@
 auto FleetWorker::addRun(TaskRun &&run) -> TaskRun &
 {
     m_reserved += run.m_reserved;
+    if (!run.m_isServing) {
+        m_finiteReserved += run.m_reserved;
+    }
     (run.m_isServing ? m_servingCpu : m_otherCpu) += run.m_cpuMillis;
     m_servingHeadroomsAt = {};
     const auto [entry, isNew] = m_runs.emplace(run.m_task.text(), std::move(run));
@@ -67,6 +71,9 @@
     const auto entry = m_runs.find(task);
     if (entry != m_runs.end()) {
         m_reserved -= entry->second.m_reserved;
+        if (!entry->second.m_isServing) {
+            m_finiteReserved -= entry->second.m_reserved;
+        }
         (entry->second.m_isServing ? m_servingCpu : m_otherCpu) -= entry->second.m_cpuMillis;
         m_servingHeadroomsAt = {};
         adjustJobRunCount(entry->second, -1);
@@ -77,6 +84,7 @@
 auto FleetWorker::removeAllRuns() -> std::map<std::string, TaskRun, std::less<>>
 {
     m_reserved = {};
+    m_finiteReserved = {};
     m_servingCpu = 0;
     m_otherCpu = 0;
     m_servingHeadroomsAt = {};
@@ -105,6 +113,30 @@
     return left;
 }
 
+auto FleetWorker::stopFiniteRuns(const Resources &demand, Resources free) -> std::size_t
+{
+    std::vector<TaskRun *> candidates;
+    for (auto &[name, run] : m_runs) {
+        if (run.m_isStopRequested) {
+            free += run.m_reserved;
+        } else if (!run.m_isServing && !run.m_job->stepOf(run.m_task).m_isGang) {
+            candidates.push_back(&run);
+        }
+    }
+    // The latest runs have done the least work, which is lost.
+    std::ranges::sort(candidates, std::ranges::greater{}, &TaskRun::m_assignedAt);
+    std::size_t stopped = 0;
+    for (auto *const run : candidates) {
+        if (demand.fitsInto(free)) {
+            break;
+        }
+        free += run->m_reserved;
+        markForStop(*run);
+        ++stopped;
+    }
+    return stopped;
+}
+
 auto FleetWorker::freeFillingCpu(const FleetLimits &limits) const noexcept -> std::int64_t
 {
     const auto usable = static_cast<double>(m_record.m_capacity.m_cpuMillis) * limits.m_maxFillingUse;
--- a/src/fleet/poolcapacities.cpp
+++ b/src/fleet/poolcapacities.cpp
@@ -35,6 +35,20 @@
     return entry == m_pools.end() ? std::span<FreeCapacity>() : std::span(entry->second);
 }
 
+auto PoolCapacities::reserve(std::string_view worker, const Resources &demand) noexcept -> void
+{
+    for (auto &[name, capacities] : m_pools) {
+        const auto capacity = std::ranges::find(capacities, worker, [](const FreeCapacity &candidate) -> std::string_view {
+            return candidate.m_worker->m_record.m_id;
+        });
+        if (capacity != capacities.end()) {
+            capacity->m_reserved += demand;
+            refresh(*capacity);
+            return;
+        }
+    }
+}
+
 auto PoolCapacities::update(const FleetWorker &worker) noexcept -> void
 {
     const auto capacities = freeCapacitiesOf(worker.m_record.m_pool);
@@ -47,6 +61,7 @@
 auto PoolCapacities::refresh(FreeCapacity &capacity) const noexcept -> void
 {
     capacity.m_free = capacity.m_worker->freeResources();
+    capacity.m_free -= capacity.m_reserved;
     capacity.m_freeFillingCpu = capacity.m_worker->freeFillingCpu(m_limits);
     capacity.m_isTrusted = capacity.m_worker->m_health.isTrusted(m_now);
 }
--- a/tests/fleetsimulation.cpp
+++ b/tests/fleetsimulation.cpp
@@ -389,6 +389,15 @@
     });
 }
 
+auto FleetSimulation::fail(const std::string &task) -> void
+{
+    for (auto &worker : m_workers) {
+        if (worker->m_runs.contains(task)) {
+            endRun(*worker, task, RunEnd::Failed);
+        }
+    }
+}
+
 auto FleetSimulation::incarnationOf(std::size_t worker) const -> std::uint64_t
 {
     return m_workers[worker]->m_record.m_incarnation;
--- a/tests/fleetsimulation.hpp
+++ b/tests/fleetsimulation.hpp
@@ -77,6 +77,10 @@
 
     [[nodiscard]] auto incarnationOf(std::size_t worker) const -> std::uint64_t;
 
+    /// @brief Lets the run of a task fail, if there is one.
+    /// @param task name of the task
+    auto fail(const std::string &task) -> void;
+
     /// @brief Multiplies the duration of a task on every worker.
     /// @param index index of the task in any step
     /// @param factor relative to the declared duration
