--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -143,8 +143,8 @@
         record.m_incarnation = task.m_incarnation;
         auto &worker = m_workers.try_emplace(task.m_worker, record, m_limits, inheritedLeaseEndOf(task.m_worker)).first->second;
         if (task.m_incarnation != worker.m_record.m_incarnation) {
-            // A worker that has answered this owner is in its latest incarnation. Until then, the stored tasks tell: one that was assigned
-            // to a later incarnation shows that the earlier ones have ended. An entry of the platform's list tells nothing.
+            // A worker that has answered this owner is in its latest incarnation. Before that, the latest incarnation among the stored tasks
+            // counts; an incarnation that is known from the platform's list only does not end another one.
             const bool isOver = worker.m_isIncarnationConfirmed || (!worker.m_runs.empty() && task.m_incarnation < worker.m_record.m_incarnation);
             if (isOver) {
                 endTask(job, id, RunEnd::LeaseLapsed, task.m_checkpoint);
--- a/src/fleet/jobarchive.cpp
+++ b/src/fleet/jobarchive.cpp
@@ -31,8 +31,8 @@
 constexpr Milliseconds retryPause{1'000};
 /// Time from the takeover until the final rows of former owners are read; the takeover needs the link for its own reads.
 constexpr Milliseconds firstReadDelay{5'000};
-/// Time between two reads of all final rows. Other hosts write one for each cancelled job of which no submission is stored, and this owner is
-/// not told of them; they have to be removed some time after their retention.
+/// Time between two reads of all final rows. Other hosts write one for each cancelled job of which no submission is stored; only these reads find
+/// them, so such a row is removed up to one interval later than the others.
 constexpr Milliseconds listInterval{150'000};
 /// Rows of one read. With one read per second and about 200 bytes per row in the answer, this uses 40 KB/s of a link of 1.25 MB/s.
 constexpr std::uint32_t rowsPerRead = 200;
--- a/src/fleet/ownershipclaim.cpp
+++ b/src/fleet/ownershipclaim.cpp
@@ -76,7 +76,7 @@
     }
     m_lastReadAt = sentAt;
     m_version = version;
-    // A row that cannot be read, or that is gone, tells nothing of leases.
+    // When the row cannot be read or is gone, the owner may have renewed any lease.
     m_owner.m_silentWorkers.clear();
     if (row) {
         if (auto decoded = decodeFleetOwnerRow(row->m_value)) {
