Show lasting tasks that stay away while gangs fill the workers

Cause: the capacity of gangs is reserved for a lasting task as if it could be freed, but members of gangs are never stopped.

--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -312,6 +312,51 @@
     return code;
 }
 
+/// LOST: a lasting task stays away while gangs fill the workers.
+auto lastingTasksBesideGangs(Case &play) -> int
+{
+    for (int i = 0; i < 8; ++i) {
+        play.m_fleet.add("i-7f3a91c" + std::to_string(i), "r1-" + std::to_string(i / 4), {"pool"});
+    }
+    if (!play.startDeployment(3)) {
+        return couldNotRun;
+    }
+    const auto lasting = jobId(0);
+    if (!play.submit("watch", lasting, {lastingStep(5, 3200, 320)}) || !Case::await(10'000, [&] {
+            return play.m_fleet.runningOf(lasting) == 5;
+        })) {
+        return couldNotRun;
+    }
+    for (std::size_t i = 0; i < 7; ++i) {
+        auto gang = step(5, 3200, 20'000);
+        gang.m_submitted["gang"] = true;
+        if (!play.submit("recon", jobId(100 + i), {gang})) {
+            return couldNotRun;
+        }
+    }
+    if (!Case::await(10'000, [&] {
+            const auto [used, capacity] = play.m_fleet.use();
+            return used == capacity;
+        })) {
+        return couldNotRun;
+    }
+    Case::pause(2'000);
+    if (play.m_hasTrouble) {
+        play.m_fleet.crash(play.m_fleet.workerOf(lasting));
+    }
+    const auto since = play.m_record.now();
+    // Well after 6 s since the last run, and after 7 s without a disruption.
+    Case::pause(13'000);
+    std::size_t most = 0;
+    const auto until = Clock::now() + Milliseconds(idleMs);
+    while (Clock::now() < until) {
+        most = std::max(most, play.m_fleet.runningOf(lasting));
+        Case::pause(10);
+    }
+    play.m_record.add("at most " + std::to_string(most) + " of 5 lasting tasks were at work from 13 to 16 s after second " + std::to_string(since / 1000));
+    return play.verdict(most < 5, std::to_string(5 - most) + " of 5 lasting tasks had no run for 3 s, 13 s after their last one");
+}
+
 /// ROUTE and LIMIT: a worker starts again under its id as another kind.
 auto otherKind(Case &play) -> int
 {
@@ -383,6 +428,7 @@
     {"hopeless-lasting-jobs", hopelessLastingJobs},
     {"scheduled-job", scheduledJob},
     {"burst-before-lasting-tasks", burstBeforeLastingTasks},
+    {"lasting-tasks-beside-gangs", lastingTasksBesideGangs},
     {"other-kind", otherKind},
     {"hopeless-first-step", hopelessFirstStep},
 };
