--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,5 @@
 # TROUBLE=0 leaves the disruption out. Needs target/ as the deploy file builds it, and review/build-2.sh.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
+[ -x build-review-2/cases ] || { echo "build-review-2/cases is missing: run review/build-2.sh" >&2; exit 2; }
 exec build-review-2/cases burst-before-lasting-tasks review/7
