Log and count why a task waits

The log of the incident cannot tell apart why a task that could run is passed over: the interference model, unused processors, mistrust, reservations, late reports or the order of placement.

The search for a worker counts the workers that each guard excludes (PlacementRefusal). Groups that are skipped because an earlier one did not fit get its refusal. HeldTaskLog writes task_held_back for jobs whose oldest waiting task has waited for more than a second: at most one a job in 5 s and ten a second. Two metrics show how many jobs have no run and for how long at most, and burdockspurctl explain names the guard of each wait. No decision changes.

--- a/include/burdockspur/fleet/fleetjob.hpp
+++ b/include/burdockspur/fleet/fleetjob.hpp
@@ -6,6 +6,7 @@
 #include "burdockspur/fleet/headroomtrend.hpp"
 #include "burdockspur/fleet/jobbacklog.hpp"
 #include "burdockspur/fleet/jobprogress.hpp"
+#include "burdockspur/fleet/placementrefusal.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -33,6 +34,8 @@
     };
     std::vector<HeadroomSample> m_headrooms; ///< latest sample of each worker
     HeadroomTrend m_trend; ///< trend of the samples of all workers
+    PlacementRefusal m_refusal; ///< latest search that found no worker for a task of the job
+    TimePoint m_heldLoggedAt; ///< see HeldTaskLog
 
     /// @param job the job as submitted
     /// @param now start of its deadline, unless the wall clock shows that the job is older
--- a/include/burdockspur/fleet/fleetmetrics.hpp
+++ b/include/burdockspur/fleet/fleetmetrics.hpp
@@ -34,6 +34,11 @@
     /// @brief Records the state of the scheduler after a round and the duration of the round.
     auto recordRound(bool isOwner, std::size_t jobs, std::size_t workers, std::size_t waiting, Duration took) -> void;
 
+    /// @brief Records how long jobs with waiting tasks have no run.
+    /// @param idleJobs number of jobs without a run for more than a second
+    /// @param longestIdle longest such time
+    auto recordWaits(std::size_t idleJobs, Duration longestIdle) -> void;
+
 private:
     Metrics &m_metrics;
     prometheus::Histogram &m_callSeconds;
@@ -42,5 +47,7 @@
     prometheus::Gauge &m_jobs;
     prometheus::Gauge &m_workers;
     prometheus::Gauge &m_waiting;
+    prometheus::Gauge &m_idleJobs;
+    prometheus::Gauge &m_longestIdle;
 };
 }
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -7,6 +7,7 @@
 #include "burdockspur/fleet/fleetlimits.hpp"
 #include "burdockspur/fleet/fleetworker.hpp"
 #include "burdockspur/fleet/formerowner.hpp"
+#include "burdockspur/fleet/heldtasklog.hpp"
 #include "burdockspur/fleet/jobchanges.hpp"
 #include "burdockspur/fleet/pacecontroller.hpp"
 #include "burdockspur/fleet/placementcounters.hpp"
@@ -152,6 +153,18 @@
         return m_waitingCount;
     }
 
+    /// @brief Number of jobs that have a waiting task and no run for more than a second; updated once a second.
+    [[nodiscard]] auto idleJobCount() const noexcept -> std::size_t
+    {
+        return m_heldTaskLog.idleJobs();
+    }
+
+    /// @brief Longest time for which one of these jobs has no run.
+    [[nodiscard]] auto longestIdle() const noexcept -> Duration
+    {
+        return m_heldTaskLog.longestIdle();
+    }
+
     /// @brief Counters of the placement work since construction.
     [[nodiscard]] auto placementCounters() const noexcept -> const PlacementCounters &
     {
@@ -317,6 +330,7 @@
     std::size_t m_assignedSinceCommit = 0; ///< runs whose start orders are not sent yet, because no commit contains them
     std::size_t m_triesLeft = 0; ///< tasks that this round may still try to place
     PlacementCounters m_placementCounters;
+    HeldTaskLog m_heldTaskLog;
     std::size_t m_waitingCount = 0;
     std::int64_t m_waitingFillCpu = 0; ///< declared demand of the waiting filling tasks, in thousandths of a core
     bool m_needsPlacement = false; ///< something has changed since the last round
--- a/include/burdockspur/fleet/jobbacklog.hpp
+++ b/include/burdockspur/fleet/jobbacklog.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace Burdockspur
@@ -18,7 +19,7 @@
     struct Task {
         std::uint32_t m_index = 0;
         TaskProgress *m_progress = nullptr; ///< in the job's progress
-        TimePoint m_waitingSince; ///< when the task was first found waiting; valid for serving tasks only
+        TimePoint m_waitingSince; ///< when the task was first found waiting
     };
 
     /// @brief The tasks of one step of an occurrence that may start.
@@ -33,8 +34,11 @@
     std::vector<Step> m_steps;
     std::size_t m_taskCount = 0; ///< number of tasks in all steps
     std::int64_t m_fillCpu = 0; ///< declared demand of the filling tasks among them, in thousandths of a core
-    /// @brief When a task was first found waiting; empty if it is not in the backlog.
-    [[nodiscard]] auto waitingSince(std::uint32_t occurrence, std::uint32_t step, std::uint32_t index) const noexcept -> std::optional<TimePoint>;
+    TimePoint m_waitingSince; ///< when the task that waits longest was first found waiting
+    std::optional<TimePoint> m_idleSince; ///< when the job was first found with waiting tasks and without a run; empty while it has a run
+
+    /// @brief The waiting tasks of a step, in ascending order of their index.
+    [[nodiscard]] auto tasksOf(std::uint32_t occurrence, std::uint32_t step) const noexcept -> std::span<const Task>;
 
     Milliseconds m_criticalPath{0}; ///< see FleetJob::RemainingWork
     double m_coreSeconds = 0; ///< see FleetJob::RemainingWork
--- a/include/burdockspur/fleet/poolcapacities.hpp
+++ b/include/burdockspur/fleet/poolcapacities.hpp
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <span>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace Burdockspur
@@ -39,6 +38,9 @@
 
     [[nodiscard]] auto freeCapacitiesOf(std::string_view pool) noexcept -> std::span<FreeCapacity>;
 
+    /// @brief Number of listed workers of a pool that accept no tasks now.
+    [[nodiscard]] auto unavailableWorkersOf(std::string_view pool) const noexcept -> std::uint32_t;
+
     /// @brief Keeps capacity of a worker for a waiting task, so that smaller tasks do not use up what becomes free.
     /// @param worker id of a worker; ignored if the worker accepts no tasks
     auto reserve(std::string_view worker, const Resources &demand) noexcept -> void;
@@ -47,10 +49,17 @@
     auto update(const FleetWorker &worker) noexcept -> void;
 
 private:
+    struct Pool {
+        std::string_view m_name;
+        std::vector<FreeCapacity> m_capacities;
+        std::uint32_t m_unavailable = 0; ///< listed workers that accept no tasks
+    };
+
+    [[nodiscard]] auto findPool(std::string_view name) noexcept -> Pool &;
     auto refresh(FreeCapacity &capacity) const noexcept -> void;
 
     const FleetLimits &m_limits;
     TimePoint m_now;
-    std::vector<std::pair<std::string_view, std::vector<FreeCapacity>>> m_pools; ///< few pools, so a linear search is fast enough
+    std::vector<Pool> m_pools; ///< few pools, so a linear search is fast enough
 };
 }
--- a/include/burdockspur/impl/fleetschedulerparts.hpp
+++ b/include/burdockspur/impl/fleetschedulerparts.hpp
@@ -30,8 +30,7 @@
 /// @brief Result of the search for a worker.
 struct FleetScheduler::WorkerChoice {
     FleetWorker *m_worker = nullptr; ///< nullptr if no worker was found
-    bool m_isStepLimitReached = false; ///< a worker with free capacity was skipped because it already has TaskStep::m_maxPerWorker tasks
-    bool m_hasEarlierRun = false; ///< a worker with free capacity was skipped because it still has an earlier run of the task
+    PlacementRefusal m_refusal; ///< workers that were skipped, by the guard that excluded them
 };
 
 /// @brief Contents of the commit that is being stored, and its effects once it is stored.
--- a/src/fleet/fleetjob.cpp
+++ b/src/fleet/fleetjob.cpp
@@ -141,21 +141,30 @@
             const auto &step = m_job.m_steps[number];
             JobBacklog::Step entry{occurrence.m_number, number, 0, {}};
             auto &tasks = occurrence.m_steps[number].m_tasks;
+            auto known = before.tasksOf(occurrence.m_number, number);
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                while (!known.empty() && known.front().m_index < index) {
+                    known = known.subspan(1);
+                }
                 if (tasks[index].m_phase == TaskPhase::Waiting) {
-                    const auto since = m_isServing ? before.waitingSince(occurrence.m_number, number, index).value_or(now) : now;
-                    entry.m_tasks.push_back({index, &tasks[index], since});
+                    const bool isKnown = !known.empty() && known.front().m_index == index;
+                    entry.m_tasks.push_back({index, &tasks[index], isKnown ? known.front().m_waitingSince : now});
                 }
             }
             if (entry.m_tasks.empty()) {
                 continue;
             }
+            const auto oldest = std::ranges::min(entry.m_tasks, {}, &JobBacklog::Task::m_waitingSince).m_waitingSince;
+            m_backlog.m_waitingSince = m_backlog.m_taskCount == 0 ? oldest : std::min(m_backlog.m_waitingSince, oldest);
             entry.m_kind = kinds.numberOf(policy.m_pool, step);
             m_backlog.m_taskCount += entry.m_tasks.size();
             m_backlog.m_fillCpu += step.m_isFilling ? step.m_demand.m_cpuMillis * static_cast<std::int64_t>(entry.m_tasks.size()) : 0;
             m_backlog.m_steps.push_back(std::move(entry));
         }
     }
+    if (m_backlog.m_taskCount > 0 && !hasRuns()) {
+        m_backlog.m_idleSince = before.m_idleSince.value_or(now);
+    }
 }
 
 auto FleetJob::remainingWork() const -> RemainingWork
--- a/src/fleet/fleetmetrics.cpp
+++ b/src/fleet/fleetmetrics.cpp
@@ -24,6 +24,8 @@
     , m_jobs(metrics.gauge("burdockspur_jobs", "Jobs in the memory of the owner"))
     , m_workers(metrics.gauge("burdockspur_workers", "Workers in the memory of the owner"))
     , m_waiting(metrics.gauge("burdockspur_waiting_tasks", "Tasks that wait for capacity"))
+    , m_idleJobs(metrics.gauge("burdockspur_idle_jobs", "Jobs with a waiting task that had no run for more than a second"))
+    , m_longestIdle(metrics.gauge("burdockspur_longest_idle_seconds", "Longest time for which a job with a waiting task has no run"))
 {
 }
 
@@ -48,4 +50,10 @@
     m_waiting.Set(static_cast<double>(waiting));
     m_roundSeconds.Observe(seconds(took));
 }
+
+auto FleetMetrics::recordWaits(std::size_t idleJobs, Duration longestIdle) -> void
+{
+    m_idleJobs.Set(static_cast<double>(idleJobs));
+    m_longestIdle.Set(seconds(longestIdle));
+}
 }
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -121,6 +121,7 @@
     m_waitingFillCpu = 0;
     m_startWindow.reset();
     m_assignedSinceCommit = 0;
+    m_heldTaskLog = {};
 }
 
 auto FleetScheduler::restoreRuns(FleetJob &job, TimePoint now) -> void
@@ -376,6 +377,7 @@
         return !entry.second.m_isListed && entry.second.m_runs.empty();
     });
     next = std::min(next, placeWhenDue(now));
+    m_heldTaskLog.write(m_changes.m_waiting, m_epoch, now);
     next = std::min(next, commitChanges(now));
     return std::min(next, pollWorkers(now));
 }
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -254,17 +254,18 @@
             pools.update(*choice.m_worker);
             continue;
         }
+        group.m_job->m_refusal = choice.m_refusal;
         const bool mayReserve = task.m_step->m_isServing && !group.m_rank.m_isDeferred;
         if (mayReserve && reserveCapacity(task, pools, now)) {
             continue;
         }
         const bool hasStepLimit = task.m_step->m_maxPerWorker != 0;
-        if (hasStepLimit && choice.m_hasEarlierRun) {
+        if (hasStepLimit && choice.m_refusal.workers(PlacementGuard::EarlierRun) > 0) {
             // The worker that still has a run of this task may accept another task of the step.
             continue;
         }
-        if (!choice.m_isStepLimitReached) {
-            order.markUnplaceable(group);
+        if (choice.m_refusal.workers(PlacementGuard::StepLimit) == 0) {
+            order.markUnplaceable(group, choice.m_refusal);
         }
         break;
     }
@@ -283,22 +284,32 @@
     std::tuple<bool, bool, int, std::int64_t> bestRank;
     const double minFreeCpu = minFreeCpuShare * static_cast<double>(step.m_demand.m_cpuMillis);
     for (const auto &candidate : pools.freeCapacitiesOf(waiting.m_policy->m_pool)) {
+        if (!demand.fitsInto(candidate.m_free)) {
+            Resources unreserved = candidate.m_free;
+            unreserved += candidate.m_reserved;
+            best.m_refusal.count(demand.fitsInto(unreserved) ? PlacementGuard::Reservation : PlacementGuard::Room);
+            continue;
+        }
         // A serving task may run on an untrusted worker rather than not at all; other tasks could use up their attempts there.
-        if (!demand.fitsInto(candidate.m_free) || (!candidate.m_isTrusted && !step.m_isServing)) {
+        if (!candidate.m_isTrusted && !step.m_isServing) {
+            best.m_refusal.count(PlacementGuard::Trust);
             continue;
         }
         auto &worker = *candidate.m_worker;
         if (!hasLabel(worker.m_record, step.m_requiredLabel)) {
+            best.m_refusal.count(PlacementGuard::Label);
             continue;
         }
         int affinity = 0;
         std::int64_t fit = 0;
         if (step.m_isFilling) {
             if (static_cast<double>(candidate.m_freeFillingCpu) < minFreeCpu) {
+                best.m_refusal.count(PlacementGuard::UnusedCpu);
                 continue;
             }
             const auto fillFit = m_paceController.fitOf(worker, image, step.m_demand.m_cpuMillis, now);
             if (fillFit.m_slack < 0) {
+                best.m_refusal.count(PlacementGuard::Headroom);
                 continue;
             }
             // In thousandths, so that both kinds of fit are integers.
@@ -313,15 +324,17 @@
             continue;
         }
         // These searches are expensive, so only workers that would otherwise be chosen reach them.
-        const bool isStepLimitReached = step.m_maxPerWorker != 0 && worker.countTasksOfStep(task) >= step.m_maxPerWorker;
-        const bool hasEarlierRun = worker.findRun(name) != nullptr;
-        best.m_isStepLimitReached = best.m_isStepLimitReached || isStepLimitReached;
-        best.m_hasEarlierRun = best.m_hasEarlierRun || hasEarlierRun;
-        if (!isStepLimitReached && !hasEarlierRun) {
+        if (step.m_maxPerWorker != 0 && worker.countTasksOfStep(task) >= step.m_maxPerWorker) {
+            best.m_refusal.count(PlacementGuard::StepLimit);
+        } else if (worker.findRun(name) != nullptr) {
+            best.m_refusal.count(PlacementGuard::EarlierRun);
+        } else {
             best.m_worker = &worker;
             bestRank = rank;
         }
     }
+    best.m_refusal.count(PlacementGuard::Unavailable, pools.unavailableWorkersOf(waiting.m_policy->m_pool));
+    best.m_refusal.m_at = now;
     return best;
 }
 
--- a/src/fleet/jobbacklog.cpp
+++ b/src/fleet/jobbacklog.cpp
@@ -4,15 +4,11 @@
 
 namespace Burdockspur
 {
-auto JobBacklog::waitingSince(std::uint32_t occurrence, std::uint32_t step, std::uint32_t index) const noexcept -> std::optional<TimePoint>
+auto JobBacklog::tasksOf(std::uint32_t occurrence, std::uint32_t step) const noexcept -> std::span<const Task>
 {
     const auto entry = std::ranges::find_if(m_steps, [=](const Step &other) {
         return other.m_occurrence == occurrence && other.m_step == step;
     });
-    if (entry == m_steps.end()) {
-        return std::nullopt;
-    }
-    const auto task = std::ranges::find(entry->m_tasks, index, &Task::m_index);
-    return task == entry->m_tasks.end() ? std::nullopt : std::optional(task->m_waitingSince);
+    return entry == m_steps.end() ? std::span<const Task>() : std::span(entry->m_tasks);
 }
 }
--- a/src/fleet/placementorder.cpp
+++ b/src/fleet/placementorder.cpp
@@ -55,31 +55,35 @@
         } else {
             std::ranges::push_heap(m_kindHeap, isAfter, best);
         }
-        if (!isUnplaceable(group)) {
+        const auto *const refusal = refusalOf(group);
+        if (refusal == nullptr) {
             return group;
         }
+        group.m_job->m_refusal = *refusal;
     }
     return std::nullopt;
 }
 
-auto PlacementOrder::markUnplaceable(const PlacementGroup &group) -> void
+auto PlacementOrder::markUnplaceable(const PlacementGroup &group, const PlacementRefusal &refusal) -> void
 {
     const auto &demand = group.demand();
     const auto &refusedKind = m_kinds.kind(group.m_step->m_kind);
     for (std::size_t kind = 0; kind < m_unplaceable.size(); ++kind) {
         if (!m_groups[kind].empty() && refusedKind.isNoStricterThan(m_kinds.kind(kind))) {
-            std::erase_if(m_unplaceable[kind], [&demand](const Resources &known) {
-                return demand.fitsInto(known);
+            std::erase_if(m_unplaceable[kind], [&demand](const RefusedDemand &known) {
+                return demand.fitsInto(known.m_demand);
             });
-            m_unplaceable[kind].push_back(demand);
+            m_unplaceable[kind].push_back({demand, refusal});
         }
     }
 }
 
-auto PlacementOrder::isUnplaceable(const PlacementGroup &group) const noexcept -> bool
+auto PlacementOrder::refusalOf(const PlacementGroup &group) const noexcept -> const PlacementRefusal *
 {
-    return std::ranges::any_of(m_unplaceable[group.m_step->m_kind], [&group](const Resources &known) {
-        return known.fitsInto(group.demand());
+    const auto &refused = m_unplaceable[group.m_step->m_kind];
+    const auto found = std::ranges::find_if(refused, [&group](const RefusedDemand &known) {
+        return known.m_demand.fitsInto(group.demand());
     });
+    return found == refused.end() ? nullptr : &found->m_refusal;
 }
 }
--- a/src/fleet/poolcapacities.cpp
+++ b/src/fleet/poolcapacities.cpp
@@ -15,29 +15,39 @@
 
 auto PoolCapacities::add(FleetWorker &worker) -> void
 {
+    auto &pool = findPool(worker.m_record.m_pool);
     if (!worker.acceptsTasks(m_limits, m_now)) {
+        pool.m_unavailable += worker.m_isListed ? 1 : 0;
         return;
     }
     FreeCapacity capacity;
     capacity.m_worker = &worker;
     refresh(capacity);
-    const std::string_view name = worker.m_record.m_pool;
-    auto pool = std::ranges::find(m_pools, name, &std::pair<std::string_view, std::vector<FreeCapacity>>::first);
-    if (pool == m_pools.end()) {
-        pool = m_pools.emplace(m_pools.end(), name, std::vector<FreeCapacity>{});
-    }
-    pool->second.push_back(capacity);
+    pool.m_capacities.push_back(capacity);
+}
+
+auto PoolCapacities::findPool(std::string_view name) noexcept -> Pool &
+{
+    const auto pool = std::ranges::find(m_pools, name, &Pool::m_name);
+    return pool == m_pools.end() ? m_pools.emplace_back(Pool{name, {}}) : *pool;
 }
 
 auto PoolCapacities::freeCapacitiesOf(std::string_view pool) noexcept -> std::span<FreeCapacity>
 {
-    const auto entry = std::ranges::find(m_pools, pool, &std::pair<std::string_view, std::vector<FreeCapacity>>::first);
-    return entry == m_pools.end() ? std::span<FreeCapacity>() : std::span(entry->second);
+    const auto entry = std::ranges::find(m_pools, pool, &Pool::m_name);
+    return entry == m_pools.end() ? std::span<FreeCapacity>() : std::span(entry->m_capacities);
+}
+
+auto PoolCapacities::unavailableWorkersOf(std::string_view pool) const noexcept -> std::uint32_t
+{
+    const auto entry = std::ranges::find(m_pools, pool, &Pool::m_name);
+    return entry == m_pools.end() ? 0 : entry->m_unavailable;
 }
 
 auto PoolCapacities::reserve(std::string_view worker, const Resources &demand) noexcept -> void
 {
-    for (auto &[name, capacities] : m_pools) {
+    for (auto &pool : m_pools) {
+        auto &capacities = pool.m_capacities;
         const auto capacity = std::ranges::find(capacities, worker, [](const FreeCapacity &candidate) -> std::string_view {
             return candidate.m_worker->m_record.m_id;
         });
--- a/src/operations/jobhistory.cpp
+++ b/src/operations/jobhistory.cpp
@@ -163,6 +163,16 @@
     };
     const auto lines = linesOfJob();
     const auto firstSeen = std::ranges::find(lines, "job_seen", &LogLine::event);
+    const auto waitBetween = [&lines](std::int64_t since, std::int64_t until) -> std::string {
+        std::string activity = "wait for a worker";
+        for (const auto *const line : lines) {
+            const auto time = timeOf(*line);
+            if (line->event() == "task_held_back" && time >= since && time <= until) {
+                activity = joined({"wait for a worker, held back by ", line->value("guard")});
+            }
+        }
+        return activity;
+    };
     std::vector<Segment> path;
     std::set<const Run *> visited;
     const Run *run = lastEndedBefore(std::numeric_limits<std::int64_t>::max(), {});
@@ -177,7 +187,7 @@
         previous = previous == nullptr ? lastEndedBefore(run->m_assigned, {}) : previous;
         if (previous != nullptr || firstSeen != lines.end()) {
             const auto since = previous != nullptr ? *previous->m_ended : timeOf(**firstSeen);
-            path.push_back({std::string(run->m_task), "wait for a worker", Milliseconds(run->m_assigned - since)});
+            path.push_back({std::string(run->m_task), waitBetween(since, run->m_assigned), Milliseconds(run->m_assigned - since)});
         }
         run = previous;
     }
--- a/tests/jobhistorytest.cpp
+++ b/tests/jobhistorytest.cpp
@@ -118,6 +118,17 @@
     EXPECT_NE(history.report().find("    1000 ms  j1.0.1.0  wait for a worker\n"), std::string::npos) << history.report();
 }
 
+// Guards against a long wait whose cause is only in the lines before the path: the last guard that held the job back is part of the path.
+TEST(JobHistoryTest, AWaitNamesTheGuardThatHeldTheJobBack)
+{
+    const auto history = historyOf(
+        line("01.000", "event=job_seen job=j1") + line("02.500", "event=task_held_back job=j1 task=j1.0.0.0 guard=unused_cpu unused_cpu=9 headroom=3")
+        + line("07.500", "event=task_held_back job=j1 task=j1.0.0.0 guard=headroom unused_cpu=4 headroom=8")
+        + line("08.000", "event=task_assigned job=j1 task=j1.0.0.0 run=1 worker=w1") + line("09.000", "event=run_ended job=j1 task=j1.0.0.0 run=1 how=done"));
+    ASSERT_FALSE(history.criticalPath().empty());
+    EXPECT_EQ(history.criticalPath().front().m_activity, "wait for a worker, held back by headroom");
+}
+
 // Guards against a report that fails while the job still runs or while lines are missing.
 TEST(JobHistoryTest, AnUnfinishedJobIsReportedWithoutACriticalPath)
 {
