--- a/tests/fleetsimulation.cpp
+++ b/tests/fleetsimulation.cpp
@@ -2,6 +2,8 @@
 
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/fleet/fleetrows.hpp"
+#include "simulatedinterference.hpp"
+#include "simulatedworker.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -20,37 +22,17 @@
 constexpr Milliseconds stopGrace{100};
 constexpr Milliseconds heartbeatInterval{400};
 constexpr Milliseconds orderTimeout{1'500};
+constexpr double constantLoad = 20.0; ///< reported for every run without interference
 constexpr std::size_t inputsPerRound = 64; ///< of a slow owner
 constexpr std::uint64_t incarnationStep = 1'000'000; ///< between two incarnations of a worker whose wall clock is right
+constexpr Milliseconds paceDelay{100}; ///< until an accepted pace takes effect (`pace_ms` of the platform)
 /// Time after which the platform counts a reported end as known.
 constexpr Milliseconds reportedEndDelay{100};
 }
 
-struct FleetSimulation::SimulatedRun {
-    TaskId m_task;
-    RunNumber m_run = 0;
-    TimePoint m_beganAt;
-    TimePoint m_endsAt;
-    RunEnd m_how = RunEnd::Done;
-    Resources m_reserved;
-};
-
-struct FleetSimulation::SimulatedWorker {
-    WorkerRecord m_record;
-    TimePoint m_startedAt;
-    double m_clockRate = 1.0; ///< seconds of its clock per second
-    Epoch m_fencingEpoch = 0;
-    Milliseconds m_leaseUntil{0};
-    std::map<std::string, SimulatedRun> m_runs;
-    std::map<std::string, RunNumber> m_tombstones;
-    std::deque<EndedTask> m_ended;
-    std::uint64_t m_sequence = 0;
-    std::uint64_t m_lastLapsedEnd = 0; ///< ends up to this sequence number precede a lapse of the lease and are not checked
-    TimePoint m_unreachableUntil;
-};
-
 FleetSimulation::FleetSimulation(std::uint64_t seed, std::size_t workers, const FleetFaults &faults)
-    : m_random(seed)
+    : m_seed(seed)
+    , m_random(seed)
     , m_archiveRandom(~seed)
     , m_restartRandom(seed ^ 0x5bd1e995U)
     , m_faults(faults)
@@ -91,6 +73,9 @@
 auto FleetSimulation::percentOf(const SimulatedRun &run) const -> double
 {
     constexpr double whole = 100.0;
+    if (m_interference && run.m_step->m_isFilling) {
+        return run.m_length.count() <= 0 ? whole : std::min(whole, whole * run.m_workedMs / static_cast<double>(run.m_length.count()));
+    }
     const auto length = std::chrono::duration<double>(run.m_endsAt - run.m_beganAt).count();
     return length <= 0 ? whole : std::min(whole, whole * std::chrono::duration<double>(m_now - run.m_beganAt).count() / length);
 }
@@ -205,6 +190,8 @@
             m_archives.at(owner).end();
         });
     }
+    recordDisruption(reading);
+    m_isOwnerAway = true;
     m_lateCommit.reset();
     auto &owner = *m_owners.emplace_back(std::make_unique<FleetScheduler>(FleetLimits{}));
     m_archives.emplace(&owner, FleetLimits{}.m_retention);
@@ -231,6 +218,8 @@
 
 auto FleetSimulation::killOwner() -> void
 {
+    recordDisruption(Milliseconds{0});
+    m_isOwnerAway = true;
     m_owners.back()->resign();
     m_archives.at(m_owners.back().get()).end();
 }
@@ -285,6 +274,8 @@
         jobs.push_back(std::move(job));
     }
     owner.begin(epoch, std::move(jobs), m_now, wallNow);
+    recordDisruption(Milliseconds{0});
+    m_isOwnerAway = false;
     owner.markArchived(archived, m_now);
     m_archives.at(&owner).begin(m_now);
     // Jobs that were submitted or cancelled while the lists were read arrive with the feed of changes.
@@ -366,6 +357,7 @@
 
 auto FleetSimulation::makeUnreachable(std::size_t worker, Milliseconds length) -> void
 {
+    recordDisruption(length);
     m_workers[worker]->m_unreachableUntil = std::max(m_workers[worker]->m_unreachableUntil, m_now + length);
 }
 
@@ -376,6 +368,7 @@
 
 auto FleetSimulation::restart(std::size_t index, std::uint64_t incarnation, Milliseconds entryDelay) -> void
 {
+    recordDisruption(entryDelay);
     auto &worker = *m_workers[index];
     auto record = worker.m_record;
     record.m_incarnation = incarnation;
@@ -405,6 +398,7 @@
 
 auto FleetSimulation::sendForeignEntry(std::size_t worker) -> void
 {
+    recordDisruption(heartbeatInterval);
     auto record = m_workers[worker]->m_record;
     record.m_incarnation += incarnationStep / 2;
     schedule(networkDelay(), [this, record] {
@@ -526,6 +520,9 @@
                 const bool isUnanswered = isLost || isLate || chance(m_faults.m_answerLost);
                 const Milliseconds delay = isLate ? Milliseconds(1'000 + m_random.below(6'000)) : networkDelay();
                 const TimePoint sentAt = m_now;
+                if (isUnanswered) {
+                    recordDisruption(isLate ? delay : Milliseconds{0});
+                }
                 // Every order ends, with an answer or at its timeout.
                 const auto expire = [this, &owner, order, sentAt] {
                     deliver(owner, [this, &owner, order, sentAt] {
@@ -594,6 +591,8 @@
         }
         if (isStored) {
             store(order);
+        } else if (order.m_epoch == m_epoch) {
+            recordDisruption(Milliseconds{0});
         }
         if (order.m_epoch == m_epoch) {
             schedule(networkDelay(), [this, &owner, answer = CommitAnswer{order.m_number, order.m_epoch, sentAt, isStored}] {
@@ -729,7 +728,7 @@
     answer.m_report.m_incarnation = worker.m_record.m_incarnation;
     answer.m_report.m_clock = clockOf(worker);
     for (const auto &[task, run] : worker.m_runs) {
-        answer.m_report.m_running.push_back({run.m_task, run.m_run, "", percentOf(run), 20.0});
+        answer.m_report.m_running.push_back({run.m_task, run.m_run, "", percentOf(run), m_interference ? m_interference->reportedLoad(run) : constantLoad});
     }
     answer.m_report.m_ended.assign(worker.m_ended.begin(), worker.m_ended.end());
     for (const auto &end : worker.m_ended) {
@@ -776,6 +775,11 @@
     run.m_beganAt = m_now;
     const auto length = std::chrono::duration_cast<Milliseconds>(step.m_estimate * durationFactorOf(run.m_task));
     run.m_endsAt = m_now + (step.m_isServing ? Milliseconds(3'600'000) : length);
+    run.m_step = &step;
+    run.m_length = length;
+    if (m_interference && step.m_isFilling) {
+        run.m_endsAt = TimePoint::max();
+    }
     run.m_how = chance(0.03) ? RunEnd::Failed : RunEnd::Done;
     run.m_reserved = step.m_demand;
     run.m_reserved.m_cpuMillis = step.m_isFilling ? 0 : run.m_reserved.m_cpuMillis;
@@ -854,9 +858,32 @@
     return answer;
 }
 
-auto FleetSimulation::execute(SimulatedWorker & /*worker*/, const RunPaceOrder &order) -> WorkerAnswer
+auto FleetSimulation::execute(SimulatedWorker &worker, const RunPaceOrder &order) -> WorkerAnswer
 {
-    return PaceAnswer{order.m_address, order.m_task, order.m_run, order.m_percent, OrderOutcome::Accepted};
+    PaceAnswer answer{order.m_address, order.m_task, order.m_run, order.m_percent, OrderOutcome::Accepted};
+    if (!m_interference) {
+        return answer;
+    }
+    const auto name = order.m_task.text();
+    const auto isOrdered = [run = order.m_run](const auto &entry) {
+        return entry.second.m_run == run;
+    };
+    const auto run = worker.m_runs.find(name);
+    if (order.m_address.m_incarnation != worker.m_record.m_incarnation) {
+        answer.m_outcome = OrderOutcome::OtherIncarnation;
+    } else if (order.m_address.m_epoch < worker.m_fencingEpoch) {
+        answer.m_outcome = OrderOutcome::Fenced;
+    } else if (worker.m_fencingEpoch = order.m_address.m_epoch; run == worker.m_runs.end() || !isOrdered(*run)) {
+        answer.m_outcome = OrderOutcome::Superseded;
+    } else if (!m_faults.m_pacesHaveNoEffect) {
+        schedule(paceDelay, [&worker, name, isOrdered, percent = order.m_percent] {
+            const auto paced = worker.m_runs.find(name);
+            if (paced != worker.m_runs.end() && isOrdered(*paced)) {
+                paced->second.m_pace = percent;
+            }
+        });
+    }
+    return answer;
 }
 
 auto FleetSimulation::phaseOf(std::string_view id) const -> JobPhase
--- a/tests/fleetsimulation.hpp
+++ b/tests/fleetsimulation.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/core/randomsource.hpp"
 #include "burdockspur/fleet/fleetscheduler.hpp"
 #include "burdockspur/fleet/jobarchive.hpp"
+#include "conditiontimer.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -17,6 +18,16 @@
 
 namespace Burdockspur::Testing
 {
+class SimulatedInterference;
+struct SimulatedRun;
+struct SimulatedWorker;
+
+/// Longest time for which a job may have nothing running although a task of it could start and half of the workers' capacity is free
+/// (platform's rule LOST).
+inline constexpr Milliseconds longestWait{3'000};
+/// Longest time for which filling tasks may keep a serving task over its target (`harm_ms` of the platform's rule HARM).
+inline constexpr Milliseconds longestHarm{4'000};
+
 /// @brief Faults that a FleetSimulation injects; probabilities from 0 to 1, or rates per second.
 struct FleetFaults {
     double m_answerLost = 0; ///< order to a worker is carried out, but not answered
@@ -31,6 +42,7 @@
     double m_hiddenRestartsPerSecond = 0; ///< a worker restarts while it is unreachable for up to 2 s; its wall clock may have jumped back
     double m_foreignEntriesPerSecond = 0; ///< another writer leaves an entry under a worker's id, as of a later incarnation
     bool m_ordersReachAnyIncarnation = false; ///< an order is carried out by the incarnation that it reaches, not only by the addressed one
+    bool m_pacesHaveNoEffect = false; ///< workers accept paces, but do not slow the runs; only with interference
     double m_reloadsPerSecond = 0; ///< the owner reads the list of jobs again, and receives it up to 3 s later
 };
 
@@ -109,6 +121,37 @@
         m_requiresReportedEnds = true;
     }
 
+    /// @brief Lets filling tasks slow the serving tasks beside them, follow their pace, and share the processors that the others leave.
+    ///
+    /// From then on, two rules are checked while no disruption is near: `held_back` for a job that waits for longer than longestWait,
+    /// and `harm` for a serving task that filling tasks keep over its target for longer than longestHarm.
+    /// @returns the interference, for changes of its random figures
+    auto enableInterference() -> SimulatedInterference &;
+
+    /// @brief Longest time of a job that counts for `held_back`, whether or not it exceeds the bound.
+    [[nodiscard]] auto longestJobWait() const -> Milliseconds
+    {
+        return m_jobWaits.longest();
+    }
+
+    /// @brief Number of times that count for `held_back` and are longer than a given one.
+    [[nodiscard]] auto jobWaitsLongerThan(Milliseconds length) const -> std::size_t
+    {
+        return m_jobWaits.countLongerThan(length);
+    }
+
+    /// @brief Longest time for which filling tasks kept a serving task over its target.
+    [[nodiscard]] auto longestHarmTime() const -> Milliseconds
+    {
+        return m_harms.longest();
+    }
+
+    /// @brief Time during which the rules of enableInterference() were checked, i.e. without a disruption near.
+    [[nodiscard]] auto calmTime() const noexcept -> Milliseconds
+    {
+        return m_calmTime;
+    }
+
     /// @brief Advances the virtual time.
     auto run(Milliseconds length) -> void;
 
@@ -156,8 +199,6 @@
     std::vector<std::string> m_jobs; ///< ids of all submitted jobs
 
 private:
-    struct SimulatedRun;
-    struct SimulatedWorker;
     struct Start {
         TimePoint m_at;
         TaskId m_task;
@@ -206,6 +247,28 @@
     [[nodiscard]] auto percentOf(const SimulatedRun &run) const -> double;
     [[nodiscard]] auto durationFactorOf(const TaskId &task) const -> double;
 
+    // Rules that are checked with interference
+    /// Resources of the workers: all, and those that runs have reserved.
+    struct PoolUse {
+        Resources m_capacity;
+        Resources m_used;
+
+        [[nodiscard]] auto isUnderHalf() const noexcept -> bool;
+    };
+    /// @brief Records a disruption that lasts for a time from now on.
+    auto recordDisruption(Milliseconds length) noexcept -> void;
+    /// @brief True if an owner is in charge and the last disruption is not near.
+    [[nodiscard]] auto isCalm() const noexcept -> bool;
+    auto advanceInterference() -> void;
+    auto checkJobWaits() -> void;
+    auto checkHarm() -> void;
+    [[nodiscard]] auto poolUse() const -> PoolUse;
+    [[nodiscard]] auto jobsWithRuns() const -> std::set<std::string_view>;
+    /// @brief A task of a job that could start, and for which there is capacity twice over; empty for none.
+    [[nodiscard]] auto findStartableTask(const TaskJob &job) const -> std::optional<TaskId>;
+    /// @brief How often the demand of a task fits into what the workers that satisfy its label have free.
+    [[nodiscard]] auto countFits(const TaskStep &step) const -> std::int64_t;
+
     // Workers
     [[nodiscard]] auto clockOf(const SimulatedWorker &worker) const -> Milliseconds;
     auto endDueRuns(SimulatedWorker &worker) -> void;
@@ -218,6 +281,7 @@
     auto recordViolation(std::string_view rule, std::string_view task) -> void;
     auto recordHistory(std::string_view task, std::string_view event) -> void;
 
+    std::uint64_t m_seed;
     RandomSource m_random;
     RandomSource m_archiveRandom; ///< separate, so that archiving does not change the other faults of a seed
     RandomSource m_restartRandom; ///< separate for the same reason
@@ -249,6 +313,12 @@
     std::map<std::string, TimePoint, std::less<>> m_finalAt;
     std::map<std::pair<std::string, std::uint32_t>, double> m_durationFactors; ///< see setDurationFactor()
     std::vector<Start> m_starts;
+    std::unique_ptr<SimulatedInterference> m_interference; ///< empty until enableInterference()
+    TimePoint m_disruptedUntil; ///< end of the last disruption
+    bool m_isOwnerAway = false; ///< the last owner has ended, or its successor still reads its jobs
+    Milliseconds m_calmTime{0};
+    ConditionTimer m_jobWaits{longestWait}; ///< by job
+    ConditionTimer m_harms{longestHarm}; ///< by task and run
     std::map<std::string, std::string, std::less<>> m_history; ///< events of each task, printed with a violation
 };
 }
