Order the pace of a filling run whose pace is not known

A successor took the pace of every inherited run to be 100%, so it never ordered 100% for a filling task that the former owner had slowed: the task stayed slow or stood still until its end. The same after a pace order without an answer that was carried out.

The pace of an inherited filling run, and of one whose pace order was not answered, is unknown; the next plan orders it whatever it is. One more order for each filling run after a takeover.

FleetSchedulerTest.ASuccessorOrdersThePaceOfAnInheritedFillingTask fails without the change in restoreRuns() (no pace order) and passes with it; 39 tests of fleetschedulertest and 13 of pacecontrollertest pass.

--- a/include/burdockspur/fleet/taskrun.hpp
+++ b/include/burdockspur/fleet/taskrun.hpp
@@ -21,6 +21,10 @@
     Unconfirmed, ///< assigned by a previous owner; the worker has not reported to this owner yet
 };
 
+constexpr int fullPacePercent = 100;
+/// Pace of a run that a previous owner has started, or whose last order was not answered.
+constexpr int unknownPace = -1;
+
 /// @brief One run of a task on a worker, from its assignment until its end is known to the owner.
 struct TaskRun {
     /// @brief Copies the demand and the properties of the task from its step.
@@ -49,7 +53,7 @@
     double m_lastHeadroom = 0; ///< serving: headroom in the previous report
     TimePoint m_lowHeadroomSince; ///< serving: since when its headroom beside filling tasks is barely above the target
     std::string m_checkpoint; ///< latest known checkpoint; empty for none
-    int m_pace = 100; ///< latest pace in percent that the worker has accepted
+    int m_pace = fullPacePercent; ///< latest pace in percent that the worker has accepted, or unknownPace
     bool m_paceInFlight = false;
     bool m_isStopRequested = false;
     bool m_stopInFlight = false;
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -161,6 +161,7 @@
         run.m_assignedAt = now;
         run.m_checkpoint = task.m_checkpoint;
         run.initFromStep(job.stepOf(id), m_paceController.model());
+        run.m_pace = run.m_isFilling ? unknownPace : run.m_pace;
         worker.addRun(std::move(run));
     }
 }
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -47,7 +47,6 @@
 
 /// Smaller changes of a pace are not sent, unless the new pace is 0 or fullPacePercent.
 constexpr int minPaceChangePercent = 10;
-constexpr int fullPacePercent = 100;
 
 constexpr std::array<std::string_view, 6> endNames{"done", "failed", "stopped", "lease_lapsed", "gang_broken", "gang_incomplete"};
 }
@@ -555,7 +554,11 @@
     auto *const run = worker == nullptr ? nullptr : worker->findRun(answer.m_task.text());
     if (run != nullptr && run->m_run == answer.m_run) {
         run->m_paceInFlight = false;
-        run->m_pace = answer.m_outcome == OrderOutcome::Accepted ? answer.m_percent : run->m_pace;
+        if (answer.m_outcome == OrderOutcome::Accepted) {
+            run->m_pace = answer.m_percent;
+        } else if (answer.m_outcome == OrderOutcome::NoAnswer) {
+            run->m_pace = unknownPace;
+        }
     }
 }
 
@@ -607,8 +610,8 @@
 {
     m_paceController.addSamples(worker, now);
     for (const auto &[run, percent] : m_paceController.plan(worker, now)) {
-        const bool isRelevantChange =
-            std::abs(run->m_pace - percent) >= minPaceChangePercent || ((percent == 0 || percent == fullPacePercent) && run->m_pace != percent);
+        const bool isRelevantChange = run->m_pace == unknownPace || std::abs(run->m_pace - percent) >= minPaceChangePercent
+            || ((percent == 0 || percent == fullPacePercent) && run->m_pace != percent);
         if (run->m_paceInFlight || run->m_isStopRequested || !isRelevantChange) {
             continue;
         }
--- a/src/fleet/pacecontroller.cpp
+++ b/src/fleet/pacecontroller.cpp
@@ -37,7 +37,6 @@
 constexpr Milliseconds longestComparableAge{1'200};
 /// Filling tasks that use a smaller share of a worker's processors are treated as causing no interference.
 constexpr double negligibleFillShare = 0.03;
-constexpr double fullPacePercent = 100.0;
 /// Smoothing factor of a task's headroom deficit against its job, e.g. on a slow worker, and the deficit that is ignored because
 /// noise of the samples alone can cause it.
 constexpr double deficitSmoothing = 0.35;
--- a/tests/fleetschedulertest.cpp
+++ b/tests/fleetschedulertest.cpp
@@ -956,6 +956,38 @@
     EXPECT_FALSE(written.contains(progressKey(hexOf(2)))) << "the heavy task waits";
 }
 
+// Guards against a filling task that stays at the pace that a former owner has ordered: a successor that takes the pace to be 100% never
+// orders that pace.
+TEST(FleetSchedulerTest, ASuccessorOrdersThePaceOfAnInheritedFillingTask)
+{
+    FleetScheduler scheduler(FleetLimits{});
+    const TimePoint now = TimePoint{} + std::chrono::hours(1);
+    auto filling = makeJob(1, 1, 2'000, Milliseconds{1'000});
+    filling.m_steps[0].m_isFilling = true;
+    JobProgress progress{JobPhase::Running, 1, {}};
+    progress.m_open.push_back({0, {StepProgress{{TaskProgress{TaskPhase::Assigned, 1, 0, "worker", 5, ""}}}}});
+    std::vector<StoredJob> stored;
+    stored.push_back({filling, progress, false});
+    scheduler.begin(1, std::move(stored), now, FleetScheduler::WallTime{});
+    WorkerRecord record;
+    record.m_id = "worker";
+    record.m_endpoint = {"127.0.0.1", 1};
+    record.m_incarnation = 5;
+    record.m_capacity = {16'000, 64'000, 0};
+    scheduler.updateWorkers(std::span(&record, 1), {}, now);
+    ReportAnswer answer{{record.m_id, record.m_endpoint, record.m_incarnation, 1}, OrderOutcome::Accepted, {}, now, now};
+    answer.m_report.m_incarnation = record.m_incarnation;
+    answer.m_report.m_running.push_back({{hexOf(1), 0, 0, 0}, 1, "", 10.0, 200.0});
+    scheduler.handleAnswer(answer, now);
+    std::vector<int> paces;
+    for (const auto &command : scheduler.takeCommands()) {
+        if (const auto *const order = std::get_if<RunPaceOrder>(&command)) {
+            paces.push_back(order->m_percent);
+        }
+    }
+    EXPECT_EQ(paces, std::vector<int>{100});
+}
+
 // Guards against starting a task of a job whose cancellation is stored, also by a new owner (UNASKED).
 TEST(FleetSchedulerTest, NothingOfACancelledJobStarts)
 {
