Bound the time for which a job that could run has no run

Cause: a class of fault, an unbounded wait. Every guard of placement (unused processors, headroom of serving tasks, mistrust) and the order of placement decided for itself, each for as long as its reason lasted. A filling task that no worker could take within the model waited without limit, and a job past its objective waited behind all others.

Change: a job without a run, one of whose tasks has waited for 2 s, gets one task placed before all ranked work and in spite of these guards, while its pool is mostly free. A filling run that a guard would have excluded yields: it uses the processors that other runs leave, at least 10% of what it declares, and the pace controller slows it for serving tasks as any other. It is slowed when its start is confirmed, and counts as an ordinary run once the guards would admit it.

Now the wait of the oldest task counts, so that a job that is held back keeps one run at a time. Also looked at: refused starts, which began the wait anew (an unconfirmed run no longer ends it); serving tasks that run again, which now go before idle jobs, so that these do not take the capacity that is kept for them.

--- a/include/burdockspur/fleet/fleetjob.hpp
+++ b/include/burdockspur/fleet/fleetjob.hpp
@@ -132,6 +132,8 @@
     auto markStarted() noexcept -> void
     {
         m_hasStarted = true;
+        m_hasConfirmedRun = true;
+        m_backlog.m_idleSince.reset();
     }
 
     /// @brief False until a worker has confirmed a task; assignments that are only stored or ordered do not count.
@@ -208,5 +210,6 @@
     bool m_isDirty = false;
     std::uint64_t m_changeNumber = 0; ///< see changeNumber()
     bool m_hasStarted = false;
+    bool m_hasConfirmedRun = false; ///< a worker has confirmed a run since the job had none
 };
 }
--- a/include/burdockspur/fleet/fleetlimits.hpp
+++ b/include/burdockspur/fleet/fleetlimits.hpp
@@ -84,6 +84,17 @@
     /// How long the final state of a job is kept (platform's bound of 120 s, plus a margin for late repeats).
     Milliseconds m_retention{150'000};
 
+    /// A job without a run, one of whose tasks has waited for this time, gets one task placed before all others and in spite of the guards
+    /// of placement, while its pool is mostly free. The platform allows 3 s; the rest is for a round, a commit and the start order.
+    Milliseconds m_maxIdle{2'000};
+
+    /// A pool counts as mostly free while a smaller share of its processors and of its memory is reserved. The platform's bound is a half; the
+    /// margin covers workers that have just left or joined.
+    double m_mostlyFreeUse = 0.55;
+
+    /// Lowest pace, in percent, to which a yielding run is slowed because other runs use the processors.
+    int m_minYieldingPace = 10;
+
     /// Assumed share of its declared processors that a serving task uses.
     double m_assumedServingUse = 0.5;
 
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -32,6 +32,8 @@
 {
 class PlacementOrder;
 class PoolCapacities;
+struct FreeCapacity;
+struct TaskStep;
 
 /// @brief The stored state of a job, as read at a takeover.
 struct StoredJob {
@@ -173,6 +175,7 @@
 
 private:
     struct WaitingTask;
+    struct WorkerFit;
     struct WorkerChoice;
     struct CommitInFlight;
 
@@ -253,6 +256,12 @@
     /// @brief Marks the runs of a draining worker for a stop when they have to end.
     auto drainWorker(FleetWorker &worker, TimePoint now) -> void;
     auto adjustFillingPaces(FleetWorker &worker, TimePoint now) -> void;
+    /// @brief Lets yielding runs of a worker count as ordinary ones where the guards of placement would admit them now.
+    auto admitYieldingRuns(FleetWorker &worker, TimePoint now) -> void;
+    /// @brief Slows a run that has just started to what its worker can carry.
+    auto setFirstPace(FleetWorker &worker, TaskRun &run, TimePoint now) -> void;
+    /// @brief Orders a pace unless it hardly differs from the present one or an order is under way.
+    auto setPace(const FleetWorker &worker, TaskRun &run, int percent) -> void;
     /// @brief Stops runs that make hardly any progress, so that they run again on another worker.
     auto moveSlowRuns(FleetWorker &worker, TimePoint now) -> void;
 
@@ -268,7 +277,9 @@
     /// @brief True if a serving task may wait until finite work has been placed.
     [[nodiscard]] auto mayDefer(const JobBacklog::Task &task, TimePoint now) const noexcept -> bool;
     /// @brief Adds the waiting tasks of a job to the order of this round.
-    auto addGroups(FleetJob &job, PlacementOrder &order, TimePoint now) -> void;
+    auto addGroups(FleetJob &job, PlacementOrder &order, const PoolCapacities &pools, TimePoint now) -> void;
+    /// @brief True if the guards of placement may not hold the job back any longer, see FleetLimits::m_maxIdle.
+    [[nodiscard]] auto isIdleTooLong(const FleetJob &job, const PoolCapacities &pools, TimePoint now) const noexcept -> bool;
     /// @brief Waiting tasks of a group.
     [[nodiscard]] auto tasksOf(const PlacementGroup &group, TimePoint now) const -> std::vector<WaitingTask>;
     /// @brief Assigns the tasks of a group to workers until the free capacity is used up.
@@ -276,13 +287,24 @@
     [[nodiscard]] auto placeGroup(const PlacementGroup &group, PlacementOrder &order, PoolCapacities &pools, TimePoint now) -> bool;
     /// @brief Finds the best worker with free capacity for a task.
     [[nodiscard]] auto chooseWorker(const WaitingTask &waiting, PoolCapacities &pools, TimePoint now) -> WorkerChoice;
+    /// @brief True if enough processors of a worker are unused for a filling task.
+    /// @param freeFillingCpu see FleetWorker::freeFillingCpu()
+    /// @param demand processors that the task declares, in thousandths of a core
+    [[nodiscard]] static auto hasUnusedCpu(std::int64_t freeFillingCpu, std::int64_t demand) noexcept -> bool;
+    /// @brief Fit of a worker for a counted task.
+    [[nodiscard]] static auto roomFitOf(const TaskStep &step, ImageId image, const FreeCapacity &candidate, bool isInRack) -> WorkerFit;
+    /// @brief Fit of a worker for a filling task.
+    /// @param bypassesGuards true if the fit is needed even if a guard excludes the worker
+    [[nodiscard]] auto fillFitOf(const TaskStep &step, ImageId image, const FreeCapacity &candidate, bool isInRack, bool bypassesGuards, TimePoint now) const
+        -> WorkerFit;
     /// @brief Keeps capacity for a serving task that fits nowhere, on the worker that needs to free the least.
     /// @returns false if no worker could free enough
     [[nodiscard]] auto reserveCapacity(const WaitingTask &waiting, PoolCapacities &pools, TimePoint now) -> bool;
     /// @brief Assigns all tasks of a gang, or none.
     [[nodiscard]] auto placeGang(std::span<const WaitingTask> members, PoolCapacities &pools, TimePoint now) -> bool;
     /// @brief Assigns a task to a worker; the start order follows once the assignment is stored.
-    auto assign(const WaitingTask &waiting, FleetWorker &worker, RunNumber run, TimePoint now) -> void;
+    /// @param choice result of the search, with a worker
+    auto assign(const WaitingTask &waiting, const WorkerChoice &choice, RunNumber run, TimePoint now) -> void;
     /// @brief Sends the start order of a run, or withdraws the run if it must not start any more.
     auto sendStart(FleetWorker &worker, TaskRun &run, TimePoint now) -> void;
 
@@ -333,6 +355,7 @@
     HeldTaskLog m_heldTaskLog;
     std::size_t m_waitingCount = 0;
     std::int64_t m_waitingFillCpu = 0; ///< declared demand of the waiting filling tasks, in thousandths of a core
+    std::size_t m_idleStartsLeft = 0; ///< idle jobs that this round may still give a run
     bool m_needsPlacement = false; ///< something has changed since the last round
 };
 }
--- a/include/burdockspur/fleet/fleetworker.hpp
+++ b/include/burdockspur/fleet/fleetworker.hpp
@@ -99,6 +99,18 @@
     /// @param limits assumed use of serving tasks and highest total use
     [[nodiscard]] auto freeFillingCpu(const FleetLimits &limits) const noexcept -> std::int64_t;
 
+    /// @brief Declared demand of the yielding runs, in thousandths of a core.
+    [[nodiscard]] auto yieldingCpu() const noexcept -> std::int64_t
+    {
+        return m_yieldingCpu;
+    }
+
+    /// @brief Lets a yielding run of this worker count as an ordinary one.
+    auto admitYieldingRun(TaskRun &run) noexcept -> void;
+
+    /// @brief Divides the processors that other runs leave among the yielding runs, see TaskRun::m_paceLimit.
+    auto updatePaceLimits(const FleetLimits &limits) noexcept -> void;
+
     /// @brief Number of runs on this worker that belong to the same step and occurrence as a task.
     [[nodiscard]] auto countTasksOfStep(const TaskId &task) const noexcept -> std::uint32_t;
 
@@ -112,6 +124,9 @@
     [[nodiscard]] auto acceptsTasks(const FleetLimits &limits, TimePoint now) const noexcept -> bool;
 
 private:
+    /// @brief Sum that contains the declared processors of a run.
+    [[nodiscard]] auto declaredCpuOf(const TaskRun &run) noexcept -> std::int64_t &;
+
     /// The effects of all ends up to m_end are among the changes up to m_change.
     struct EndMark {
         std::uint64_t m_end = 0;
@@ -122,6 +137,7 @@
     Resources m_reserved;
     Resources m_finiteReserved; ///< part of m_reserved
     std::int64_t m_servingCpu = 0; ///< declared demand of the serving runs, in thousandths of a core
+    std::int64_t m_yieldingCpu = 0; ///< declared demand of the yielding runs, in thousandths of a core
     std::int64_t m_otherCpu = 0; ///< declared demand of all other runs, in thousandths of a core
 };
 }
--- a/include/burdockspur/fleet/jobbacklog.hpp
+++ b/include/burdockspur/fleet/jobbacklog.hpp
@@ -6,7 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <span>
+#include <utility>
 #include <vector>
 
 namespace Burdockspur
@@ -27,7 +27,13 @@
         std::uint32_t m_occurrence = 0;
         std::uint32_t m_step = 0;
         std::size_t m_kind = 0; ///< see TaskKinds
-        std::vector<Task> m_tasks;
+        std::vector<Task> m_tasks; ///< in ascending order of their index
+
+        /// @brief Place of the step in m_steps, which are in ascending order.
+        [[nodiscard]] auto position() const noexcept
+        {
+            return std::pair(m_occurrence, m_step);
+        }
     };
 
     const JobQueuePolicy *m_policy = nullptr; ///< policy in force
@@ -35,10 +41,8 @@
     std::size_t m_taskCount = 0; ///< number of tasks in all steps
     std::int64_t m_fillCpu = 0; ///< declared demand of the filling tasks among them, in thousandths of a core
     TimePoint m_waitingSince; ///< when the task that waits longest was first found waiting
-    std::optional<TimePoint> m_idleSince; ///< when the job was first found with waiting tasks and without a run; empty while it has a run
-
-    /// @brief The waiting tasks of a step, in ascending order of their index.
-    [[nodiscard]] auto tasksOf(std::uint32_t occurrence, std::uint32_t step) const noexcept -> std::span<const Task>;
+    /// When the job was first found with waiting tasks and without a run that a worker has confirmed; empty while it has such a run.
+    std::optional<TimePoint> m_idleSince;
 
     Milliseconds m_criticalPath{0}; ///< see FleetJob::RemainingWork
     double m_coreSeconds = 0; ///< see FleetJob::RemainingWork
--- a/include/burdockspur/fleet/poolcapacities.hpp
+++ b/include/burdockspur/fleet/poolcapacities.hpp
@@ -41,6 +41,10 @@
     /// @brief Number of listed workers of a pool that accept no tasks now.
     [[nodiscard]] auto unavailableWorkersOf(std::string_view pool) const noexcept -> std::uint32_t;
 
+    /// @brief True if less than FleetLimits::m_mostlyFreeUse of the processors and of the memory of a pool's listed workers was reserved
+    /// when these were added.
+    [[nodiscard]] auto isMostlyFree(std::string_view pool) const noexcept -> bool;
+
     /// @brief Keeps capacity of a worker for a waiting task, so that smaller tasks do not use up what becomes free.
     /// @param worker id of a worker; ignored if the worker accepts no tasks
     auto reserve(std::string_view worker, const Resources &demand) noexcept -> void;
@@ -53,6 +57,8 @@
         std::string_view m_name;
         std::vector<FreeCapacity> m_capacities;
         std::uint32_t m_unavailable = 0; ///< listed workers that accept no tasks
+        Resources m_total; ///< of the listed workers
+        Resources m_unreserved; ///< part of m_total
     };
 
     [[nodiscard]] auto findPool(std::string_view name) noexcept -> Pool &;
--- a/include/burdockspur/fleet/taskrun.hpp
+++ b/include/burdockspur/fleet/taskrun.hpp
@@ -39,6 +39,8 @@
     std::int64_t m_cpuMillis = 0; ///< declared demand in thousandths of a core
     bool m_isServing = false;
     bool m_isFilling = false;
+    bool m_isYielding = false; ///< filling task that was placed in spite of the guards; uses only processors that other runs leave
+    int m_paceLimit = fullPacePercent; ///< highest pace in percent; below 100 only for a yielding run
     Milliseconds m_tailTarget{0};
     TimePoint m_assignedAt;
     TimePoint m_startSentAt; ///< when the last start order was sent
--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -20,6 +20,7 @@
 enum class OrderOutcome : std::uint8_t;
 enum class Outcome : std::uint8_t;
 enum class PlacementGuard : std::uint8_t;
+enum class PlacementTurn : std::uint8_t;
 enum class RingName : std::uint8_t;
 enum class RunEnd : std::uint8_t;
 enum class RunStage : std::uint8_t;
--- a/include/burdockspur/impl/fleetschedulerparts.hpp
+++ b/include/burdockspur/impl/fleetschedulerparts.hpp
@@ -3,8 +3,10 @@
 #include "burdockspur/fleet/fleetscheduler.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace Burdockspur
@@ -19,6 +21,7 @@
     TimePoint m_waitingSince; ///< see JobBacklog::Task
     const TaskStep *m_step = nullptr;
     const JobQueuePolicy *m_policy = nullptr;
+    PlacementTurn m_turn = PlacementTurn::Ranked;
 
     /// Built on demand, because a backlog has thousands of tasks of which few are assigned.
     [[nodiscard]] auto id() const -> TaskId
@@ -27,10 +30,20 @@
     }
 };
 
+/// @brief How well a worker with enough free capacity suits a task.
+struct FleetScheduler::WorkerFit {
+    /// Whether it is trusted, within the guards and in the preferred rack; affinity of images; fit; unused processors.
+    using Rank = std::tuple<bool, bool, bool, int, std::int64_t, std::int64_t>;
+
+    std::optional<PlacementGuard> m_guard; ///< guard that excludes the worker unless the task may bypass the guards
+    Rank m_rank; ///< the largest is best
+};
+
 /// @brief Result of the search for a worker.
 struct FleetScheduler::WorkerChoice {
     FleetWorker *m_worker = nullptr; ///< nullptr if no worker was found
-    PlacementRefusal m_refusal; ///< workers that were skipped, by the guard that excluded them
+    std::optional<PlacementGuard> m_guard; ///< guard in spite of which the worker was chosen
+    PlacementRefusal m_refusal; ///< workers that a guard excludes, whether or not another one was found
 };
 
 /// @brief Contents of the commit that is being stored, and its effects once it is stored.
--- a/src/fleet/fleetjob.cpp
+++ b/src/fleet/fleetjob.cpp
@@ -133,6 +133,7 @@
     const auto left = remainingWork();
     m_backlog.m_criticalPath = left.m_criticalPath;
     m_backlog.m_coreSeconds = left.m_coreSeconds;
+    auto earlier = std::span(before.m_steps);
     for (auto &occurrence : m_progress.m_open) {
         for (std::uint32_t number = 0; number < occurrence.m_steps.size(); ++number) {
             if (!isReady(occurrence, number)) {
@@ -141,7 +142,11 @@
             const auto &step = m_job.m_steps[number];
             JobBacklog::Step entry{occurrence.m_number, number, 0, {}};
             auto &tasks = occurrence.m_steps[number].m_tasks;
-            auto known = before.tasksOf(occurrence.m_number, number);
+            while (!earlier.empty() && earlier.front().position() < std::pair(occurrence.m_number, number)) {
+                earlier = earlier.subspan(1);
+            }
+            const bool hasEarlier = !earlier.empty() && earlier.front().position() == std::pair(occurrence.m_number, number);
+            auto known = hasEarlier ? std::span(earlier.front().m_tasks) : std::span<const JobBacklog::Task>();
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
                 while (!known.empty() && known.front().m_index < index) {
                     known = known.subspan(1);
@@ -162,9 +167,10 @@
             m_backlog.m_steps.push_back(std::move(entry));
         }
     }
-    if (m_backlog.m_taskCount > 0 && !hasRuns()) {
-        m_backlog.m_idleSince = before.m_idleSince.value_or(now);
+    if (m_backlog.m_taskCount > 0 && !(m_hasConfirmedRun && hasRuns())) {
+        m_backlog.m_idleSince = m_hasConfirmedRun ? now : before.m_idleSince.value_or(now);
     }
+    m_hasConfirmedRun = m_hasConfirmedRun && hasRuns();
 }
 
 auto FleetJob::remainingWork() const -> RemainingWork
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -17,6 +17,10 @@
 /// A filling task is placed only where at least this share of its declared processors is unused; it shares the rest.
 constexpr double minFreeCpuShare = 0.7;
 
+/// A round uses one of this many start orders that it may send for idle jobs, so that a backlog of them does not hold up work that can
+/// still meet its objective while the owner cannot process more starts.
+constexpr std::size_t startsPerIdleStart = 4;
+
 /// Weight of a job, as the users value jobs: a constant part, plus a part in proportion to its work relative to the mean of its queue,
 /// up to a maximum.
 constexpr double baseWeight = 0.3;
@@ -39,6 +43,15 @@
     return isEmpty ? 1 : 2;
 }
 
+/// @brief Since when an idle job is held back.
+///
+/// The wait of its oldest task counts as well as its time without a run: a job with many tasks would otherwise be idle for most of the time
+/// between short runs. A task that a worker refuses begins to wait anew, but the job stays idle.
+[[nodiscard]] auto heldBackSince(const JobBacklog &backlog) noexcept -> TimePoint
+{
+    return std::min(backlog.m_waitingSince, backlog.m_idleSince.value_or(backlog.m_waitingSince));
+}
+
 [[nodiscard]] auto hasRun(const JobBacklog::Task &task) noexcept -> bool
 {
     return task.m_progress->m_run > 0;
@@ -50,6 +63,11 @@
 }
 }
 
+auto FleetScheduler::hasUnusedCpu(std::int64_t freeFillingCpu, std::int64_t demand) noexcept -> bool
+{
+    return static_cast<double>(freeFillingCpu) >= minFreeCpuShare * static_cast<double>(demand);
+}
+
 auto FleetScheduler::rankOf(const FleetJob &job, TimePoint now) const -> JobRank
 {
     const auto &backlog = job.backlog();
@@ -99,7 +117,14 @@
     return !hasRun(task) && now - task.m_waitingSince < m_limits.m_servingMaxWait;
 }
 
-auto FleetScheduler::addGroups(FleetJob &job, PlacementOrder &order, TimePoint now) -> void
+auto FleetScheduler::isIdleTooLong(const FleetJob &job, const PoolCapacities &pools, TimePoint now) const noexcept -> bool
+{
+    const auto &backlog = job.backlog();
+    const bool isIdle = backlog.m_idleSince && !job.hasRuns();
+    return isIdle && now - heldBackSince(backlog) >= m_limits.m_maxIdle && !job.isServing() && pools.isMostlyFree(backlog.m_policy->m_pool);
+}
+
+auto FleetScheduler::addGroups(FleetJob &job, PlacementOrder &order, const PoolCapacities &pools, TimePoint now) -> void
 {
     const auto add = [&](const PlacementGroup &group) {
         if (!m_resumeAt || group.sortKey() >= m_resumeAt->sortKey()) {
@@ -107,7 +132,12 @@
         }
     };
     const auto rank = rankOf(job, now);
+    const bool isIdleTooLong = this->isIdleTooLong(job, pools, now);
     for (const auto &step : job.backlog().m_steps) {
+        if (isIdleTooLong) {
+            // The longest wait goes first: any other order could hold the same jobs back again.
+            add({JobRank{.m_turn = PlacementTurn::IdleJob, .m_heldBackSince = heldBackSince(job.backlog())}, &job, &step});
+        }
         if (!rank.m_isDeferred) {
             add({rank, &job, &step});
             continue;
@@ -124,7 +154,10 @@
             auto groupRank = rank;
             groupRank.m_isDeferred = false;
             // A task that has run has to run again whatever else waits.
-            groupRank.m_priority = std::ranges::any_of(step.m_tasks, hasRun) ? 0 : rank.m_priority;
+            if (std::ranges::any_of(step.m_tasks, hasRun)) {
+                groupRank.m_turn = PlacementTurn::Restart;
+                groupRank.m_priority = 0;
+            }
             add({groupRank, &job, &step});
         }
     }
@@ -137,7 +170,8 @@
     tasks.reserve(step.m_tasks.size());
     for (const auto &task : step.m_tasks) {
         const bool isOfGroup = !group.m_job->isServing() || mayDefer(task, now) == group.m_rank.m_isDeferred;
-        if (isOfGroup) {
+        // The first turn of an idle job may have assigned the task earlier in this round.
+        if (isOfGroup && task.m_progress->m_phase == TaskPhase::Waiting) {
             tasks.push_back({group.m_job,
                              step.m_occurrence,
                              step.m_step,
@@ -145,7 +179,8 @@
                              task.m_progress,
                              task.m_waitingSince,
                              &group.m_job->job().m_steps[step.m_step],
-                             group.m_job->backlog().m_policy});
+                             group.m_job->backlog().m_policy,
+                             group.m_rank.m_turn});
         }
     }
     return tasks;
@@ -204,9 +239,13 @@
     }
     PlacementOrder order(m_kinds);
     for (auto *const job : m_changes.m_waiting) {
-        addGroups(*job, order, now);
+        addGroups(*job, order, pools, now);
     }
     order.buildHeaps();
+    if (!m_resumeAt) {
+        // The number of the round is added so that a room of 1 is used for an idle job in every fourth round.
+        m_idleStartsLeft = (m_startWindow.room() + m_placementCounters.m_rounds % startsPerIdleStart) / startsPerIdleStart;
+    }
     m_resumeAt.reset();
     m_triesLeft = m_limits.m_triesPerRound;
     while (const auto group = order.next()) {
@@ -230,7 +269,14 @@
     if (m_triesLeft == 0 || !mayAssign()) {
         return false;
     }
+    const bool isOfIdleJob = group.m_rank.m_turn == PlacementTurn::IdleJob;
+    if (isOfIdleJob && (group.m_job->hasRuns() || m_idleStartsLeft == 0)) {
+        return true;
+    }
     const auto tasks = tasksOf(group, now);
+    if (tasks.empty()) {
+        return true;
+    }
     const auto countTries = [this](std::size_t tries) {
         m_placementCounters.m_tasksTried += tries;
         m_triesLeft -= std::min(m_triesLeft, tries);
@@ -239,7 +285,8 @@
         // All members start together, so they wait until the last run of every member has ended.
         if (tasks.size() == tasks.front().m_step->m_count) {
             countTries(tasks.size());
-            static_cast<void>(placeGang(tasks, pools, now));
+            const bool isPlaced = placeGang(tasks, pools, now);
+            m_idleStartsLeft -= isPlaced && isOfIdleJob ? 1 : 0;
         }
         return true;
     }
@@ -250,8 +297,12 @@
         countTries(1);
         const auto choice = chooseWorker(task, pools, now);
         if (choice.m_worker != nullptr) {
-            assign(task, *choice.m_worker, task.m_progress->m_run + 1, now);
+            assign(task, choice, task.m_progress->m_run + 1, now);
             pools.update(*choice.m_worker);
+            if (isOfIdleJob) {
+                --m_idleStartsLeft;
+                break;
+            }
             continue;
         }
         group.m_job->m_refusal = choice.m_refusal;
@@ -277,12 +328,12 @@
     const auto &step = *waiting.m_step;
     Resources demand = step.m_demand;
     demand.m_cpuMillis = step.m_isFilling ? 0 : demand.m_cpuMillis;
-    const auto image = m_paceController.model().imageId(step.m_image);
     const auto task = waiting.id();
     const auto name = task.text();
+    const auto image = m_paceController.model().imageId(step.m_image);
+    const bool bypassesGuards = waiting.m_turn == PlacementTurn::IdleJob;
     WorkerChoice best;
-    std::tuple<bool, bool, int, std::int64_t> bestRank;
-    const double minFreeCpu = minFreeCpuShare * static_cast<double>(step.m_demand.m_cpuMillis);
+    WorkerFit bestFit;
     for (const auto &candidate : pools.freeCapacitiesOf(waiting.m_policy->m_pool)) {
         if (!demand.fitsInto(candidate.m_free)) {
             Resources unreserved = candidate.m_free;
@@ -290,8 +341,8 @@
             best.m_refusal.count(demand.fitsInto(unreserved) ? PlacementGuard::Reservation : PlacementGuard::Room);
             continue;
         }
-        // A serving task may run on an untrusted worker rather than not at all; other tasks could use up their attempts there.
-        if (!candidate.m_isTrusted && !step.m_isServing) {
+        // Rather than not at all, a serving task or that of an idle job runs on an untrusted worker; other tasks could use up their attempts there.
+        if (!candidate.m_isTrusted && !step.m_isServing && !bypassesGuards) {
             best.m_refusal.count(PlacementGuard::Trust);
             continue;
         }
@@ -300,27 +351,15 @@
             best.m_refusal.count(PlacementGuard::Label);
             continue;
         }
-        int affinity = 0;
-        std::int64_t fit = 0;
-        if (step.m_isFilling) {
-            if (static_cast<double>(candidate.m_freeFillingCpu) < minFreeCpu) {
-                best.m_refusal.count(PlacementGuard::UnusedCpu);
+        const bool isInRack = step.m_preferredRack.empty() || worker.m_record.m_rack == step.m_preferredRack;
+        const auto fit = step.m_isFilling ? fillFitOf(step, image, candidate, isInRack, bypassesGuards, now) : roomFitOf(step, image, candidate, isInRack);
+        if (fit.m_guard) {
+            best.m_refusal.count(*fit.m_guard);
+            if (!bypassesGuards) {
                 continue;
             }
-            const auto fillFit = m_paceController.fitOf(worker, image, step.m_demand.m_cpuMillis, now);
-            if (fillFit.m_slack < 0) {
-                best.m_refusal.count(PlacementGuard::Headroom);
-                continue;
-            }
-            // In thousandths, so that both kinds of fit are integers.
-            fit = static_cast<std::int64_t>(fillFit.rank() * 1000);
-        } else {
-            // Best fit: filling up small remainders keeps large free capacities for large tasks.
-            fit = -candidate.m_free.m_cpuMillis;
-            affinity = step.m_isServing ? imageAffinity(worker, image) : 0;
         }
-        const std::tuple rank(candidate.m_isTrusted, step.m_preferredRack.empty() || worker.m_record.m_rack == step.m_preferredRack, affinity, fit);
-        if (best.m_worker != nullptr && rank <= bestRank) {
+        if (best.m_worker != nullptr && fit.m_rank <= bestFit.m_rank) {
             continue;
         }
         // These searches are expensive, so only workers that would otherwise be chosen reach them.
@@ -330,14 +369,46 @@
             best.m_refusal.count(PlacementGuard::EarlierRun);
         } else {
             best.m_worker = &worker;
-            bestRank = rank;
+            bestFit = fit;
         }
     }
+    best.m_guard = bestFit.m_guard;
     best.m_refusal.count(PlacementGuard::Unavailable, pools.unavailableWorkersOf(waiting.m_policy->m_pool));
     best.m_refusal.m_at = now;
     return best;
 }
 
+auto FleetScheduler::roomFitOf(const TaskStep &step, ImageId image, const FreeCapacity &candidate, bool isInRack) -> WorkerFit
+{
+    const int affinity = step.m_isServing ? imageAffinity(*candidate.m_worker, image) : 0;
+    // Best fit: filling up small remainders keeps large free capacities for large tasks.
+    return {std::nullopt, {candidate.m_isTrusted, true, isInRack, affinity, -candidate.m_free.m_cpuMillis, 0}};
+}
+
+auto FleetScheduler::fillFitOf(const TaskStep &step, ImageId image, const FreeCapacity &candidate, bool isInRack, bool bypassesGuards, TimePoint now) const
+    -> WorkerFit
+{
+    /// In thousandths, so that fits are integers.
+    constexpr double thousandths = 1000;
+    const auto demand = step.m_demand.m_cpuMillis;
+    auto &worker = *candidate.m_worker;
+    const bool isCpuUnused = hasUnusedCpu(candidate.m_freeFillingCpu, demand);
+    if (isCpuUnused) {
+        const auto fit = m_paceController.fitOf(worker, image, demand, now);
+        if (fit.m_slack >= 0) {
+            return {std::nullopt, {candidate.m_isTrusted, true, isInRack, 0, static_cast<std::int64_t>(fit.rank() * thousandths), 0}};
+        }
+    }
+    const auto guard = isCpuUnused ? PlacementGuard::Headroom : PlacementGuard::UnusedCpu;
+    if (!bypassesGuards) {
+        return {guard, {}};
+    }
+    // The task goes where it harms serving tasks the least at the pace that it may be slowed to, then where most processors are left.
+    const auto slowed = m_paceController.fitOf(worker, image, demand * m_limits.m_minYieldingPace / fullPacePercent, now);
+    const auto missing = static_cast<std::int64_t>(std::min(0.0, slowed.m_slack) * thousandths);
+    return {guard, {candidate.m_isTrusted, false, false, 0, missing, candidate.m_freeFillingCpu - worker.yieldingCpu()}};
+}
+
 auto FleetScheduler::reserveCapacity(const WaitingTask &waiting, PoolCapacities &pools, TimePoint now) -> bool
 {
     const auto &step = *waiting.m_step;
@@ -391,15 +462,16 @@
     }
     std::vector<FleetWorker *> chosen;
     for (const auto &member : members) {
-        auto *const worker = chooseWorker(member, pools, now).m_worker;
-        if (worker == nullptr) {
+        const auto choice = chooseWorker(member, pools, now);
+        if (choice.m_worker == nullptr) {
+            member.m_job->m_refusal = choice.m_refusal;
             break;
         }
         // All members start from the same checkpoint; the checkpoint of any member is valid for all.
         member.m_progress->m_checkpoint = checkpoint;
-        assign(member, *worker, run + 1, now);
-        pools.update(*worker);
-        chosen.push_back(worker);
+        assign(member, choice, run + 1, now);
+        pools.update(*choice.m_worker);
+        chosen.push_back(choice.m_worker);
     }
     if (chosen.size() == members.size()) {
         return true;
@@ -407,6 +479,7 @@
     for (std::size_t i = 0; i < chosen.size(); ++i) {
         // Nothing was stored or sent since the assignment, so it can be undone.
         chosen[i]->removeRun(members[i].id().text());
+        chosen[i]->updatePaceLimits(m_limits);
         --m_assignedSinceCommit;
         pools.update(*chosen[i]);
         auto &task = *members[i].m_progress;
@@ -417,8 +490,9 @@
     return false;
 }
 
-auto FleetScheduler::assign(const WaitingTask &waiting, FleetWorker &worker, RunNumber run, TimePoint now) -> void
+auto FleetScheduler::assign(const WaitingTask &waiting, const WorkerChoice &choice, RunNumber run, TimePoint now) -> void
 {
+    auto &worker = *choice.m_worker;
     const auto id = waiting.id();
     auto &task = *waiting.m_progress;
     task.m_phase = TaskPhase::Assigned;
@@ -432,7 +506,9 @@
     entry.m_assignedAt = now;
     entry.m_checkpoint = task.m_checkpoint;
     entry.initFromStep(*waiting.m_step, m_paceController.model());
+    entry.m_isYielding = choice.m_guard.has_value();
     worker.addRun(std::move(entry));
+    worker.updatePaceLimits(m_limits);
     worker.m_health.recordAssignment(now);
     waiting.m_job->setPhase(JobPhase::Running);
     waiting.m_job->markChanged();
@@ -444,6 +520,7 @@
               {"task", id.text()},
               {"run", run},
               {"worker", task.m_worker},
+              {"in_spite_of", choice.m_guard ? placementGuardNames[static_cast<std::size_t>(*choice.m_guard)] : std::string_view()},
               {"free_cpu", worker.freeResources().m_cpuMillis},
               {"free_mem", worker.freeResources().m_memoryMb},
               {"report_age_ms", std::chrono::duration_cast<Milliseconds>(now - worker.m_lastReportAt).count()},
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -505,8 +505,11 @@
     switch (answer.m_outcome) {
     case OrderOutcome::Accepted:
         run->m_job->markStarted();
-        run->m_stage = RunStage::Running;
-        run->m_confirmedAt = now;
+        if (run->m_stage != RunStage::Running) {
+            run->m_stage = RunStage::Running;
+            run->m_confirmedAt = now;
+            setFirstPace(*worker, *run, now);
+        }
         return;
     case OrderOutcome::OtherIncarnation:
         replaceIncarnation(*worker, unknownIncarnation, "other_incarnation");
@@ -609,23 +612,60 @@
 auto FleetScheduler::adjustFillingPaces(FleetWorker &worker, TimePoint now) -> void
 {
     m_paceController.addSamples(worker, now);
+    admitYieldingRuns(worker, now);
+    worker.updatePaceLimits(m_limits);
     for (const auto &[run, percent] : m_paceController.plan(worker, now)) {
-        const bool isRelevantChange = run->m_pace == unknownPace || std::abs(run->m_pace - percent) >= minPaceChangePercent
-            || ((percent == 0 || percent == fullPacePercent) && run->m_pace != percent);
-        if (run->m_paceInFlight || run->m_isStopRequested || !isRelevantChange) {
+        setPace(worker, *run, percent);
+    }
+}
+
+auto FleetScheduler::admitYieldingRuns(FleetWorker &worker, TimePoint now) -> void
+{
+    if (worker.yieldingCpu() == 0) {
+        return;
+    }
+    for (auto &[name, run] : worker.m_runs) {
+        if (!run.m_isYielding || !hasUnusedCpu(worker.freeFillingCpu(m_limits), run.m_cpuMillis)) {
             continue;
         }
-        run->m_paceInFlight = true;
-        m_commands.emplace_back(RunPaceOrder{addressOf(worker), run->m_task, run->m_run, percent});
-        logEvent(LogLevel::Info,
-                 "run_paced",
-                 {{"job", run->m_task.m_job},
-                  {"task", run->m_task.text()},
-                  {"run", run->m_run},
-                  {"worker", worker.m_record.m_id},
-                  {"from_percent", run->m_pace},
-                  {"percent", percent},
-                  {"epoch", m_epoch}});
+        // The headroom already counts the run at its present limit.
+        const auto added = run.m_cpuMillis * (fullPacePercent - run.m_paceLimit) / fullPacePercent;
+        if (m_paceController.fitOf(worker, run.m_image, added, now).m_slack >= 0) {
+            worker.admitYieldingRun(run);
+        }
+    }
+}
+
+auto FleetScheduler::setFirstPace(FleetWorker &worker, TaskRun &run, TimePoint now) -> void
+{
+    // A worker starts every run at full pace, and the next report would slow a yielding one too late.
+    if (!run.m_isYielding) {
+        return;
+    }
+    worker.updatePaceLimits(m_limits);
+    const auto plans = m_paceController.plan(worker, now);
+    if (const auto plan = std::ranges::find(plans, &run, &PacePlan::m_run); plan != plans.end()) {
+        setPace(worker, run, plan->m_percent);
     }
 }
+
+auto FleetScheduler::setPace(const FleetWorker &worker, TaskRun &run, int percent) -> void
+{
+    const bool isRelevantChange = run.m_pace == unknownPace || std::abs(run.m_pace - percent) >= minPaceChangePercent
+        || ((percent == 0 || percent == fullPacePercent) && run.m_pace != percent);
+    if (run.m_paceInFlight || run.m_isStopRequested || !isRelevantChange) {
+        return;
+    }
+    run.m_paceInFlight = true;
+    m_commands.emplace_back(RunPaceOrder{addressOf(worker), run.m_task, run.m_run, percent});
+    logEvent(LogLevel::Info,
+             "run_paced",
+             {{"job", run.m_task.m_job},
+              {"task", run.m_task.text()},
+              {"run", run.m_run},
+              {"worker", worker.m_record.m_id},
+              {"from_percent", run.m_pace},
+              {"percent", percent},
+              {"epoch", m_epoch}});
+}
 }
--- a/src/fleet/fleetworker.cpp
+++ b/src/fleet/fleetworker.cpp
@@ -31,13 +31,21 @@
 {
 }
 
+auto FleetWorker::declaredCpuOf(const TaskRun &run) noexcept -> std::int64_t &
+{
+    if (run.m_isServing) {
+        return m_servingCpu;
+    }
+    return run.m_isYielding ? m_yieldingCpu : m_otherCpu;
+}
+
 auto FleetWorker::addRun(TaskRun &&run) -> TaskRun &
 {
     m_reserved += run.m_reserved;
     if (!run.m_isServing) {
         m_finiteReserved += run.m_reserved;
     }
-    (run.m_isServing ? m_servingCpu : m_otherCpu) += run.m_cpuMillis;
+    declaredCpuOf(run) += run.m_cpuMillis;
     m_servingHeadroomsAt = {};
     const auto [entry, isNew] = m_runs.emplace(run.m_task.text(), std::move(run));
     requireInvariant(isNew, "one_run_of_a_task_on_a_worker", entry->first);
@@ -74,7 +82,7 @@
         if (!entry->second.m_isServing) {
             m_finiteReserved -= entry->second.m_reserved;
         }
-        (entry->second.m_isServing ? m_servingCpu : m_otherCpu) -= entry->second.m_cpuMillis;
+        declaredCpuOf(entry->second) -= entry->second.m_cpuMillis;
         m_servingHeadroomsAt = {};
         adjustJobRunCount(entry->second, -1);
         m_runs.erase(entry);
@@ -86,6 +94,7 @@
     m_reserved = {};
     m_finiteReserved = {};
     m_servingCpu = 0;
+    m_yieldingCpu = 0;
     m_otherCpu = 0;
     m_servingHeadroomsAt = {};
     for (const auto &[name, run] : m_runs) {
@@ -143,6 +152,27 @@
     return static_cast<std::int64_t>(usable - static_cast<double>(m_servingCpu) * limits.m_assumedServingUse - static_cast<double>(m_otherCpu));
 }
 
+auto FleetWorker::admitYieldingRun(TaskRun &run) noexcept -> void
+{
+    m_yieldingCpu -= run.m_cpuMillis;
+    run.m_isYielding = false;
+    run.m_paceLimit = fullPacePercent;
+    m_otherCpu += run.m_cpuMillis;
+    m_servingHeadroomsAt = {};
+}
+
+auto FleetWorker::updatePaceLimits(const FleetLimits &limits) noexcept -> void
+{
+    if (m_yieldingCpu == 0) {
+        return;
+    }
+    const auto share = static_cast<double>(freeFillingCpu(limits)) / static_cast<double>(m_yieldingCpu);
+    const auto limit = std::max(limits.m_minYieldingPace, static_cast<int>(fullPacePercent * std::clamp(share, 0.0, 1.0)));
+    for (auto &[name, run] : m_runs) {
+        run.m_paceLimit = run.m_isYielding ? limit : fullPacePercent;
+    }
+}
+
 auto FleetWorker::countTasksOfStep(const TaskId &task) const noexcept -> std::uint32_t
 {
     return static_cast<std::uint32_t>(std::ranges::count_if(m_runs, [&task](const auto &entry) {
--- a/src/fleet/pacecontroller.cpp
+++ b/src/fleet/pacecontroller.cpp
@@ -196,7 +196,7 @@
     std::vector<const TaskRun *> serving;
     for (auto &[name, run] : worker.m_runs) {
         if (run.m_isFilling && run.m_stage == RunStage::Running) {
-            fills.push_back({&run, static_cast<double>(run.m_cpuMillis) / capacityOf(worker), fullPacePercent});
+            fills.push_back({&run, static_cast<double>(run.m_cpuMillis) / capacityOf(worker), static_cast<double>(run.m_paceLimit)});
         } else if (hasTarget(run)) {
             serving.push_back(&run);
         }
@@ -245,7 +245,7 @@
     std::vector<FillUse> use;
     for (const auto &[name, run] : worker.m_runs) {
         if (run.m_isFilling) {
-            use.push_back({run.m_image, static_cast<double>(run.m_cpuMillis) / capacityOf(worker)});
+            use.push_back({run.m_image, static_cast<double>(run.m_cpuMillis * run.m_paceLimit) / fullPacePercent / capacityOf(worker)});
         }
     }
     for (const auto &[name, run] : worker.m_runs) {
--- a/src/fleet/poolcapacities.cpp
+++ b/src/fleet/poolcapacities.cpp
@@ -4,6 +4,7 @@
 #include "burdockspur/fleet/fleetworker.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace Burdockspur
 {
@@ -16,6 +17,10 @@
 auto PoolCapacities::add(FleetWorker &worker) -> void
 {
     auto &pool = findPool(worker.m_record.m_pool);
+    if (worker.m_isListed) {
+        pool.m_total += worker.m_record.m_capacity;
+        pool.m_unreserved += worker.freeResources();
+    }
     if (!worker.acceptsTasks(m_limits, m_now)) {
         pool.m_unavailable += worker.m_isListed ? 1 : 0;
         return;
@@ -29,7 +34,7 @@
 auto PoolCapacities::findPool(std::string_view name) noexcept -> Pool &
 {
     const auto pool = std::ranges::find(m_pools, name, &Pool::m_name);
-    return pool == m_pools.end() ? m_pools.emplace_back(Pool{name, {}}) : *pool;
+    return pool == m_pools.end() ? m_pools.emplace_back(Pool{.m_name = name}) : *pool;
 }
 
 auto PoolCapacities::freeCapacitiesOf(std::string_view pool) noexcept -> std::span<FreeCapacity>
@@ -38,6 +43,20 @@
     return entry == m_pools.end() ? std::span<FreeCapacity>() : std::span(entry->m_capacities);
 }
 
+auto PoolCapacities::isMostlyFree(std::string_view pool) const noexcept -> bool
+{
+    const auto entry = std::ranges::find(m_pools, pool, &Pool::m_name);
+    if (entry == m_pools.end()) {
+        return false;
+    }
+    // Tasks that need accelerators are held back by the room for these.
+    constexpr std::array resources{&Resources::m_cpuMillis, &Resources::m_memoryMb};
+    return std::ranges::all_of(resources, [this, &entry](auto resource) {
+        const auto total = static_cast<double>(entry->m_total.*resource);
+        return total <= 0 || total - static_cast<double>(entry->m_unreserved.*resource) < m_limits.m_mostlyFreeUse * total;
+    });
+}
+
 auto PoolCapacities::unavailableWorkersOf(std::string_view pool) const noexcept -> std::uint32_t
 {
     const auto entry = std::ranges::find(m_pools, pool, &Pool::m_name);
