--- a/include/burdockspur/fleet/placementrefusal.hpp
+++ b/include/burdockspur/fleet/placementrefusal.hpp
@@ -8,7 +8,7 @@
 
 namespace Burdockspur
 {
-/// @brief Result of a search that found no worker for a task: how many workers each guard has excluded.
+/// @brief How many workers each guard has excluded in the search for a worker.
 class PlacementRefusal
 {
 public:
@@ -18,7 +18,7 @@
         m_workers[static_cast<std::size_t>(guard)] += workers;
     }
 
-    /// @brief Number of workers that a guard has excluded. Each worker is counted for the first guard that excludes it.
+    /// @brief Number of workers that a guard has excluded. A worker counts for the first guard that excludes it; a later one is not examined.
     [[nodiscard]] auto workers(PlacementGuard guard) const noexcept -> std::uint32_t
     {
         return m_workers[static_cast<std::size_t>(guard)];
