--- a/include/burdockspur/impl/fleetschedulerparts.hpp
+++ b/include/burdockspur/impl/fleetschedulerparts.hpp
@@ -42,7 +42,7 @@
 /// @brief Result of the search for a worker.
 struct FleetScheduler::WorkerChoice {
     FleetWorker *m_worker = nullptr; ///< nullptr if no worker was found
-    std::optional<PlacementGuard> m_guard; ///< guard in spite of which the worker was chosen
+    std::optional<PlacementGuard> m_guard; ///< guard that was bypassed for m_worker; empty for none
     PlacementRefusal m_refusal; ///< workers that a guard excludes, whether or not another one was found
 };
 
--- a/tests/fleetschedulertest.cpp
+++ b/tests/fleetschedulertest.cpp
@@ -33,6 +33,21 @@
     job.m_steps[0].m_tailTarget = Milliseconds{50};
     return job;
 }
+
+/// @brief Lists a worker of the incarnation 5.
+/// @returns its first report to the owner of epoch 1, without runs
+[[nodiscard]] auto addReportingWorker(FleetScheduler &scheduler, TimePoint now) -> ReportAnswer
+{
+    WorkerRecord record;
+    record.m_id = "worker";
+    record.m_endpoint = {"127.0.0.1", 1};
+    record.m_incarnation = 5;
+    record.m_capacity = {16'000, 64'000, 0};
+    scheduler.updateWorkers(std::span(&record, 1), {}, now);
+    ReportAnswer answer{{record.m_id, record.m_endpoint, record.m_incarnation, 1}, OrderOutcome::Accepted, {}, now, now};
+    answer.m_report.m_incarnation = record.m_incarnation;
+    return answer;
+}
 }
 
 // Guards against extending the lease with unanswered reports: the tasks of a lost worker never ran again (LOST, 2026-12-04).
@@ -925,14 +940,7 @@
     scheduler.begin(1, std::move(stored), now, FleetScheduler::WallTime{});
     const std::vector<InterferencePair> pairs{{"heavy", "serving", 15.0, 1e-3}, {"light", "serving", 0.2, 1e-3}};
     scheduler.restoreModel(pairs);
-    WorkerRecord record;
-    record.m_id = "worker";
-    record.m_endpoint = {"127.0.0.1", 1};
-    record.m_incarnation = 5;
-    record.m_capacity = {16'000, 64'000, 0};
-    scheduler.updateWorkers(std::span(&record, 1), {}, now);
-    ReportAnswer answer{{record.m_id, record.m_endpoint, record.m_incarnation, 1}, OrderOutcome::Accepted, {}, now, now};
-    answer.m_report.m_incarnation = record.m_incarnation;
+    auto answer = addReportingWorker(scheduler, now);
     answer.m_report.m_running.push_back({{hexOf(1), 0, 0, 0}, 1, "", 100.0, 25.0});
     scheduler.handleAnswer(answer, now);
     const auto addFillingJob = [&](std::uint64_t number, std::string_view image, std::int64_t cpuMillis) {
@@ -969,14 +977,7 @@
     std::vector<StoredJob> stored;
     stored.push_back({filling, progress, false});
     scheduler.begin(1, std::move(stored), now, FleetScheduler::WallTime{});
-    WorkerRecord record;
-    record.m_id = "worker";
-    record.m_endpoint = {"127.0.0.1", 1};
-    record.m_incarnation = 5;
-    record.m_capacity = {16'000, 64'000, 0};
-    scheduler.updateWorkers(std::span(&record, 1), {}, now);
-    ReportAnswer answer{{record.m_id, record.m_endpoint, record.m_incarnation, 1}, OrderOutcome::Accepted, {}, now, now};
-    answer.m_report.m_incarnation = record.m_incarnation;
+    auto answer = addReportingWorker(scheduler, now);
     answer.m_report.m_running.push_back({{hexOf(1), 0, 0, 0}, 1, "", 10.0, 200.0});
     scheduler.handleAnswer(answer, now);
     std::vector<int> paces;
