--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -341,7 +341,7 @@
             best.m_refusal.count(demand.fitsInto(unreserved) ? PlacementGuard::Reservation : PlacementGuard::Room);
             continue;
         }
-        // Rather than not at all, a serving task or that of an idle job runs on an untrusted worker; other tasks could use up their attempts there.
+        // Serving tasks and those of idle jobs run on an untrusted worker rather than not at all; others could use up their attempts there.
         if (!candidate.m_isTrusted && !step.m_isServing && !bypassesGuards) {
             best.m_refusal.count(PlacementGuard::Trust);
             continue;
