Stop only runs that rank after a serving task

Cause: a round assigned the finite tasks, which rank first, and then stopped those assignments for the serving tasks that had waited for 2.5 s and fitted nowhere. They were never sent, and the next round, 20 ms later, did the same. Ruled out: that it is enough to place the serving tasks first after 2.5 s. Change: for the first run of a serving task no run of a higher priority is stopped, and none whose start order was not sent. After 7 s, within the 6 s and 3 s that the rule gives, the task goes before all finite work of the round and may stop any finite run. The simulation checks serving tasks that are away.

--- a/include/burdockspur/fleet/fleetlimits.hpp
+++ b/include/burdockspur/fleet/fleetlimits.hpp
@@ -76,8 +76,13 @@
     Milliseconds m_servingMaxWait{1'500};
 
     /// After this time, finite runs are stopped on the worker whose capacity is kept for a serving task. Most finite runs end sooner by themselves.
+    /// Runs of a higher priority are not stopped for the first run of a serving task.
     Milliseconds m_servingPreemptionWait{2'500};
 
+    /// After this time, a serving task goes before all finite work, and runs of every priority are stopped for it. The platform allows 6 s and 3 s
+    /// more; the rest is for the stops, a commit and the start.
+    Milliseconds m_servingMaxDelay{7'000};
+
     /// Time between two orders to stop the same run.
     Milliseconds m_stopRetryInterval{700};
 
--- a/include/burdockspur/fleet/fleetworker.hpp
+++ b/include/burdockspur/fleet/fleetworker.hpp
@@ -90,10 +90,12 @@
         return m_finiteReserved;
     }
 
-    /// @brief Stops finite runs, the latest first, until a demand fits once they have ended. Members of gangs are left alone.
+    /// @brief Stops finite runs, the latest first, until a demand fits once they have ended. Members of gangs and runs whose start order was not sent
+    /// are left alone.
     /// @param free free resources that the demand may use; may be negative
+    /// @param firstPriority runs of a smaller priority number, which goes before, are left alone
     /// @returns number of runs that were marked for a stop
-    auto stopFiniteRuns(const Resources &demand, Resources free) -> std::size_t;
+    auto stopFiniteRuns(const Resources &demand, Resources free, std::uint32_t firstPriority) -> std::size_t;
 
     /// @brief Estimated processor capacity for further filling tasks, in thousandths of a core; may be negative.
     /// @param limits assumed use of serving tasks and highest total use
--- a/include/burdockspur/fleet/jobrank.hpp
+++ b/include/burdockspur/fleet/jobrank.hpp
@@ -10,6 +10,7 @@
 /// @brief First criterion of the order of placement.
 enum class PlacementTurn : std::uint8_t {
     Restart, ///< serving tasks that have run before; capacity is kept for them before other work can take it
+    DelayedServing, ///< serving tasks that have waited for too long for their first run, see FleetLimits::m_servingMaxDelay
     IdleJob, ///< one task of a job that has no run and has waited for too long, whatever its rank, see FleetLimits::m_maxIdle
     Ranked,
 };
--- a/include/burdockspur/fleet/taskrun.hpp
+++ b/include/burdockspur/fleet/taskrun.hpp
@@ -37,6 +37,7 @@
     RunStage m_stage = RunStage::Unsent;
     Resources m_reserved; ///< reserved on the worker; no processors for a filling task
     std::int64_t m_cpuMillis = 0; ///< declared demand in thousandths of a core
+    std::uint32_t m_priority = 0; ///< of the job's queue when the run was assigned or restored; 0 comes first
     bool m_isServing = false;
     bool m_isFilling = false;
     bool m_isYielding = false; ///< filling task that was placed in spite of the guards; uses only processors that other runs leave
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -159,6 +159,7 @@
         run.m_run = task.m_run;
         run.m_stage = RunStage::Unconfirmed;
         run.m_assignedAt = now;
+        run.m_priority = policyOf(job).m_priority;
         run.m_checkpoint = task.m_checkpoint;
         run.initFromStep(job.stepOf(id), m_paceController.model());
         run.m_pace = run.m_isFilling ? unknownPace : run.m_pace;
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -146,6 +146,9 @@
         const auto canWait = [&](const JobBacklog::Task &task) {
             return mayDefer(task, now);
         };
+        const auto isDelayed = [&](const JobBacklog::Task &task) {
+            return now - task.m_waitingSince >= m_limits.m_servingMaxDelay;
+        };
         const auto deferrable = static_cast<std::size_t>(std::ranges::count_if(step.m_tasks, canWait));
         if (deferrable > 0) {
             add({rank, &job, &step});
@@ -157,6 +160,8 @@
             if (std::ranges::any_of(step.m_tasks, hasRun)) {
                 groupRank.m_turn = PlacementTurn::Restart;
                 groupRank.m_priority = 0;
+            } else if (std::ranges::any_of(step.m_tasks, isDelayed)) {
+                groupRank.m_turn = PlacementTurn::DelayedServing;
             }
             add({groupRank, &job, &step});
         }
@@ -441,7 +446,9 @@
     }
     auto &worker = *best->m_worker;
     if (now - waiting.m_waitingSince >= m_limits.m_servingPreemptionWait) {
-        if (const auto stopped = worker.stopFiniteRuns(demand, best->m_free); stopped > 0) {
+        // What ranks before the task was assigned first, and would be assigned again if it was stopped for the task.
+        const auto firstPriority = waiting.m_turn == PlacementTurn::Ranked ? waiting.m_policy->m_priority : 0;
+        if (const auto stopped = worker.stopFiniteRuns(demand, best->m_free, firstPriority); stopped > 0) {
             logEvent(LogLevel::Info,
                      "runs_preempted",
                      {{"job", task.m_job}, {"task", task.text()}, {"worker", worker.m_record.m_id}, {"runs", stopped}, {"epoch", m_epoch}});
@@ -504,6 +511,7 @@
     entry.m_task = id;
     entry.m_run = run;
     entry.m_assignedAt = now;
+    entry.m_priority = waiting.m_policy->m_priority;
     entry.m_checkpoint = task.m_checkpoint;
     entry.initFromStep(*waiting.m_step, m_paceController.model());
     entry.m_isYielding = choice.m_guard.has_value();
--- a/src/fleet/fleetworker.cpp
+++ b/src/fleet/fleetworker.cpp
@@ -122,13 +122,17 @@
     return left;
 }
 
-auto FleetWorker::stopFiniteRuns(const Resources &demand, Resources free) -> std::size_t
+auto FleetWorker::stopFiniteRuns(const Resources &demand, Resources free, std::uint32_t firstPriority) -> std::size_t
 {
     std::vector<TaskRun *> candidates;
     for (auto &[name, run] : m_runs) {
         if (run.m_isStopRequested) {
             free += run.m_reserved;
-        } else if (!run.m_isServing && !run.m_job->stepOf(run.m_task).m_isGang) {
+            continue;
+        }
+        // A run that is not sent may have been assigned earlier in the same round, which would assign it again in the next one.
+        const bool isStoppable = run.m_stage != RunStage::Unsent && !run.m_isServing && !run.m_job->stepOf(run.m_task).m_isGang;
+        if (isStoppable && run.m_priority >= firstPriority) {
             candidates.push_back(&run);
         }
     }
--- a/tests/fleetschedulerwaittest.cpp
+++ b/tests/fleetschedulerwaittest.cpp
@@ -145,6 +145,63 @@
     EXPECT_LE(simulation.longestJobWait(), longestWait);
 }
 
+namespace
+{
+constexpr std::uint32_t lowServingTasks = 6;
+
+/// @brief Submits finite jobs of the first priority and a serving job of a low one to two workers. Eight finite tasks fit into a worker; three serving
+/// tasks take all but 700 thousandths of a core of one.
+auto submitUrgentAndServingJobs(FleetSimulation &simulation, std::uint64_t finiteJobs) -> void
+{
+    for (std::uint64_t number = 1; number <= finiteJobs; ++number) {
+        simulation.submit(makeJob(100 + number, countedStep(8, 1'800, Milliseconds{1'700})));
+    }
+    auto serving = makeJob(1, servingStep("serving", lowServingTasks, 5'100));
+    serving.m_policy.m_priority = 2;
+    simulation.submit(std::move(serving));
+}
+
+auto expectCompleted(const FleetSimulation &simulation, std::uint64_t finiteJobs) -> void
+{
+    for (std::uint64_t number = 1; number <= finiteJobs; ++number) {
+        EXPECT_EQ(simulation.phaseOf(hexOf(100 + number)), JobPhase::Completed) << number;
+    }
+}
+}
+
+// Guards against serving tasks of a low priority and finite tasks of a higher one that stop each other before any of them is sent (LOST,
+// review/7): the finite tasks that a round had assigned were stopped for the serving tasks later in the same round.
+TEST(FleetSchedulerWait, ServingTasksAndUrgentFiniteTasksDoNotStopEachOtherForever)
+{
+    constexpr std::uint64_t finiteJobs = 30;
+    FleetSimulation simulation(seed, 2, {});
+    static_cast<void>(simulation.enableInterference());
+    simulation.run(settlingTime);
+    submitUrgentAndServingJobs(simulation, finiteJobs);
+    simulation.run(longestServingAbsence);
+    EXPECT_EQ(simulation.startsOf(hexOf(1)), lowServingTasks);
+    simulation.cancel(hexOf(1));
+    simulation.run(Milliseconds{60'000});
+    expectCompleted(simulation, finiteJobs);
+    EXPECT_TRUE(simulation.m_violations.empty()) << firstViolation(simulation);
+}
+
+// Guards against a serving task of a low priority that takes the capacity for good which a burst of finite tasks of a higher one needs for a few
+// seconds only (review/7).
+TEST(FleetSchedulerWait, UrgentFiniteTasksThatEndSoonGoBeforeServingTasks)
+{
+    // They need the workers for 5.1 s.
+    constexpr std::uint64_t finiteJobs = 6;
+    FleetSimulation simulation(seed, 2, {});
+    static_cast<void>(simulation.enableInterference());
+    simulation.run(settlingTime);
+    submitUrgentAndServingJobs(simulation, finiteJobs);
+    simulation.run(longestServingAbsence);
+    expectCompleted(simulation, finiteJobs);
+    EXPECT_EQ(simulation.startsOf(hexOf(1)), lowServingTasks);
+    EXPECT_TRUE(simulation.m_violations.empty()) << firstViolation(simulation);
+}
+
 // Guards against a check of serving targets that finds nothing: filling tasks that work on at full pace must be reported.
 TEST(FleetSchedulerWait, TheSimulationReportsHarmByFillingTasksThatAreNotSlowed)
 {
--- a/tests/fleetsimulation.hpp
+++ b/tests/fleetsimulation.hpp
@@ -25,6 +25,8 @@
 /// Longest time for which a job may have nothing running although a task of it could start and half of the workers' capacity is free
 /// (platform's rule LOST).
 inline constexpr Milliseconds longestWait{3'000};
+/// Longest time for which a serving task may be away, however full the workers are: 6 s from its last run, and the 3 s of the rule LOST.
+inline constexpr Milliseconds longestServingAbsence{9'000};
 /// Longest time for which filling tasks may keep a serving task over its target (`harm_ms` of the platform's rule HARM).
 inline constexpr Milliseconds longestHarm{4'000};
 
@@ -123,8 +125,9 @@
 
     /// @brief Lets filling tasks slow the serving tasks beside them, follow their pace, and share the processors that the others leave.
     ///
-    /// From then on, two rules are checked while no disruption is near: `held_back` for a job that waits for longer than longestWait,
-    /// and `harm` for a serving task that filling tasks keep over its target for longer than longestHarm.
+    /// From then on, three rules are checked while no disruption is near: `held_back` for a job that waits for longer than longestWait,
+    /// `away` for a serving task that waits for longer than longestServingAbsence, and `harm` for a serving task that filling tasks keep over its
+    /// target for longer than longestHarm.
     /// @returns the interference, for changes of its random figures
     auto enableInterference() -> SimulatedInterference &;
 
@@ -140,6 +143,12 @@
         return m_jobWaits.countLongerThan(length);
     }
 
+    /// @brief Longest time of a serving task that counts for `away`, whether or not it exceeds the bound.
+    [[nodiscard]] auto longestAbsence() const -> Milliseconds
+    {
+        return m_absences.longest();
+    }
+
     /// @brief Longest time for which filling tasks kept a serving task over its target.
     [[nodiscard]] auto longestHarmTime() const -> Milliseconds
     {
@@ -261,13 +270,18 @@
     [[nodiscard]] auto isCalm() const noexcept -> bool;
     auto advanceInterference() -> void;
     auto checkJobWaits() -> void;
+    auto checkServingTasks() -> void;
     auto checkHarm() -> void;
     [[nodiscard]] auto poolUse() const -> PoolUse;
     [[nodiscard]] auto jobsWithRuns() const -> std::set<std::string_view>;
     /// @brief A task of a job that could start, and for which there is capacity twice over; empty for none.
     [[nodiscard]] auto findStartableTask(const TaskJob &job) const -> std::optional<TaskId>;
-    /// @brief How often the demand of a task fits into what the workers that satisfy its label have free.
-    [[nodiscard]] auto countFits(const TaskStep &step) const -> std::int64_t;
+    /// Capacity of a worker that counts as available to a task.
+    using Available = auto (*)(const SimulatedWorker &worker) -> Resources;
+    /// @brief How often the demand of a task fits into what is available on the workers that satisfy its label.
+    [[nodiscard]] auto countFits(const TaskStep &step, Available available) const -> std::int64_t;
+    /// @brief Names of the tasks that have a run.
+    [[nodiscard]] auto runningTasks() const -> std::set<std::string_view>;
 
     // Workers
     [[nodiscard]] auto clockOf(const SimulatedWorker &worker) const -> Milliseconds;
@@ -318,6 +332,7 @@
     bool m_isOwnerAway = false; ///< the last owner has ended, or its successor still reads its jobs
     Milliseconds m_calmTime{0};
     ConditionTimer m_jobWaits{longestWait}; ///< by job
+    ConditionTimer m_absences{longestServingAbsence}; ///< by serving task
     ConditionTimer m_harms{longestHarm}; ///< by task and run
     std::map<std::string, std::string, std::less<>> m_history; ///< events of each task, printed with a violation
 };
--- a/tests/fleetsimulationrules.cpp
+++ b/tests/fleetsimulationrules.cpp
@@ -31,6 +31,18 @@
     return free;
 }
 
+/// @brief Capacity that is left when all finite runs are stopped, apart from those of gangs.
+[[nodiscard]] auto reclaimableOf(const SimulatedWorker &worker) -> Resources
+{
+    auto left = worker.m_record.m_capacity;
+    for (const auto &[name, run] : worker.m_runs) {
+        if (run.m_step->m_isServing || run.m_step->m_isGang) {
+            left -= run.m_reserved;
+        }
+    }
+    return left;
+}
+
 [[nodiscard]] auto describe(const TaskStep &step) -> std::string
 {
     const std::string finiteKind = step.m_isFilling ? "filling" : "counted";
@@ -85,6 +97,7 @@
     }
     m_calmTime += isCalm() ? interferenceInterval : Milliseconds{0};
     checkJobWaits();
+    checkServingTasks();
     checkHarm();
     schedule(interferenceInterval, [this] {
         advanceInterference();
@@ -114,12 +127,23 @@
     return jobs;
 }
 
-auto FleetSimulation::countFits(const TaskStep &step) const -> std::int64_t
+auto FleetSimulation::runningTasks() const -> std::set<std::string_view>
+{
+    std::set<std::string_view> tasks;
+    for (const auto &worker : m_workers) {
+        for (const auto &[name, run] : worker->m_runs) {
+            tasks.insert(name);
+        }
+    }
+    return tasks;
+}
+
+auto FleetSimulation::countFits(const TaskStep &step, Available available) const -> std::int64_t
 {
     const auto demand = countedDemand(step);
     std::int64_t fits = 0;
     for (const auto &worker : m_workers) {
-        const auto free = freeOf(*worker);
+        const auto free = available(*worker);
         if (!hasLabel(*worker, step.m_requiredLabel) || !demand.fitsInto(free)) {
             continue;
         }
@@ -151,7 +175,7 @@
         const auto &step = job.m_steps[number];
         // All members of a gang start together.
         const std::int64_t tasksTogether = step.m_isGang ? step.m_count : 1;
-        if (!std::ranges::all_of(step.m_after, isStepDone) || countFits(step) < 2 * tasksTogether) {
+        if (!std::ranges::all_of(step.m_after, isStepDone) || countFits(step, freeOf) < 2 * tasksTogether) {
             continue;
         }
         for (std::uint32_t index = 0; index < step.m_count; ++index) {
@@ -183,6 +207,31 @@
     }
 }
 
+auto FleetSimulation::checkServingTasks() -> void
+{
+    const bool isCalmNow = isCalm();
+    const auto running = runningTasks();
+    for (const auto &id : m_jobs) {
+        const auto &job = m_submittedJobs.at(id);
+        const bool isOver = m_cancelledAt.contains(id) || isFinal(phaseOf(id));
+        for (std::uint32_t number = 0; number < job.m_steps.size(); ++number) {
+            const auto &step = job.m_steps[number];
+            // A limit for each worker, or a step that must come first, may keep a task away for longer.
+            if (!step.m_isServing || step.m_maxPerWorker != 0 || !step.m_after.empty()) {
+                continue;
+            }
+            const bool mayWait = isOver || !isCalmNow || countFits(step, reclaimableOf) < 2;
+            for (std::uint32_t index = 0; index < step.m_count; ++index) {
+                const auto name = TaskId{id, 0, number, index}.text();
+                if (m_absences.update(name, !mayWait && !running.contains(name), m_now)) {
+                    recordHistory(name, describe(step) + " is away for more than " + std::to_string(longestServingAbsence.count()) + " ms");
+                    recordViolation("away", name);
+                }
+            }
+        }
+    }
+}
+
 auto FleetSimulation::checkHarm() -> void
 {
     const bool isCalmNow = isCalm();
