Tell the faults of jobs from those of workers

Cause: WorkerHealth takes failures of three jobs on a worker as the worker's fault. Lasting jobs are restarted on every worker, and each failure on probation renews the mistrust. Nothing told the fault of a job from that of a worker. Evidence: in the new test on the commit before, a job of twelve tasks of 1 s that all fit at once is not done within 5 s on 1, 2 and 8 workers. Change: FailureAttribution, one for each job. A job that fails or is slow on three workers without a success meanwhile accuses none of them; a serving task accuses a worker once until it has not failed there for 30 s, which also serves pools of one or two workers. Tests: FleetSchedulerWait.HopelessLastingJobsDoNotMakeWorkersUntrustedForever failed on the commit before; FailureAttributionTest.

--- a/include/burdockspur/fleet/fleetjob.hpp
+++ b/include/burdockspur/fleet/fleetjob.hpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/contract/taskjob.hpp"
 #include "burdockspur/core/clock.hpp"
+#include "burdockspur/fleet/failureattribution.hpp"
 #include "burdockspur/fleet/fillinterferencemodel.hpp"
 #include "burdockspur/fleet/headroomtrend.hpp"
 #include "burdockspur/fleet/jobbacklog.hpp"
@@ -36,6 +37,8 @@
     HeadroomTrend m_trend; ///< trend of the samples of all workers
     PlacementRefusal m_refusal; ///< latest search that found no worker for a task of the job
     TimePoint m_heldLoggedAt; ///< see HeldTaskLog
+    FailureAttribution m_failedRuns;
+    FailureAttribution m_slowRuns;
 
     /// @param job the job as submitted
     /// @param now start of its deadline, unless the wall clock shows that the job is older
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -48,6 +48,11 @@
 /// Smaller changes of a pace are not sent, unless the new pace is 0 or fullPacePercent.
 constexpr int minPaceChangePercent = 10;
 
+[[nodiscard]] auto faultKindOf(const TaskStep &step) noexcept -> FailureAttribution::Kind
+{
+    return step.m_isServing ? FailureAttribution::Kind::Serving : FailureAttribution::Kind::Finite;
+}
+
 constexpr std::array<std::string_view, 6> endNames{"done", "failed", "stopped", "lease_lapsed", "gang_broken", "gang_incomplete"};
 }
 
@@ -334,13 +339,15 @@
     const TaskId id = run.m_task;
     FleetJob &job = *run.m_job;
     job.markStarted();
+    const auto &step = job.stepOf(id);
     if (how == RunEnd::Done) {
         worker.m_health.recordSuccess();
-    } else if (how == RunEnd::Failed) {
+        job.m_failedRuns.recordSuccess();
+        job.m_slowRuns.recordSuccess();
+    } else if (how == RunEnd::Failed && job.m_failedRuns.recordFault(worker.m_record.m_id, faultKindOf(step), now)) {
         worker.m_health.recordFailure(id.m_job, now);
     }
     worker.removeRun(id.text());
-    const auto &step = job.stepOf(id);
     if (how == RunEnd::Done && step.m_isGang) {
         // The successful end of one member completes all members.
         for (std::uint32_t index = 0; index < step.m_count; ++index) {
@@ -428,7 +435,9 @@
         if (speed >= slowSpeed) {
             continue;
         }
-        slowJobs.insert(run.m_task.m_job);
+        if (run.m_job->m_slowRuns.recordFault(worker.m_record.m_id, faultKindOf(step), now)) {
+            slowJobs.insert(run.m_task.m_job);
+        }
         const double remainingShare = (100.0 - run.m_percent) / 100.0;
         const double secondsHere = speed <= 0 ? std::numeric_limits<double>::infinity() : remainingShare * estimate / speed;
         const double secondsElsewhere = estimate * (step.m_savesProgress ? remainingShare : 1.0) + moveCostSeconds;
--- a/tests/fleetschedulerwaittest.cpp
+++ b/tests/fleetschedulerwaittest.cpp
@@ -202,6 +202,28 @@
     EXPECT_TRUE(simulation.m_violations.empty()) << firstViolation(simulation);
 }
 
+// Guards against lasting jobs that can never be done and make every worker untrusted for as long as they are restarted, so that finite work of
+// all jobs stops (LOST, review/8). With few workers, each of them has failed such jobs too often to tell the workers apart.
+TEST(FleetSchedulerWait, HopelessLastingJobsDoNotMakeWorkersUntrustedForever)
+{
+    constexpr std::uint64_t hopelessJobs = 3;
+    constexpr std::uint32_t tasks = 12;
+    for (const std::size_t workers : {1U, 2U, 8U}) {
+        FleetSimulation simulation(seed, workers, {});
+        simulation.run(Milliseconds{1'000});
+        for (std::uint64_t number = 1; number <= hopelessJobs; ++number) {
+            simulation.makeHopeless(hexOf(number), 0);
+            simulation.submit(makeJob(number, servingStep("serving", 6, 400)));
+        }
+        simulation.run(settlingTime);
+        simulation.submit(makeJob(100, countedStep(tasks, 500, Milliseconds{1'000})));
+        // All tasks fit at once, so the job takes the longest wait, its duration, and a second for reports and commits.
+        simulation.run(longestWait + Milliseconds{2'000});
+        EXPECT_EQ(simulation.phaseOf(hexOf(100)), JobPhase::Completed) << workers << " workers, " << simulation.startsOf(hexOf(100)) << " starts";
+        EXPECT_TRUE(simulation.m_violations.empty()) << firstViolation(simulation);
+    }
+}
+
 // Guards against a check of serving targets that finds nothing: filling tasks that work on at full pace must be reported.
 TEST(FleetSchedulerWait, TheSimulationReportsHarmByFillingTasksThatAreNotSlowed)
 {
--- a/tests/fleetsimulation.cpp
+++ b/tests/fleetsimulation.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t inputsPerRound = 64; ///< of a slow owner
 constexpr std::uint64_t incarnationStep = 1'000'000; ///< between two incarnations of a worker whose wall clock is right
 constexpr Milliseconds paceDelay{100}; ///< until an accepted pace takes effect (`pace_ms` of the platform)
+/// Time from the start of a run of a hopeless step to its failure.
+constexpr Milliseconds timeToFail{320};
 /// Time after which the platform counts a reported end as known.
 constexpr Milliseconds reportedEndDelay{100};
 }
@@ -64,6 +66,11 @@
     m_durationFactors[{std::string(job), index}] = factor;
 }
 
+auto FleetSimulation::makeHopeless(std::string_view job, std::uint32_t step) -> void
+{
+    m_hopelessSteps.emplace(std::string(job), step);
+}
+
 auto FleetSimulation::durationFactorOf(const TaskId &task) const -> double
 {
     const auto known = m_durationFactors.find({task.m_job, task.m_index});
@@ -781,6 +788,10 @@
         run.m_endsAt = TimePoint::max();
     }
     run.m_how = chance(0.03) ? RunEnd::Failed : RunEnd::Done;
+    if (m_hopelessSteps.contains({order.m_task.m_job, order.m_task.m_step})) {
+        run.m_how = RunEnd::Failed;
+        run.m_endsAt = m_now + timeToFail;
+    }
     run.m_reserved = step.m_demand;
     run.m_reserved.m_cpuMillis = step.m_isFilling ? 0 : run.m_reserved.m_cpuMillis;
     worker.m_runs[name] = run;
--- a/tests/fleetsimulation.hpp
+++ b/tests/fleetsimulation.hpp
@@ -95,6 +95,9 @@
     /// @param task name of the task
     auto fail(const std::string &task) -> void;
 
+    /// @brief Lets every run of a step fail shortly after its start, on every worker.
+    auto makeHopeless(std::string_view job, std::uint32_t step) -> void;
+
     /// @brief Multiplies the duration of a task on every worker.
     /// @param index index of the task in any step
     /// @param factor relative to the declared duration
@@ -326,6 +329,7 @@
     std::map<std::string, TimePoint, std::less<>> m_cancelledAt;
     std::map<std::string, TimePoint, std::less<>> m_finalAt;
     std::map<std::pair<std::string, std::uint32_t>, double> m_durationFactors; ///< see setDurationFactor()
+    std::set<std::pair<std::string, std::uint32_t>> m_hopelessSteps; ///< see makeHopeless()
     std::vector<Start> m_starts;
     std::unique_ptr<SimulatedInterference> m_interference; ///< empty until enableInterference()
     TimePoint m_disruptedUntil; ///< end of the last disruption
