Limit the attempts of a finite step beside a serving one

Cause: the scheduler asked whether the job has any serving step, where the step of the task decides. Change: attempts, rank, groups of tasks and the bound on waits go by the step; FleetJob::isServing is removed. Checked paths: these four were all uses of the question; late ends and gangs went by the step already. Random jobs of the simulation have steps of both kinds, and steps that always fail.

--- a/include/burdockspur/fleet/fleetjob.hpp
+++ b/include/burdockspur/fleet/fleetjob.hpp
@@ -74,12 +74,6 @@
         return m_backlog;
     }
 
-    /// @brief True if the job has serving tasks, which run until it is cancelled.
-    [[nodiscard]] auto isServing() const noexcept -> bool
-    {
-        return m_isServing;
-    }
-
     /// @brief Adjusts the number of runs of this job on workers; a run counts whatever the phase of its task.
     /// @param change 1 for a new run, -1 for a removed one
     auto adjustRunCount(int change) noexcept -> void
@@ -222,7 +216,6 @@
     JobChanges *m_changes = nullptr;
     double m_totalWork = 0;
     int m_runCount = 0;
-    bool m_isServing = false;
     bool m_isBacklogStale = false; ///< the backlog is out of date
     bool m_isDirty = false;
     std::uint64_t m_changeNumber = 0; ///< see changeNumber()
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -233,8 +233,8 @@
     auto processLateEnd(const EndedTask &end) -> void;
     /// @brief Completes a task by the late end of an earlier run; the current run is removed, or stopped if its start order was sent.
     auto completeAfterLateEnd(FleetJob &job, const TaskId &id) -> void;
-    /// @brief Counts the failure of a run unless it was counted before; fails the job at its last attempt.
-    auto countFailure(FleetJob &job, TaskProgress &task, RunNumber run) -> void;
+    /// @brief Counts the failure of a run unless it was counted before; fails the job at the last attempt of a finite task.
+    auto countFailure(FleetJob &job, const TaskStep &step, TaskProgress &task, RunNumber run) -> void;
     /// @brief Updates the runs of a worker from its report, and stops reported runs that the owner has not assigned.
     auto processRunningTasks(FleetWorker &worker, const ReportAnswer &answer, TimePoint now) -> void;
     /// @brief Removes an ended run and updates its task; the success of one gang member completes all members.
@@ -274,7 +274,7 @@
     /// @brief True if more start orders may be under way.
     [[nodiscard]] auto mayAssign() const noexcept -> bool;
     auto updateBacklogs(TimePoint now) -> void;
-    [[nodiscard]] auto rankOf(const FleetJob &job, TimePoint now) const -> JobRank;
+    [[nodiscard]] auto rankOf(const FleetJob &job, const TaskStep &step, TimePoint now) const -> JobRank;
     /// @brief True if a serving task may wait until finite work has been placed.
     [[nodiscard]] auto mayDefer(const JobBacklog::Task &task, TimePoint now) const noexcept -> bool;
     /// @brief Adds the waiting tasks of a job to the order of this round.
--- a/src/fleet/fleetjob.cpp
+++ b/src/fleet/fleetjob.cpp
@@ -81,7 +81,6 @@
     m_expiry = now - age + expiryFactor * objective;
     for (const auto &step : m_job.m_steps) {
         m_totalWork += step.m_count * workOf(step);
-        m_isServing = m_isServing || step.m_isServing;
     }
 }
 
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -276,12 +276,12 @@
         task->m_checkpoint.clear();
     }
     if (how == RunEnd::Failed) {
-        countFailure(job, *task, task->m_run);
+        countFailure(job, step, *task, task->m_run);
     }
     handleTaskChange(job);
 }
 
-auto FleetScheduler::countFailure(FleetJob &job, TaskProgress &task, RunNumber run) -> void
+auto FleetScheduler::countFailure(FleetJob &job, const TaskStep &step, TaskProgress &task, RunNumber run) -> void
 {
     // Workers report an end again, also to a successor, until it is acknowledged.
     if (run <= task.m_lastFailedRun) {
@@ -289,7 +289,7 @@
     }
     task.m_lastFailedRun = run;
     ++task.m_failures;
-    if (!job.isServing() && task.m_failures >= policyOf(job).m_maxAttempts) {
+    if (!step.m_isServing && task.m_failures >= policyOf(job).m_maxAttempts) {
         finishJob(job, JobPhase::Failed);
     }
 }
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -68,13 +68,13 @@
     return static_cast<double>(freeFillingCpu) >= minFreeCpuShare * static_cast<double>(demand);
 }
 
-auto FleetScheduler::rankOf(const FleetJob &job, TimePoint now) const -> JobRank
+auto FleetScheduler::rankOf(const FleetJob &job, const TaskStep &step, TimePoint now) const -> JobRank
 {
     const auto &backlog = job.backlog();
     const auto &policy = *backlog.m_policy;
     JobRank rank{.m_priority = policy.m_priority, .m_deadline = job.deadline()};
-    rank.m_isDeferred = job.isServing();
-    if (rank.m_isDeferred) {
+    if (step.m_isServing) {
+        rank.m_isDeferred = true;
         return rank;
     }
     if (now + backlog.m_criticalPath > job.expiry()) {
@@ -121,7 +121,7 @@
 {
     const auto &backlog = job.backlog();
     const bool isIdle = backlog.m_idleSince && !job.hasRuns();
-    return isIdle && now - heldBackSince(backlog) >= m_limits.m_maxIdle && !job.isServing() && pools.isMostlyFree(backlog.m_policy->m_pool);
+    return isIdle && now - heldBackSince(backlog) >= m_limits.m_maxIdle && pools.isMostlyFree(backlog.m_policy->m_pool);
 }
 
 auto FleetScheduler::addGroups(FleetJob &job, PlacementOrder &order, const PoolCapacities &pools, TimePoint now) -> void
@@ -131,10 +131,11 @@
             order.add(group);
         }
     };
-    const auto rank = rankOf(job, now);
     const bool isIdleTooLong = this->isIdleTooLong(job, pools, now);
     for (const auto &step : job.backlog().m_steps) {
-        if (isIdleTooLong) {
+        const auto &contract = job.job().m_steps[step.m_step];
+        const auto rank = rankOf(job, contract, now);
+        if (isIdleTooLong && !contract.m_isServing) {
             // The longest wait goes first: any other order could hold the same jobs back again.
             add({JobRank{.m_turn = PlacementTurn::IdleJob, .m_heldBackSince = heldBackSince(job.backlog())}, &job, &step});
         }
@@ -172,9 +173,10 @@
 {
     std::vector<WaitingTask> tasks;
     const auto &step = *group.m_step;
+    const auto &contract = group.m_job->job().m_steps[step.m_step];
     tasks.reserve(step.m_tasks.size());
     for (const auto &task : step.m_tasks) {
-        const bool isOfGroup = !group.m_job->isServing() || mayDefer(task, now) == group.m_rank.m_isDeferred;
+        const bool isOfGroup = !contract.m_isServing || mayDefer(task, now) == group.m_rank.m_isDeferred;
         // The first turn of an idle job may have assigned the task earlier in this round.
         if (isOfGroup && task.m_progress->m_phase == TaskPhase::Waiting) {
             tasks.push_back({group.m_job,
@@ -183,7 +185,7 @@
                              task.m_index,
                              task.m_progress,
                              task.m_waitingSince,
-                             &group.m_job->job().m_steps[step.m_step],
+                             &contract,
                              group.m_job->backlog().m_policy,
                              group.m_rank.m_turn});
         }
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -307,7 +307,7 @@
               {"epoch", m_epoch}});
     // The run was counted as lost, but its reported end is definitive, and has to be stored before it is acknowledged.
     if (end.m_cause == RunEnd::Failed) {
-        countFailure(job, *task, end.m_run);
+        countFailure(job, step, *task, end.m_run);
         job.markChanged();
     } else if (step.m_isGang) {
         // The successful end of one member completes all members.
--- a/tests/fleetschedulertest.cpp
+++ b/tests/fleetschedulertest.cpp
@@ -111,6 +111,50 @@
     EXPECT_TRUE(simulation.m_violations.empty());
 }
 
+// Guards against a finite step beside a serving one whose failures are not limited, because the job as a whole counts as one that lasts
+// (BUDGET, review/9).
+TEST(FleetSchedulerTest, AttemptsOfAFiniteStepAreLimitedBesideAServingStep)
+{
+    constexpr std::uint32_t attempts = 3;
+    for (const bool isServingStepFirst : {false, true}) {
+        FleetSimulation simulation(seed, 2, {});
+        auto job = makeServingJob(1, "image");
+        auto finite = makeJob(1, 1, 500, Milliseconds{400}).m_steps.front();
+        if (isServingStepFirst) {
+            job.m_steps.push_back(finite);
+        } else {
+            job.m_steps.front().m_after = {0};
+            job.m_steps.insert(job.m_steps.begin(), finite);
+        }
+        simulation.makeHopeless(job.m_id, isServingStepFirst ? 1 : 0);
+        simulation.submit(job);
+        simulation.run(Milliseconds{5'000});
+        const std::size_t servingStarts = isServingStepFirst ? 3 : 0;
+        EXPECT_EQ(simulation.startsOf(job.m_id), attempts + servingStarts);
+        EXPECT_EQ(simulation.phaseOf(job.m_id), JobPhase::Failed);
+        EXPECT_TRUE(simulation.workersOf(job.m_id).empty()) << "the serving tasks stop";
+        EXPECT_TRUE(simulation.m_violations.empty()) << simulation.m_violations.front();
+    }
+}
+
+// Guards against a finite step beside a serving one that is deferred, or treated as a serving task that has to run again at once: it competes
+// with other finite work by its rank.
+TEST(FleetSchedulerTest, AFiniteStepBesideAServingStepIsRankedAsFiniteWork)
+{
+    FleetSimulation simulation(seed, 1, {});
+    simulation.run(Milliseconds{1'000});
+    auto job = makeServingJob(1, "image");
+    job.m_steps.front().m_after = {0};
+    job.m_steps.insert(job.m_steps.begin(), makeJob(1, 1, 16'000, Milliseconds{400}).m_steps.front());
+    simulation.submit(job);
+    // It has more work left, so it goes after the finite step.
+    simulation.submit(makeJob(2, 1, 16'000, Milliseconds{20'000}));
+    simulation.run(Milliseconds{400});
+    EXPECT_EQ(simulation.startsOf(job.m_id), 1U);
+    EXPECT_EQ(simulation.startsOf(hexOf(2)), 0U);
+    EXPECT_TRUE(simulation.m_violations.empty());
+}
+
 namespace
 {
 /// @brief A job with 1,000 occurrences that are due at once, each of one task that saves its progress.
--- a/tests/fleetsimulation.cpp
+++ b/tests/fleetsimulation.cpp
@@ -159,6 +159,7 @@
         step.m_image = "image-" + std::to_string(m_random.below(4));
         step.m_isFilling = m_random.below(3) == 0;
         step.m_isServing = steps == 1 && m_random.below(5) == 0;
+        step.m_isServing = step.m_isServing || (steps > 1 && i + 1 == steps && m_jobRandom.below(5) == 0);
         step.m_tailTarget = Milliseconds(step.m_isServing ? 50 : 0);
         step.m_maxPerWorker = m_random.below(4) == 0 ? 2 : 0;
         if (i > 0) {
@@ -167,6 +168,9 @@
         job.m_steps.push_back(step);
     }
     const auto id = job.m_id;
+    if (m_jobRandom.below(10) == 0) {
+        makeHopeless(id, m_jobRandom.below(steps));
+    }
     job.m_repeats = m_jobRandom.below(10) == 0 ? 1 + m_jobRandom.below(4) : 0;
     submit(std::move(job));
     return id;
