Continue the wait of a job after a takeover

Seen by callers: nothing yet. Cause: the time for which a job is held back was kept by the owner only, so that each successor began anew with the 2 s after which a job without a run goes first. Evidence: in the new test a job that the guards hold back gets no run while owners change every 1.5 s. Change: a successor counts a job without a stored assignment as idle since its acceptance. Checked paths: jobs with a stored assignment count from the takeover, because their run may exist; waits of serving tasks before their first run still begin anew. Tests: FleetSchedulerWait.ASuccessorContinuesTheWaitOfAJob failed without the change (0 starts). The wall clock of the simulation runs now; it stood still, so that every job looked new to a successor.

--- a/include/burdockspur/fleet/fleetjob.hpp
+++ b/include/burdockspur/fleet/fleetjob.hpp
@@ -96,6 +96,11 @@
     /// @returns false if it does not match the job's steps; the progress is then unchanged
     [[nodiscard]] auto restore(JobProgress &&progress) -> bool;
 
+    /// @brief Declares that the job has waited for a run under an earlier owner, unless a run of it is stored.
+    ///
+    /// That owner's times are not stored, so the job counts as idle since its acceptance.
+    auto continueWait() noexcept -> void;
+
     /// @brief Opens all occurrences that are due, as far as maxOpenTasks allows.
     /// @param wallNow wall clock of this host
     /// @returns true if at least one was opened
@@ -206,10 +211,12 @@
 
 private:
     [[nodiscard]] auto openTaskCount() const noexcept -> std::size_t;
+    [[nodiscard]] auto hasAssignedTask() const noexcept -> bool;
     auto openOccurrence(std::uint32_t number) -> void;
 
     TaskJob m_job;
     JobProgress m_progress;
+    TimePoint m_acceptedAt;
     TimePoint m_deadline;
     TimePoint m_expiry;
     JobBacklog m_backlog;
--- a/src/fleet/fleetjob.cpp
+++ b/src/fleet/fleetjob.cpp
@@ -77,8 +77,9 @@
     using RealMilliseconds = std::chrono::duration<double, std::milli>;
     const auto wanted = RealMilliseconds(criticalPath(m_job, nullptr)) * m_job.m_policy.m_stretch + RealMilliseconds(m_job.m_policy.m_target);
     const auto objective = std::chrono::duration_cast<Milliseconds>(std::clamp(wanted, RealMilliseconds::zero(), RealMilliseconds(maxObjective)));
-    m_deadline = now - age + objective;
-    m_expiry = now - age + expiryFactor * objective;
+    m_acceptedAt = now - age;
+    m_deadline = m_acceptedAt + objective;
+    m_expiry = m_acceptedAt + expiryFactor * objective;
     for (const auto &step : m_job.m_steps) {
         m_totalWork += step.m_count * workOf(step);
     }
@@ -203,6 +204,13 @@
     return fits;
 }
 
+auto FleetJob::continueWait() noexcept -> void
+{
+    if (!hasAssignedTask()) {
+        m_backlog.m_idleSince = m_acceptedAt;
+    }
+}
+
 auto FleetJob::nextDueTime() const noexcept -> std::optional<TaskJob::WallTime>
 {
     if (m_job.m_repeats == 0) {
@@ -292,14 +300,18 @@
     }
 }
 
-auto FleetJob::dropTasksWhenIdle() -> void
+auto FleetJob::hasAssignedTask() const noexcept -> bool
 {
-    const bool isAssigned = std::ranges::any_of(m_progress.m_open, [](const OccurrenceProgress &occurrence) {
+    return std::ranges::any_of(m_progress.m_open, [](const OccurrenceProgress &occurrence) {
         return std::ranges::any_of(occurrence.m_steps, [](const StepProgress &step) {
             return std::ranges::find(step.m_tasks, TaskPhase::Assigned, &TaskProgress::m_phase) != step.m_tasks.end();
         });
     });
-    if (isFinal(m_progress.m_phase) && !isAssigned && !m_progress.m_open.empty()) {
+}
+
+auto FleetJob::dropTasksWhenIdle() -> void
+{
+    if (isFinal(m_progress.m_phase) && !hasAssignedTask() && !m_progress.m_open.empty()) {
         m_progress.m_open.clear();
         markChanged();
         invalidateBacklog();
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -75,6 +75,7 @@
         job->recordContinuationRows(stored.m_continuationRows);
         auto &entry = *m_jobs.insert_or_assign(job->job().m_id, std::move(job)).first->second;
         trackJob(entry);
+        entry.continueWait();
         restoreRuns(entry, now);
         if (stored.m_isCancelled) {
             entry.setPhase(JobPhase::Cancelled);
--- a/tests/fleetschedulerwaittest.cpp
+++ b/tests/fleetschedulerwaittest.cpp
@@ -78,6 +78,28 @@
     EXPECT_LE(simulation.longestJobWait(), longestWait);
 }
 
+// Guards against a wait that begins anew with each owner, so that a job is held back for as long as owners change (LOST).
+TEST(FleetSchedulerWait, ASuccessorContinuesTheWaitOfAJob)
+{
+    constexpr std::uint32_t workers = 3;
+    FleetSimulation simulation(seed, workers, {});
+    auto &interference = simulation.enableInterference();
+    auto serving = servingStep("serving", workers, 3'500);
+    serving.m_maxPerWorker = 1;
+    interference.setHeadroom(hexOf(1), 1.15);
+    interference.setWeight("filling", "serving", 12.0);
+    simulation.submit(makeJob(1, serving));
+    simulation.run(settlingTime);
+    ASSERT_EQ(simulation.workersOf(hexOf(1)).size(), workers);
+    simulation.submit(makeJob(2, fillingStep("filling", 2, 8'000, Milliseconds{1'000})));
+    for (int owner = 0; owner < 4; ++owner) {
+        simulation.run(Milliseconds{1'500});
+        simulation.takeOver();
+    }
+    EXPECT_GE(simulation.startsOf(hexOf(2)), 1U);
+    EXPECT_TRUE(simulation.m_violations.empty()) << firstViolation(simulation);
+}
+
 // Guards against an expired filling job that never starts because filling jobs that can still meet their objective take all unused processors
 // (LOST).
 TEST(FleetSchedulerWait, AnExpiredJobIsNotHeldBackForeverByUrgentWork)
--- a/tests/fleetsimulation.cpp
+++ b/tests/fleetsimulation.cpp
@@ -14,7 +14,7 @@
 {
 namespace
 {
-const FleetScheduler::WallTime wallNow{Milliseconds{1'800'000'000'000}};
+const FleetScheduler::WallTime firstWallTime{Milliseconds{1'800'000'000'000}};
 constexpr Milliseconds tick{5};
 constexpr Milliseconds faultInterval{100};
 constexpr std::int64_t workerCpu = 16'000;
@@ -70,6 +70,11 @@
     m_durationFactors[{std::string(job), index}] = factor;
 }
 
+auto FleetSimulation::wallTime() const noexcept -> FleetScheduler::WallTime
+{
+    return firstWallTime + std::chrono::duration_cast<Milliseconds>(m_now - TimePoint{});
+}
+
 auto FleetSimulation::makeHopeless(std::string_view job, std::uint32_t step) -> void
 {
     m_hopelessSteps.emplace(std::string(job), step);
@@ -182,14 +187,14 @@
     job.m_policy.m_pool = "pool";
     job.m_policy.m_maxAttempts = maxAttempts;
     job.m_policy.m_stretch = 2.0;
-    job.m_acceptedAt = wallNow;
+    job.m_acceptedAt = wallTime();
     m_jobs.push_back(job.m_id);
     m_submittedJobs.emplace(job.m_id, job);
     m_store.emplace(job.m_id, StoredJob{job, std::nullopt, false});
     schedule(networkDelay(), [this, job] {
         auto &owner = *m_owners.back();
         deliver(owner, [this, &owner, job] {
-            owner.addJob(TaskJob(job), m_now, wallNow);
+            owner.addJob(TaskJob(job), m_now, wallTime());
         });
     });
 }
@@ -301,7 +306,7 @@
     for (auto &[id, job] : submissions) {
         jobs.push_back(std::move(job));
     }
-    owner.begin(epoch, std::move(jobs), m_now, wallNow);
+    owner.begin(epoch, std::move(jobs), m_now, wallTime());
     recordDisruption(Milliseconds{0});
     m_isOwnerAway = false;
     owner.markArchived(archived, m_now);
@@ -317,7 +322,7 @@
 {
     schedule(delay, [this, &owner, listed = readSubmissions()] {
         for (const auto &[id, job] : listed) {
-            owner.addJob(TaskJob(job.m_job), m_now, wallNow);
+            owner.addJob(TaskJob(job.m_job), m_now, wallTime());
             if (job.m_isCancelled) {
                 owner.cancelJob(id);
             }
@@ -508,7 +513,7 @@
     for (const auto &input : inputs) {
         input();
     }
-    static_cast<void>(owner.advance(m_now, wallNow));
+    static_cast<void>(owner.advance(m_now, wallTime()));
     const auto commands = owner.takeCommands();
     m_mostWaiting = std::max(m_mostWaiting, commands.size());
     const auto roundTime = m_inputCost * static_cast<std::int64_t>(inputs.size());
@@ -535,7 +540,7 @@
         return;
     }
     if (const auto *const order = std::get_if<ArchiveOrder>(&command)) {
-        m_archives.at(&owner).add(order->m_jobs, m_now, wallNow);
+        m_archives.at(&owner).add(order->m_jobs, m_now, wallTime());
         return;
     }
     std::visit(
--- a/tests/fleetsimulation.hpp
+++ b/tests/fleetsimulation.hpp
@@ -257,6 +257,8 @@
     [[nodiscard]] auto readSubmissions() const -> std::map<std::string, StoredJob>;
     [[nodiscard]] auto readProgress() const -> std::map<std::string, JobProgress>;
     auto reloadJobs(FleetScheduler &owner, Milliseconds delay) -> void;
+    /// @brief Wall clock of all hosts.
+    [[nodiscard]] auto wallTime() const noexcept -> FleetScheduler::WallTime;
     [[nodiscard]] auto chance(double share) -> bool;
     [[nodiscard]] auto networkDelay() -> Milliseconds;
     auto injectFaults() -> void;
