--- a/tests/fleetschedulerwaittest.cpp
+++ b/tests/fleetschedulerwaittest.cpp
@@ -55,22 +55,29 @@
 {
     return simulation.m_violations.empty() ? std::string() : simulation.m_violations.front();
 }
-}
 
-// Guards against a filling job that never starts because every worker has a serving task near its target (LOST).
-TEST(FleetSchedulerWait, AFillingTaskIsNotHeldBackForeverByTheInterferenceModel)
+constexpr std::uint32_t guardedWorkers = 3;
+
+/// @brief Submits job 2, of filling tasks, once every worker has a serving task of job 1 that is too near its target for them.
+auto submitGuardedFillingJob(FleetSimulation &simulation) -> void
 {
-    constexpr std::uint32_t workers = 3;
-    FleetSimulation simulation(seed, workers, {});
     auto &interference = simulation.enableInterference();
-    auto serving = servingStep("serving", workers, 3'500);
+    auto serving = servingStep("serving", guardedWorkers, 3'500);
     serving.m_maxPerWorker = 1;
     interference.setHeadroom(hexOf(1), 1.15);
     interference.setWeight("filling", "serving", 12.0);
     simulation.submit(makeJob(1, serving));
     simulation.run(settlingTime);
-    ASSERT_EQ(simulation.workersOf(hexOf(1)).size(), workers);
     simulation.submit(makeJob(2, fillingStep("filling", 2, 8'000, Milliseconds{1'000})));
+}
+}
+
+// Guards against a filling job that never starts because every worker has a serving task near its target (LOST).
+TEST(FleetSchedulerWait, AFillingTaskIsNotHeldBackForeverByTheInterferenceModel)
+{
+    FleetSimulation simulation(seed, guardedWorkers, {});
+    submitGuardedFillingJob(simulation);
+    ASSERT_EQ(simulation.workersOf(hexOf(1)).size(), guardedWorkers);
     simulation.run(longestWait);
     EXPECT_GE(simulation.startsOf(hexOf(2)), 1U);
     simulation.run(Milliseconds{12'000});
@@ -81,17 +88,9 @@
 // Guards against a wait that begins anew with each owner, so that a job is held back for as long as owners change (LOST).
 TEST(FleetSchedulerWait, ASuccessorContinuesTheWaitOfAJob)
 {
-    constexpr std::uint32_t workers = 3;
-    FleetSimulation simulation(seed, workers, {});
-    auto &interference = simulation.enableInterference();
-    auto serving = servingStep("serving", workers, 3'500);
-    serving.m_maxPerWorker = 1;
-    interference.setHeadroom(hexOf(1), 1.15);
-    interference.setWeight("filling", "serving", 12.0);
-    simulation.submit(makeJob(1, serving));
-    simulation.run(settlingTime);
-    ASSERT_EQ(simulation.workersOf(hexOf(1)).size(), workers);
-    simulation.submit(makeJob(2, fillingStep("filling", 2, 8'000, Milliseconds{1'000})));
+    FleetSimulation simulation(seed, guardedWorkers, {});
+    submitGuardedFillingJob(simulation);
+    ASSERT_EQ(simulation.workersOf(hexOf(1)).size(), guardedWorkers);
     for (int owner = 0; owner < 4; ++owner) {
         simulation.run(Milliseconds{1'500});
         simulation.takeOver();
