--- a/include/burdockspur/fleet/failureattribution.hpp
+++ b/include/burdockspur/fleet/failureattribution.hpp
@@ -12,8 +12,8 @@
 {
 /// @brief Tells the faults of a job from those of the workers that run it.
 ///
-/// A job that fails on several workers says nothing about any of them, and neither does a serving task that fails on the same worker again:
-/// such failures go on for as long as the job is not cancelled.
+/// Faults of a job on several workers do not count against any of them. Neither does a repeated fault of a serving task on the same worker,
+/// because its failures go on for as long as the job is not cancelled.
 class FailureAttribution
 {
 public:
--- a/src/fleet/failureattribution.cpp
+++ b/src/fleet/failureattribution.cpp
@@ -4,8 +4,8 @@
 {
 namespace
 {
-/// From this number of workers on, faults are the job's own. Two workers are accused by each job at most, and a worker is avoided only after
-/// the faults of several jobs, see WorkerHealth.
+/// From this number of workers on, faults are attributed to the job. So each job counts against at most two workers, and a worker is avoided only
+/// after faults of several jobs, see WorkerHealth.
 constexpr std::size_t minFaultyWorkers = 3;
 /// Longer than the longest pause of WorkerHealth, so that a task that fails at each trial does not begin anew with every pause.
 constexpr Milliseconds faultWindow{30'000};
