Follow the changes of a table at once while answers are cut

An answer of the feed has at most 500 rows, and the follower paused for 0.4 s after each, so it read 1,100 of 2,700 changes a second and was 19 s behind after 35 s. Ruled out: a slow owner (70% of its processor, 14 ms from answer to round) and a takeover (none before the first start). Checked on related paths: the jobs' and the configuration's feeds have no pause; JobLoad and JobArchive read lists, which say has_more. Test: TableFollowerTest.FollowsAtOnceAfterAnAnswerThatIsNotWhole failed on the commit before.

--- a/include/burdockspur/port/changestore.hpp
+++ b/include/burdockspur/port/changestore.hpp
@@ -20,7 +20,7 @@
 struct RowPage {
     std::vector<RowChange> m_rows;
     std::uint64_t m_version = 0; ///< version of the store, from which follow() can continue
-    bool m_hasMore = false;
+    bool m_hasMore = false; ///< further rows may exist
     bool m_isHistoryCompacted = false; ///< the store has dropped some of the requested changes; the table has to be listed again
 };
 
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -270,7 +270,7 @@
         m_configuration = std::make_shared<const FleetConfiguration>(std::move(*decoded));
         m_toScheduler->push(ConfigurationConfirmed{m_configuration, confirmedAt});
     }
-    if (m_configuration) {
+    if (m_configuration && !page.m_hasMore) {
         m_toApi->push(ConfigurationConfirmed{m_configuration, confirmedAt});
     }
 }
--- a/src/fleet/tablefollower.cpp
+++ b/src/fleet/tablefollower.cpp
@@ -101,7 +101,8 @@
         if (!*alive) {
             return;
         }
-        if (m_options.m_pause.count() == 0) {
+        // With a pause after each of them, answers of bounded size would fall behind a table that changes faster.
+        if (page->m_hasMore || m_options.m_pause.count() == 0) {
             follow();
             return;
         }
--- a/tests/platformcallstest.cpp
+++ b/tests/platformcallstest.cpp
@@ -133,6 +133,22 @@
     EXPECT_FALSE(follow());
 }
 
+// Guards against a cut feed that counts as whole: the platform ends an answer after 500 changes without saying so.
+TEST_F(PlatformCallsTest, TakesAFullAnswerOfTheFeedAsCut)
+{
+    const auto respondWithRows = [this](int count) {
+        std::string rows;
+        for (int i = 0; i < count; ++i) {
+            rows += std::string(i == 0 ? "" : ",") + R"({"table":"jobs","part":"","key":"k","value":"","ver":)" + std::to_string(531 + i) + "}";
+        }
+        m_stub.respondWith(200, R"({"rows":[)" + rows + R"(],"ver":1030,"now_ms":1})");
+    };
+    respondWithRows(499);
+    EXPECT_FALSE(follow()->m_hasMore);
+    respondWithRows(500);
+    EXPECT_TRUE(follow()->m_hasMore);
+}
+
 // Guards against a page that contains the row after which it should begin.
 TEST_F(PlatformCallsTest, ListsAfterARow)
 {
--- a/tests/tablefollowertest.cpp
+++ b/tests/tablefollowertest.cpp
@@ -170,3 +170,39 @@
     EXPECT_EQ(rows, 2U);
     EXPECT_EQ(store.m_followedFrom, 7U) << "changes after the first page may be missing from it";
 }
+
+// Guards against a follower that falls behind: at 3,000 workers a table changes 2,700 times a second, an answer has at most 500 changes, and
+// with a pause after each of them a worker's notice that it leaves was read 19 s late (DRAIN in the sweep at 300 hosts).
+TEST(TableFollowerTest, FollowsAtOnceAfterAnAnswerThatIsNotWhole)
+{
+    ManualStore store;
+    std::deque<std::function<void()>> later;
+    std::size_t rows = 0;
+    TableFollower follower(store,
+                           "table",
+                           {.m_pause = Milliseconds{400}},
+                           {.m_listed = [](const RowPage &, TimePoint) {},
+                            .m_changed =
+                                [&rows](const RowPage &page, TimePoint) {
+                                    rows += page.m_rows.size();
+                                },
+                            .m_lost = nullptr,
+                            .m_runLater =
+                                [&later](Milliseconds, std::function<void()> call) {
+                                    later.push_back(std::move(call));
+                                }});
+    follower.startAfter(7);
+    for (std::uint64_t version = 8; version < 11; ++version) {
+        auto cut = pageAt(version);
+        cut.m_rows.push_back({TableRow{"table//a", version, {}}, false});
+        cut.m_hasMore = true;
+        store.answer(std::move(cut));
+        EXPECT_TRUE(later.empty()) << "the follower pauses although there are more changes";
+        ASSERT_EQ(store.m_calls.size(), 1U);
+        EXPECT_EQ(store.m_followedFrom, version);
+    }
+    store.answer(pageAt(11));
+    EXPECT_EQ(rows, 3U);
+    EXPECT_TRUE(store.m_calls.empty());
+    EXPECT_EQ(later.size(), 1U) << "the last answer is whole, so the follower pauses";
+}
