Start nothing in a zone that the operator has closed

Cause: nothing read the operator's requests to empty a zone, so tasks were started there for as long as a request stood (EVAC).

Change: every host follows the requests with the operator's table (ZoneRequestReader, ClosedZones) and passes them to its scheduler, also one that only later becomes the owner. ZoneEvacuation decides for the owner: workers of a closed zone get no new tasks and are no part of the pool, assignments that were not ordered are withdrawn, gangs as a whole, and an unanswered start order is not repeated. With zones.evacuate_ms nothing is started while the requests are not confirmed; an owner whose commits are stored reads them beside a hanging feed. The stop of the runs of draining workers moves from FleetScheduler to FleetWorker.

--- a/include/burdockspur/fleet/fleetduty.hpp
+++ b/include/burdockspur/fleet/fleetduty.hpp
@@ -41,6 +41,7 @@
     auto on(InterferencePairsStored &&input, TimePoint now) -> void;
     auto on(WorkersChanged &&input, TimePoint now) -> void;
     auto on(ConfigurationConfirmed &&input, TimePoint now) -> void;
+    auto on(ZonesConfirmed &&input, TimePoint now) -> void;
     auto on(CommitAnswer &&input, TimePoint now) -> void;
     auto on(ReportAnswer &&input, TimePoint now) -> void;
     auto on(StartAnswer &&input, TimePoint now) -> void;
--- a/include/burdockspur/fleet/fleetlimits.hpp
+++ b/include/burdockspur/fleet/fleetlimits.hpp
@@ -70,6 +70,9 @@
     /// Largest size of a row's value (platform's bound).
     std::size_t m_rowBytes = 65'536;
 
+    /// Nothing is started while this host last confirmed longer ago that it knows every closed zone; 0 for no limit.
+    Milliseconds m_maxZonesAge{0};
+
     /// Time between two placement rounds while tasks wait and no event calls for one: capacity also becomes free when tail latencies
     /// fall and when workers are trusted again.
     Milliseconds m_placementInterval{200};
--- a/include/burdockspur/fleet/fleetmetrics.hpp
+++ b/include/burdockspur/fleet/fleetmetrics.hpp
@@ -50,6 +50,11 @@
     /// @param longestIdle longest such time
     auto recordWaits(std::size_t idleJobs, Duration longestIdle) -> void;
 
+    /// @brief Records the zones that the operator has closed.
+    /// @param zones number of closed zones that this host knows
+    /// @param runs number of runs that the owner knows on their workers
+    auto recordClosedZones(std::size_t zones, std::size_t runs) -> void;
+
 private:
     static constexpr std::size_t orderCount = 4;
     static constexpr std::size_t outcomeCount = static_cast<std::size_t>(OrderOutcome::NoAnswer) + 1;
@@ -65,5 +70,7 @@
     prometheus::Gauge &m_waiting;
     prometheus::Gauge &m_idleJobs;
     prometheus::Gauge &m_longestIdle;
+    prometheus::Gauge &m_closedZones;
+    prometheus::Gauge &m_closedZoneRuns;
 };
 }
--- a/include/burdockspur/fleet/fleetrings.hpp
+++ b/include/burdockspur/fleet/fleetrings.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/contract/fleetconfiguration.hpp"
 #include "burdockspur/core/boundedring.hpp"
 #include "burdockspur/fleet/apicall.hpp"
+#include "burdockspur/fleet/evacuation/closedzones.hpp"
 #include "burdockspur/fleet/fleetanswer.hpp"
 #include "burdockspur/fleet/fleetcommand.hpp"
 #include "burdockspur/fleet/fleetscheduler.hpp"
@@ -101,6 +102,11 @@
     std::vector<std::string> m_removed; ///< ids of removed workers
 };
 
+/// @brief The zones that the operator has closed, as this host knows them now.
+struct ZonesConfirmed {
+    ClosedZones m_zones;
+};
+
 /// @brief A message to the scheduler's duty.
 using FleetInput = std::variant<OwnershipClaimed,
                                 OwnershipTaken,
@@ -110,6 +116,7 @@
                                 InterferencePairsStored,
                                 WorkersChanged,
                                 ConfigurationConfirmed,
+                                ZonesConfirmed,
                                 CommitAnswer,
                                 ReportAnswer,
                                 StartAnswer,
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockspur/contract/fleetconfiguration.hpp"
+#include "burdockspur/fleet/evacuation/zoneevacuation.hpp"
 #include "burdockspur/fleet/fleetanswer.hpp"
 #include "burdockspur/fleet/fleetcommand.hpp"
 #include "burdockspur/fleet/fleetjob.hpp"
@@ -124,6 +125,9 @@
     /// @param removed ids that are no longer listed
     auto updateWorkers(std::span<const WorkerRecord> changed, std::span<const std::string> removed, TimePoint now) -> void;
 
+    /// @brief Applies what this host knows of the operator's requests to close zones; kept across ownerships.
+    auto setClosedZones(ClosedZones &&zones, TimePoint now) -> void;
+
     /// @brief Processes the answer to an order; answers from earlier epochs or other incarnations have no effect.
     auto handleAnswer(const ReportAnswer &answer, TimePoint now) -> void;
     auto handleAnswer(const StartAnswer &answer, TimePoint now) -> void;
@@ -169,6 +173,17 @@
         return m_heldTaskLog.longestIdle();
     }
 
+    [[nodiscard]] auto closedZones() const noexcept -> std::size_t
+    {
+        return m_evacuation.closedZones();
+    }
+
+    /// @brief Number of runs on the workers of closed zones.
+    [[nodiscard]] auto runsInClosedZones() const -> std::size_t
+    {
+        return m_evacuation.countRuns(m_workers);
+    }
+
     /// @brief Counters of the placement work since construction.
     [[nodiscard]] auto placementCounters() const noexcept -> const PlacementCounters &
     {
@@ -256,8 +271,6 @@
     /// @brief Sends the stop orders of a worker that are due.
     /// @returns latest time of the next call
     auto sendStops(FleetWorker &worker, TimePoint now) -> TimePoint;
-    /// @brief Marks the runs of a draining worker for a stop when they have to end.
-    auto drainWorker(FleetWorker &worker, TimePoint now) -> void;
     auto adjustFillingPaces(FleetWorker &worker, TimePoint now) -> void;
     /// @brief Lets yielding runs of a worker count as ordinary ones where the guards of placement would admit them now.
     auto admitYieldingRuns(FleetWorker &worker, TimePoint now) -> void;
@@ -343,6 +356,7 @@
     JobChanges m_changes; ///< of the active jobs
     TaskKinds m_kinds; ///< constraints of the waiting tasks
     WorkerMap m_workers;
+    ZoneEvacuation m_evacuation; ///< kept across ownerships
     ReportPacing m_reportPacing;
     PaceController m_paceController; ///< kept across ownerships, because its model of interference stays valid
     std::map<std::string, double, std::less<>> m_meanWorkByQueue; ///< running mean of the total work of a job in core seconds, by queue
--- a/include/burdockspur/fleet/fleetstoreduty.hpp
+++ b/include/burdockspur/fleet/fleetstoreduty.hpp
@@ -28,6 +28,7 @@
 class JobStore;
 class PollTimer;
 class TableFollower;
+class ZoneRequestReader;
 template<typename T>
 class RingOutbox;
 
@@ -58,8 +59,12 @@
     auto on(DrainStarted &&drain) -> void;
     auto later(Milliseconds pause, std::function<void()> call) -> void;
 
-    // Configuration
+    // Configuration and requests of the operator
     auto applyConfiguration(const RowPage &page, TimePoint confirmedAt) -> void;
+    /// @param isList true if the page has all rows of the table
+    auto applyZoneRequests(const RowPage &page, bool isList, TimePoint confirmedAt) -> void;
+    /// @brief Reads the requests of the operator beside the feed when the feed has not confirmed them for long although commits are stored.
+    auto confirmZones() -> void;
 
     // Ownership
     auto pollOwner() -> void;
@@ -105,6 +110,7 @@
     std::unique_ptr<HttpClient> m_ownerClient; ///< separate connections for the owner's row
     std::unique_ptr<ChangeStore> m_ownerStore;
     std::unique_ptr<FleetCodec> m_codec;
+    std::unique_ptr<ZoneRequestReader> m_zoneRequests;
     std::unique_ptr<JobStore> m_jobStore;
     std::unique_ptr<OwnerCommit> m_commits;
     std::unique_ptr<ArchiveCalls> m_archive; ///< moves and removes the rows of ended jobs
@@ -124,6 +130,7 @@
     std::optional<OwnershipRelease> m_release; ///< written as soon as no commit is in flight
     bool m_isAwaitingHandOver = false; ///< the owner's row is polled at the short interval
     bool m_isReleased = false; ///< the release for a planned stop was started
+    TimePoint m_zonesReadAt; ///< when confirmZones() has last read the requests
     std::vector<FleetStoreInput> m_inputs;
     LogThrottle m_configurationLog;
     LogThrottle m_jobLog;
--- a/include/burdockspur/fleet/fleetworker.hpp
+++ b/include/burdockspur/fleet/fleetworker.hpp
@@ -74,6 +74,9 @@
     /// @brief Marks a run of this worker to be stopped.
     auto markForStop(TaskRun &run) noexcept -> void;
 
+    /// @brief Marks the runs of a draining worker for a stop when they have to end.
+    auto stopRunsForRemoval(TimePoint now) noexcept -> void;
+
     /// @brief Finds the run of a task; nullptr if there is none.
     [[nodiscard]] auto findRun(std::string_view task) noexcept -> TaskRun *;
 
--- a/include/burdockspur/fleet/placementguard.hpp
+++ b/include/burdockspur/fleet/placementguard.hpp
@@ -9,7 +9,7 @@
 {
 /// @brief Reason for which a worker is not considered for a waiting task.
 enum class PlacementGuard : std::uint8_t {
-    Unavailable, ///< the worker accepts no tasks, see FleetWorker::acceptsTasks()
+    Unavailable, ///< the worker accepts no tasks, see FleetWorker::acceptsTasks() and ZoneEvacuation::mayStart()
     Room, ///< its free capacity is too small
     Reservation, ///< its free capacity is kept for serving tasks
     Label, ///< it lacks the required label
--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -41,6 +41,7 @@
 class ChangeStore;
 class ClassSpread;
 class Clock;
+class ClosedZones;
 class ConditionalWrite;
 class ConfigurationWatcher;
 class ControlProgram;
@@ -150,6 +151,8 @@
 class WorkerLease;
 class WorkerPort;
 class WorkerTable;
+class ZoneEvacuation;
+class ZoneRequestReader;
 
 struct AnswerCaller;
 struct AnswerConfigChange;
@@ -387,6 +390,9 @@
 struct WriteJournalRow;
 struct WriteOwnerRow;
 struct WriteSnapshotRow;
+struct ZoneConfirmation;
+struct ZoneRequest;
+struct ZonesConfirmed;
 
 template<typename T>
 class BoundedRing;
--- a/include/burdockspur/port/fleetcodec.hpp
+++ b/include/burdockspur/port/fleetcodec.hpp
@@ -8,6 +8,7 @@
 #include "burdockspur/link/httpmessage.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,12 +27,17 @@
     auto operator=(const FleetCodec &) -> FleetCodec & = delete;
     auto operator=(FleetCodec &&) -> FleetCodec & = delete;
 
-    /// @brief Table that holds the operator's configuration.
+    /// @brief Table that holds the operator's configuration and requests.
     [[nodiscard]] virtual auto configurationTable() const noexcept -> std::string_view = 0;
 
     /// @brief Key of the configuration's row.
     [[nodiscard]] virtual auto configurationKey() const noexcept -> std::string_view = 0;
 
+    /// @brief Zone that a row of the operator's table closes: while the row exists, the workers of the zone get no new tasks.
+    /// @param key key of the row
+    /// @returns the zone, or nothing for a row of another kind
+    [[nodiscard]] virtual auto closedZoneOf(std::string_view key) const noexcept -> std::optional<std::string_view> = 0;
+
     /// @brief Table in which workers register.
     [[nodiscard]] virtual auto workerTable() const noexcept -> std::string_view = 0;
 
--- a/src/fleet/fleetmetrics.cpp
+++ b/src/fleet/fleetmetrics.cpp
@@ -29,6 +29,8 @@
     , m_waiting(metrics.gauge("burdockspur_waiting_tasks", "Tasks that wait for capacity"))
     , m_idleJobs(metrics.gauge("burdockspur_idle_jobs", "Jobs with a waiting task that had no run for more than a second"))
     , m_longestIdle(metrics.gauge("burdockspur_longest_idle_seconds", "Longest time for which a job with a waiting task has no run"))
+    , m_closedZones(metrics.gauge("burdockspur_closed_zones", "Zones that the operator has closed, as this host knows"))
+    , m_closedZoneRuns(metrics.gauge("burdockspur_closed_zone_runs", "Runs on the workers of closed zones in the memory of the owner"))
 {
 }
 
@@ -65,4 +67,10 @@
     m_idleJobs.Set(static_cast<double>(idleJobs));
     m_longestIdle.Set(seconds(longestIdle));
 }
+
+auto FleetMetrics::recordClosedZones(std::size_t zones, std::size_t runs) -> void
+{
+    m_closedZones.Set(static_cast<double>(zones));
+    m_closedZoneRuns.Set(static_cast<double>(runs));
+}
 }
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -30,6 +30,7 @@
 
 FleetScheduler::FleetScheduler(const FleetLimits &limits)
     : m_limits(limits)
+    , m_evacuation(limits.m_maxZonesAge)
 {
 }
 
@@ -90,6 +91,7 @@
         }
     }
     requestArchiving(ended);
+    m_evacuation.logClosedZones({m_workers, m_waitingCount, m_epoch}, now);
     m_needsPlacement = true;
 }
 
@@ -384,8 +386,10 @@
     }
     TimePoint next = startDueOccurrences(now, wallNow);
     forgetArchivedJobs(now);
+    m_evacuation.logConfirmation(m_epoch, now);
+    m_evacuation.withdrawAssignments(m_workers);
     for (auto &[id, worker] : m_workers) {
-        drainWorker(worker, now);
+        worker.stopRunsForRemoval(now);
         next = std::min(next, sendStops(worker, now));
         if (!worker.m_runs.empty() && worker.hasLapsed(now)) {
             markSentRunsLost(worker, "lease_lapsed");
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -236,11 +236,11 @@
 {
     ++m_placementCounters.m_rounds;
     updateBacklogs(now);
-    PoolCapacities pools(m_limits, now);
+    PoolCapacities pools(m_limits, m_evacuation, now);
     double capacity = 1.0;
     for (auto &[id, worker] : m_workers) {
         pools.add(worker);
-        capacity += static_cast<double>(worker.m_record.m_capacity.m_cpuMillis);
+        capacity += m_evacuation.isClosed(worker) ? 0.0 : static_cast<double>(worker.m_record.m_capacity.m_cpuMillis);
     }
     std::vector<PlacementGroup> groups;
     for (auto *const job : m_changes.m_waiting) {
@@ -594,7 +594,8 @@
 auto FleetScheduler::sendStart(FleetWorker &worker, TaskRun &run, TimePoint now) -> void
 {
     const auto lease = mayRenewLease(worker, now) ? worker.m_workerLease.extendLease(m_limits.m_lease, now) : std::nullopt;
-    const bool mayStart = !run.m_isStopRequested && worker.m_isListed && !worker.m_record.m_drainRemaining && !isFinal(run.m_job->progress().m_phase);
+    const bool mayStart = !run.m_isStopRequested && worker.m_isListed && !worker.m_record.m_drainRemaining && !isFinal(run.m_job->progress().m_phase)
+        && m_evacuation.mayStart(worker, now);
     if (run.m_stage == RunStage::Unsent && (!lease || !mayStart)) {
         requeueRun(worker, run, !lease ? "no_lease" : "no_longer_wanted");
         return;
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -22,10 +22,6 @@
 /// the store is slow.
 constexpr Milliseconds renewalInterval{1'500};
 
-/// Time before the removal of a draining worker at which its runs are stopped, so that it can still report their ends (twice the
-/// platform's bound of 200 ms, plus a call).
-constexpr Milliseconds drainReserve{900};
-
 /// A run counts as slow below this share of the speed that its declared duration implies. The share is small because declared
 /// durations are far too short at times.
 constexpr double slowSpeed = 0.08;
@@ -111,6 +107,12 @@
     m_needsPlacement = true;
 }
 
+auto FleetScheduler::setClosedZones(ClosedZones &&zones, TimePoint now) -> void
+{
+    const Epoch decidingEpoch = m_isPreparing ? 0 : m_epoch;
+    m_needsPlacement = m_evacuation.update(std::move(zones), {m_workers, m_waitingCount, decidingEpoch}, now) || m_needsPlacement;
+}
+
 auto FleetScheduler::resignAfterFencing(const FleetWorker &worker) -> void
 {
     logEvent(LogLevel::Warning, "ownership_fenced", {{"worker", worker.m_record.m_id}, {"epoch", m_epoch}});
@@ -606,19 +608,6 @@
     return next;
 }
 
-auto FleetScheduler::drainWorker(FleetWorker &worker, TimePoint now) -> void
-{
-    if (!worker.m_record.m_drainRemaining) {
-        return;
-    }
-    for (auto &[name, run] : worker.m_runs) {
-        // A serving task is stopped at once, because it never ends by itself; other tasks may still end before the removal.
-        if (run.m_isServing || now >= worker.m_drainEndsAt - drainReserve) {
-            worker.markForStop(run);
-        }
-    }
-}
-
 auto FleetScheduler::adjustFillingPaces(FleetWorker &worker, TimePoint now) -> void
 {
     m_paceController.addSamples(worker, now);
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -7,6 +7,14 @@
 
 namespace Burdockspur
 {
+namespace
+{
+/// Time from the decision to start a task until the worker has begun it.
+constexpr Milliseconds startReserve{1'000};
+/// Shorter bounds would stop all starts whenever one answer of the store is late.
+constexpr Milliseconds minEvacuate{3'000};
+}
+
 auto fleetSettingsTable() -> SettingsTable<FleetSettings>
 {
     using enum SettingKind;
@@ -17,7 +25,7 @@
     static constexpr SettingRange period{1, 3'600'000};
     static constexpr SettingRange bytes{1'024, 1e8};
     static constexpr SettingRange seconds{1, 86'400};
-    static constexpr std::array<SettingsField<S>, 18> table{{
+    static constexpr std::array<SettingsField<S>, 19> table{{
         {"host.name", &S::m_hostName, Text, Required, name, "", "Name of this entry host"},
         {"host.zone", &S::m_zone, Text, Required, name, "", "Availability zone"},
         {"host.cpu_share", &S::m_cpuShare, Number, Optional, SettingRange{0, 1e3}, "", "Share of each processor that the host may use; 0 if not known"},
@@ -48,6 +56,13 @@
          "ms",
          "Time within which an accepted job must be counted and shown"},
         {"owner.silence_ms", &S::m_ownerTimeout, DurationMs, Optional, period, "ms", "Time without a commit after which the owner of the fleet is replaced"},
+        {"zones.evacuate_ms",
+         &S::m_evacuate,
+         DurationMs,
+         Optional,
+         SettingRange{0, 3'600'000},
+         "ms",
+         "Time from the operator's request to close a zone after which nothing may start there; 0 for no bound"},
     }};
     return table;
 }
@@ -56,7 +71,7 @@
 {
     using S = FleetSettings;
     static constexpr std::string_view endpoint = "ADDRESS:PORT with an IP number";
-    static constexpr std::array<SettingsCheck<S>, 6> checks{{
+    static constexpr std::array<SettingsCheck<S>, 7> checks{{
         {"log.level",
          [](const S &settings) {
              return isLogLevel(settings.m_logLevel);
@@ -87,6 +102,11 @@
              return settings.m_ownerTimeout > 2 * FleetLimits{}.m_idleCommitInterval;
          },
          "more than twice the 400 ms between two heartbeats of an owner"},
+        {"zones.evacuate_ms",
+         [](const S &settings) {
+             return settings.m_evacuate.count() == 0 || settings.m_evacuate >= minEvacuate;
+         },
+         "0, or at least 3000 ms: the requests are confirmed once a second, and an order may take a second"},
     }};
     return checks;
 }
@@ -96,6 +116,7 @@
     /// Added to the retention, because a repeated submission may arrive seconds after its answer, and the job must still be known then.
     constexpr Milliseconds lateRepeatTime{30'000};
     FleetLimits limits;
+    limits.m_maxZonesAge = settings.m_evacuate.count() == 0 ? Milliseconds{0} : settings.m_evacuate - startReserve;
     limits.m_rowBytes = static_cast<std::size_t>(settings.m_rowBytes);
     limits.m_retention = std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(settings.m_retentionSeconds)) + lateRepeatTime;
     return limits;
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/fleet/archivecalls.hpp"
+#include "burdockspur/fleet/evacuation/zonerequestreader.hpp"
 #include "burdockspur/fleet/jobstore.hpp"
 #include "burdockspur/fleet/tablefollower.hpp"
 #include "burdockspur/host/ringoutbox.hpp"
@@ -35,6 +36,10 @@
 /// a call that is not answered.
 constexpr std::size_t ownerConnections = 3;
 constexpr Milliseconds connectTimeout{1'000};
+/// Age of the last confirmation of the closed zones at which they are read beside the feed. While the feed works, each of its waits confirms them.
+constexpr Milliseconds lateZonesAge{1'500};
+/// Time between two such reads; not shorter than a call, so that one is in flight at most.
+constexpr Milliseconds zonesReadInterval{1'200};
 /// Pause before another attempt to read all jobs again.
 constexpr Milliseconds reloadPause{200};
 
@@ -76,6 +81,7 @@
     // The settings were validated, so the endpoint can be parsed.
     m_store = m_platform.makeStore(*m_client, parseEndpoint(m_settings.m_storeEndpoint).value_or(HttpEndpoint{}), m_settings.m_storeTimeout);
     m_codec = m_platform.makeCodec();
+    m_zoneRequests = std::make_unique<ZoneRequestReader>(*m_codec);
     m_jobStore = std::make_unique<JobStore>(*m_store);
     const auto wait = [this](Milliseconds pause, std::function<void()> call) {
         later(pause, std::move(call));
@@ -88,6 +94,9 @@
                                               OwnerCommit::Listener{.m_answered =
                                                                         [this](const CommitAnswer &answer) {
                                                                             m_toScheduler->push(answer);
+                                                                            if (answer.m_isStored) {
+                                                                                confirmZones();
+                                                                            }
                                                                             commitPending();
                                                                             releaseWhenIdle();
                                                                         },
@@ -103,13 +112,17 @@
                                                                               m_toScheduler->push(JobsArchived{m_commits->row().m_epoch, std::move(ids)});
                                                                           },
                                                                       .m_runLater = wait});
-    const auto takePage = [this](const RowPage &page, TimePoint confirmedAt) {
-        applyConfiguration(page, confirmedAt);
+    const auto takePage = [this](bool isList) {
+        return [this, isList](const RowPage &page, TimePoint confirmedAt) {
+            applyZoneRequests(page, isList, confirmedAt);
+            applyConfiguration(page, confirmedAt);
+        };
     };
-    m_configurationRows = std::make_unique<TableFollower>(*m_store,
-                                                          m_codec->configurationTable(),
-                                                          TableFollowerOptions{.m_wait = configurationWait},
-                                                          TableFollower::Listener{.m_listed = takePage, .m_changed = takePage, .m_runLater = wait});
+    m_configurationRows =
+        std::make_unique<TableFollower>(*m_store,
+                                        m_codec->configurationTable(),
+                                        TableFollowerOptions{.m_wait = configurationWait},
+                                        TableFollower::Listener{.m_listed = takePage(true), .m_changed = takePage(false), .m_runLater = wait});
     m_ownerTimer = std::make_unique<PollTimer>(ownerPollInterval, hashOf(m_incarnation), [this] {
         pollOwner();
     });
@@ -135,6 +148,7 @@
     m_ownerClient.reset();
     m_store.reset();
     m_client.reset();
+    m_zoneRequests.reset();
     m_codec.reset();
     m_toScheduler.reset();
     m_toApi.reset();
@@ -275,6 +289,32 @@
     }
 }
 
+auto FleetStoreDuty::applyZoneRequests(const RowPage &page, bool isList, TimePoint confirmedAt) -> void
+{
+    const auto now = Clock::now();
+    const bool hasChanged = isList ? m_zoneRequests->takeList(page, confirmedAt, now) : m_zoneRequests->takeChanges(page, confirmedAt, now);
+    // A host that becomes the owner learns the confirmation with the ownership.
+    const bool needsConfirmation = m_settings.m_evacuate.count() > 0 && m_commits->isOwner();
+    if (hasChanged || needsConfirmation) {
+        m_toScheduler->push(ZonesConfirmed{m_zoneRequests->zones()});
+    }
+}
+
+auto FleetStoreDuty::confirmZones() -> void
+{
+    const auto now = Clock::now();
+    if (m_settings.m_evacuate.count() == 0 || now - m_zoneRequests->zones().confirmedAt() < lateZonesAge || now - m_zonesReadAt < zonesReadInterval) {
+        return;
+    }
+    m_zonesReadAt = now;
+    // On the connections of the owner's row, which have just carried a commit.
+    m_ownerStore->list(m_codec->configurationTable(), {}, {}, 0, [this, sentAt = now](Result<RowPage> &&page) {
+        if (page && !page->m_hasMore) {
+            applyZoneRequests(*page, true, sentAt);
+        }
+    });
+}
+
 auto FleetStoreDuty::pollOwner() -> void
 {
     m_ownerTimer->startNext();
@@ -416,6 +456,7 @@
     m_release.reset();
     m_hasLoadedJobs = false;
     m_jobsAsOf = Clock::now();
+    m_toScheduler->push(ZonesConfirmed{m_zoneRequests->zones()});
     m_toScheduler->push(OwnershipClaimed{row.m_epoch, claimedAt, attempt.m_former});
     // Before the jobs, because the reports that follow them are compared with the model.
     m_store->read(modelKey, [this, epoch = row.m_epoch](Result<std::vector<TableRow>> &&rows) {
--- a/src/fleet/fleetworker.cpp
+++ b/src/fleet/fleetworker.cpp
@@ -17,6 +17,10 @@
 /// silently dropped; the next report uses a new connection.
 constexpr std::uint32_t silentReports = 2;
 
+/// Time before the removal of a draining worker at which its runs are stopped, so that it can still report their ends (twice the
+/// platform's bound of 200 ms, plus a call).
+constexpr Milliseconds drainReserve{900};
+
 auto adjustJobRunCount(const TaskRun &run, int change) noexcept -> void
 {
     if (run.m_job != nullptr) {
@@ -185,6 +189,19 @@
     }));
 }
 
+auto FleetWorker::stopRunsForRemoval(TimePoint now) noexcept -> void
+{
+    if (!m_record.m_drainRemaining) {
+        return;
+    }
+    for (auto &[name, run] : m_runs) {
+        // A serving task is stopped at once, because it never ends by itself; other tasks may still end before the removal.
+        if (run.m_isServing || now >= m_drainEndsAt - drainReserve) {
+            markForStop(run);
+        }
+    }
+}
+
 auto FleetWorker::hasLapsed(TimePoint now) const noexcept -> bool
 {
     // A worker without an address is in no list, so it is never asked.
--- a/src/fleet/poolcapacities.cpp
+++ b/src/fleet/poolcapacities.cpp
@@ -1,6 +1,7 @@
 #include "burdockspur/fleet/poolcapacities.hpp"
 
 #include "burdockspur/core/invariant.hpp"
+#include "burdockspur/fleet/evacuation/zoneevacuation.hpp"
 #include "burdockspur/fleet/fleetlimits.hpp"
 #include "burdockspur/fleet/fleetworker.hpp"
 
@@ -9,8 +10,9 @@
 
 namespace Burdockspur
 {
-PoolCapacities::PoolCapacities(const FleetLimits &limits, TimePoint now)
+PoolCapacities::PoolCapacities(const FleetLimits &limits, const ZoneEvacuation &evacuation, TimePoint now)
     : m_limits(limits)
+    , m_evacuation(evacuation)
     , m_now(now)
 {
 }
@@ -18,11 +20,11 @@
 auto PoolCapacities::add(FleetWorker &worker) -> void
 {
     auto &pool = findPool(worker.m_record.m_pool);
-    if (worker.m_isListed) {
+    if (worker.m_isListed && !m_evacuation.isClosed(worker)) {
         pool.m_total += worker.m_record.m_capacity;
         pool.m_unreserved += worker.freeResources();
     }
-    if (!worker.acceptsTasks(m_limits, m_now)) {
+    if (!worker.acceptsTasks(m_limits, m_now) || !m_evacuation.mayStart(worker, m_now)) {
         pool.m_unavailable += worker.m_isListed ? 1 : 0;
         return;
     }
--- a/standins/fleetstandin.cpp
+++ b/standins/fleetstandin.cpp
@@ -200,6 +200,17 @@
     answerFeeds();
 }
 
+auto FleetStandin::remove(std::string_view table, std::string_view part, std::string_view key) -> void
+{
+    for (auto &row : m_rows) {
+        if (row.name() == std::tie(table, part, key)) {
+            row.m_isDeleted = true;
+            row.m_version = ++m_version;
+        }
+    }
+    answerFeeds();
+}
+
 auto FleetStandin::hasRow(std::string_view table, std::string_view part, std::string_view key) const -> bool
 {
     return std::ranges::any_of(m_rows, [&](const Row &row) {
--- a/standins/fleetstandin.hpp
+++ b/standins/fleetstandin.hpp
@@ -44,6 +44,9 @@
     /// @brief Writes a row unconditionally, as an operator or a worker would.
     auto put(std::string_view table, std::string_view part, std::string_view key, std::string_view value) -> void;
 
+    /// @brief Removes a row, as an operator would.
+    auto remove(std::string_view table, std::string_view part, std::string_view key) -> void;
+
     [[nodiscard]] auto hasRow(std::string_view table, std::string_view part, std::string_view key) const -> bool;
 
     /// @brief Starts or ends an outage of the store, during which it answers every call with 503.
--- a/tests/fleethosttest.cpp
+++ b/tests/fleethosttest.cpp
@@ -449,3 +449,22 @@
     awaitState(host, "/jobs/6c0e7a21d94b36f8", "completed");
     EXPECT_TRUE(host.isReady());
 }
+
+// Guards against a request to close a zone that does not reach the scheduler, or outlives its row. The zone is also that of the host, which stays the
+// owner and ready: the request concerns workers.
+TEST_F(FleetHostTest, NothingStartsInAClosedZoneUntilItsRowIsRemoved)
+{
+    m_platform.put("op", "", "evacuate/zone-a", "{}");
+    Host host("host-1", m_platform.storePort());
+    host.awaitReady(true);
+    EXPECT_EQ(host.call("POST", "/jobs/5c0e7a21d94b36f8", twoSteps)->m_status, 200);
+    const TimePoint until = Clock::now() + Milliseconds{2'500};
+    while (Clock::now() < until) {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 20);
+    }
+    EXPECT_EQ(readOwner().m_host, "host-1");
+    EXPECT_TRUE(host.isReady());
+    EXPECT_TRUE(m_platform.starts().empty());
+    m_platform.remove("op", "", "evacuate/zone-a");
+    awaitState(host, "/jobs/5c0e7a21d94b36f8", "completed");
+}
--- a/tests/fleetsimulation.cpp
+++ b/tests/fleetsimulation.cpp
@@ -25,6 +25,7 @@
 constexpr Milliseconds orderTimeout{1'500};
 constexpr double constantLoad = 20.0; ///< reported for every run without interference
 constexpr std::size_t inputsPerRound = 64; ///< of a slow owner
+constexpr std::size_t zoneCount = 3;
 constexpr std::uint64_t incarnationStep = 1'000'000; ///< between two incarnations of a worker whose wall clock is right
 constexpr Milliseconds paceDelay{100}; ///< until an accepted pace takes effect (`pace_ms` of the platform)
 /// Work after which a task that saves its progress writes a checkpoint.
@@ -40,6 +41,7 @@
     , m_random(seed)
     , m_archiveRandom(~seed)
     , m_restartRandom(seed ^ 0x5bd1e995U)
+    , m_zoneRandom(seed ^ 0x85ebca6bU)
     , m_jobRandom(seed ^ 0x9e3779b9U)
     , m_faults(faults)
     , m_now(TimePoint{} + std::chrono::hours(1))
@@ -48,6 +50,7 @@
         auto worker = std::make_unique<SimulatedWorker>();
         worker->m_record.m_id = "worker-" + std::to_string(i);
         worker->m_record.m_pool = "pool";
+        worker->m_record.m_zone = "zone-" + std::to_string(i % zoneCount);
         worker->m_record.m_endpoint = {"10.0.0.1", static_cast<std::uint16_t>(i + 1)};
         worker->m_record.m_labels = {"a", "rack-" + std::to_string(i / 8)};
         worker->m_record.m_rack = worker->m_record.m_labels.back();
@@ -339,6 +342,8 @@
     m_isOwnerAway = true;
     m_lateCommit.reset();
     auto &owner = *m_owners.emplace_back(std::make_unique<FleetScheduler>(FleetLimits{}));
+    // The host of the new owner has followed the requests before.
+    owner.setClosedZones(ClosedZones(m_closedZones), m_now);
     m_archives.emplace(&owner, FleetLimits{}.m_retention);
     const Epoch epoch = ++m_epoch;
     owner.prepare(epoch, m_now, formerOwner());
@@ -496,6 +501,31 @@
     }
 }
 
+auto FleetSimulation::setZoneClosed(std::string_view zone, bool isClosed) -> void
+{
+    m_zoneClosings += isClosed ? 1 : 0;
+    const ZoneRequest request{std::string(zone), isClosed};
+    static_cast<void>(m_closedZones.apply(std::span(&request, 1), {++m_zoneVersion, m_now, m_now}));
+    for (const auto &owner : m_owners) {
+        sendClosedZones(*owner);
+    }
+}
+
+auto FleetSimulation::sendClosedZones(FleetScheduler &owner) -> void
+{
+    const Milliseconds delay(1 + m_zoneRandom.below(8));
+    schedule(delay, [this, &owner] {
+        feed(owner, [this, &owner] {
+            owner.setClosedZones(ClosedZones(m_closedZones), m_now);
+        });
+    });
+}
+
+auto FleetSimulation::zoneOf(std::size_t worker) const -> const std::string &
+{
+    return m_workers[worker]->m_record.m_zone;
+}
+
 auto FleetSimulation::sendListEntry(std::size_t worker) -> void
 {
     schedule(networkDelay(), [this, worker] {
@@ -606,6 +636,15 @@
     if (m_faults.m_foreignEntriesPerSecond > 0 && m_restartRandom.unit() < m_faults.m_foreignEntriesPerSecond * share) {
         sendForeignEntry(m_restartRandom.below(static_cast<std::uint32_t>(m_workers.size())));
     }
+    if (m_faults.m_evacuationsPerSecond > 0 && m_zoneRandom.unit() < m_faults.m_evacuationsPerSecond * share) {
+        const auto zone = zoneOf(m_zoneRandom.below(static_cast<std::uint32_t>(m_workers.size())));
+        if (!m_closedZones.isClosed(zone)) {
+            setZoneClosed(zone, true);
+            schedule(Milliseconds(500 + m_zoneRandom.below(7'500)), [this, zone] {
+                setZoneClosed(zone, false);
+            });
+        }
+    }
     if (m_faults.m_reloadsPerSecond > 0 && m_archiveRandom.unit() < m_faults.m_reloadsPerSecond * share) {
         reloadJobs(*m_owners.back(), Milliseconds(1 + m_archiveRandom.below(3'000)));
     }
@@ -717,8 +756,9 @@
                 if (isLost) {
                     return;
                 }
-                schedule(delay, [this, &owner, &worker, order, sentAt, isUnanswered, expire] {
+                schedule(delay, [this, &owner, &worker, order, sentAt, isUnanswered, isLate, expire] {
                     endDueRuns(worker);
+                    m_isOrderLate = isLate;
                     auto answer = execute(worker, order);
                     if (isUnanswered) {
                         return;
@@ -1045,6 +1085,11 @@
             recordViolation("runs_twice", name);
         }
     }
+    const auto closed = m_closedZones.zones().find(worker.m_record.m_zone);
+    if (closed != m_closedZones.zones().end() && m_now - closed->second > longestEvacuation && !m_isOrderLate) {
+        recordHistory(name, closed->first + " is closed for " + std::to_string((m_now - closed->second) / Milliseconds{1}) + " ms");
+        recordViolation("closed_zone", name);
+    }
     if (m_finals.contains(order.m_task.m_job)) {
         recordViolation("started_after_the_move", name);
     }
--- a/tests/fleetsimulation.hpp
+++ b/tests/fleetsimulation.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockspur/core/randomsource.hpp"
+#include "burdockspur/fleet/evacuation/closedzones.hpp"
 #include "burdockspur/fleet/fleetscheduler.hpp"
 #include "burdockspur/fleet/jobarchive.hpp"
 #include "conditiontimer.hpp"
@@ -31,6 +32,8 @@
 inline constexpr Milliseconds longestServingAbsence{9'000};
 /// Longest time for which filling tasks may keep a serving task over its target (`harm_ms` of the platform's rule HARM).
 inline constexpr Milliseconds longestHarm{4'000};
+/// Time from the closing of a zone after which nothing may start there: the owner learns of it, and its last order arrives.
+inline constexpr Milliseconds longestEvacuation{100};
 
 /// @brief Faults that a FleetSimulation injects; probabilities from 0 to 1, or rates per second.
 struct FleetFaults {
@@ -47,6 +50,7 @@
     double m_foreignEntriesPerSecond = 0; ///< another writer leaves an entry under a worker's id, as of a later incarnation
     bool m_ordersReachAnyIncarnation = false; ///< an order is carried out by the incarnation that it reaches, not only by the addressed one
     bool m_pacesHaveNoEffect = false; ///< workers accept paces, but do not slow the runs; only with interference
+    double m_evacuationsPerSecond = 0; ///< the operator closes a zone for up to 8 s
     double m_reloadsPerSecond = 0; ///< the owner reads the list of jobs again, and receives it up to 3 s later
 };
 
@@ -195,6 +199,19 @@
         return m_calmTime;
     }
 
+    /// @brief Closes a zone, or reopens it; every owner learns of it within some milliseconds. From then on, each start in a zone that was closed longer
+    /// ago than longestEvacuation is a violation, `closed_zone`, apart from those of orders that arrive late.
+    auto setZoneClosed(std::string_view zone, bool isClosed) -> void;
+
+    /// @brief Zone of a worker.
+    [[nodiscard]] auto zoneOf(std::size_t worker) const -> const std::string &;
+
+    /// @brief Number of closings of zones so far.
+    [[nodiscard]] auto zoneClosings() const noexcept -> std::size_t
+    {
+        return m_zoneClosings;
+    }
+
     /// @brief Advances the virtual time.
     auto run(Milliseconds length) -> void;
 
@@ -368,6 +385,8 @@
     [[nodiscard]] auto execute(SimulatedWorker &worker, const RunStopOrder &order) -> WorkerAnswer;
     [[nodiscard]] auto execute(SimulatedWorker &worker, const RunPaceOrder &order) -> WorkerAnswer;
     auto checkStart(const SimulatedWorker &worker, const RunStartOrder &order) -> void;
+    /// @brief Passes the closed zones to an owner, as the feed of its host does.
+    auto sendClosedZones(FleetScheduler &owner) -> void;
     auto recordViolation(std::string_view rule, std::string_view task) -> void;
     auto recordHistory(std::string_view task, std::string_view event) -> void;
 
@@ -375,6 +394,7 @@
     RandomSource m_random;
     RandomSource m_archiveRandom; ///< separate, so that archiving does not change the other faults of a seed
     RandomSource m_restartRandom; ///< separate for the same reason
+    RandomSource m_zoneRandom; ///< separate for the same reason
     RandomSource m_jobRandom; ///< shapes of jobs that were added later; separate for the same reason
     FleetFaults m_faults;
     TimePoint m_now;
@@ -394,6 +414,10 @@
     std::size_t m_mostWaitingTurns = 0;
     double m_failureShare = 0.03;
     Milliseconds m_commitDelay{0};
+    ClosedZones m_closedZones;
+    std::uint64_t m_zoneVersion = 0; ///< number of changes of m_closedZones
+    std::size_t m_zoneClosings = 0;
+    bool m_isOrderLate = false; ///< the order that is being carried out has arrived late
     bool m_requiresReportedEnds = false;
     std::size_t m_lapsedRuns = 0;
     std::size_t m_mostWaiting = 0;
