--- a/include/burdockspur/fleet/evacuation/zoneevacuation.hpp
+++ b/include/burdockspur/fleet/evacuation/zoneevacuation.hpp
@@ -27,6 +27,12 @@
         Epoch m_epoch = 0; ///< 0 if this host decides nothing; then nothing is logged
     };
 
+    /// @brief Closed zones that this host knows, and the runs on their workers.
+    struct Counts {
+        std::size_t m_zones = 0;
+        std::size_t m_runs = 0;
+    };
+
     /// @param maxAge nothing is started while the requests of the operator were confirmed longer ago; 0 for no limit
     explicit ZoneEvacuation(Milliseconds maxAge) noexcept
         : m_maxAge(maxAge)
@@ -53,13 +59,7 @@
     /// the others.
     auto withdrawAssignments(Workers &workers) const -> void;
 
-    [[nodiscard]] auto closedZones() const noexcept -> std::size_t
-    {
-        return m_zones.zones().size();
-    }
-
-    /// @brief Number of runs on the workers of closed zones.
-    [[nodiscard]] auto countRuns(const Workers &workers) const -> std::size_t;
+    [[nodiscard]] auto count(const Workers &workers) const -> Counts;
 
 private:
     [[nodiscard]] auto isConfirmed(TimePoint now) const noexcept -> bool;
--- a/include/burdockspur/fleet/fleetmetrics.hpp
+++ b/include/burdockspur/fleet/fleetmetrics.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockspur/core/clock.hpp"
+#include "burdockspur/fleet/evacuation/zoneevacuation.hpp"
 #include "burdockspur/fleet/fleetanswer.hpp"
 #include "burdockspur/operations/metrics.hpp"
 
@@ -51,9 +52,7 @@
     auto recordWaits(std::size_t idleJobs, Duration longestIdle) -> void;
 
     /// @brief Records the zones that the operator has closed.
-    /// @param zones number of closed zones that this host knows
-    /// @param runs number of runs that the owner knows on their workers
-    auto recordClosedZones(std::size_t zones, std::size_t runs) -> void;
+    auto recordClosedZones(const ZoneEvacuation::Counts &counts) -> void;
 
 private:
     static constexpr std::size_t orderCount = 4;
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -173,15 +173,9 @@
         return m_heldTaskLog.longestIdle();
     }
 
-    [[nodiscard]] auto closedZones() const noexcept -> std::size_t
+    [[nodiscard]] auto closedZoneCounts() const -> ZoneEvacuation::Counts
     {
-        return m_evacuation.closedZones();
-    }
-
-    /// @brief Number of runs on the workers of closed zones.
-    [[nodiscard]] auto runsInClosedZones() const -> std::size_t
-    {
-        return m_evacuation.countRuns(m_workers);
+        return m_evacuation.count(m_workers);
     }
 
     /// @brief Counters of the placement work since construction.
--- a/src/fleet/evacuation/zoneevacuation.cpp
+++ b/src/fleet/evacuation/zoneevacuation.cpp
@@ -14,6 +14,9 @@
 {
 namespace
 {
+/// The log's rate limit, which a busy owner reaches, never suppresses warnings, and an operator waits for these lines.
+constexpr auto zoneLevel = LogLevel::Warning;
+
 [[nodiscard]] auto inMs(Duration duration) -> std::int64_t
 {
     return std::chrono::duration_cast<Milliseconds>(duration).count();
@@ -57,7 +60,7 @@
         hasChanged = true;
         if (fleet.m_epoch != 0) {
             const auto content = contentOf(zone, fleet.m_workers);
-            logEvent(LogLevel::Info,
+            logEvent(zoneLevel,
                      "zone_reopened",
                      {{"zone", zone},
                       {"closed_ms", inMs(now - since)},
@@ -83,8 +86,7 @@
         return;
     }
     const auto content = contentOf(zone.first, fleet.m_workers);
-    // A zone without workers may be a misspelled name.
-    logEvent(content.m_workers == 0 ? LogLevel::Warning : LogLevel::Info,
+    logEvent(zoneLevel,
              "zone_closed",
              {{"zone", zone.first},
               {"known_ms", inMs(now - zone.second)},
@@ -159,14 +161,14 @@
     }
 }
 
-auto ZoneEvacuation::countRuns(const Workers &workers) const -> std::size_t
+auto ZoneEvacuation::count(const Workers &workers) const -> Counts
 {
-    std::size_t runs = 0;
-    if (!m_zones.zones().empty()) {
+    Counts counts{m_zones.zones().size(), 0};
+    if (counts.m_zones > 0) {
         for (const auto &[id, worker] : workers) {
-            runs += isClosed(worker) ? worker.m_runs.size() : 0;
+            counts.m_runs += isClosed(worker) ? worker.m_runs.size() : 0;
         }
     }
-    return runs;
+    return counts;
 }
 }
--- a/src/fleet/fleetmetrics.cpp
+++ b/src/fleet/fleetmetrics.cpp
@@ -68,9 +68,9 @@
     m_longestIdle.Set(seconds(longestIdle));
 }
 
-auto FleetMetrics::recordClosedZones(std::size_t zones, std::size_t runs) -> void
+auto FleetMetrics::recordClosedZones(const ZoneEvacuation::Counts &counts) -> void
 {
-    m_closedZones.Set(static_cast<double>(zones));
-    m_closedZoneRuns.Set(static_cast<double>(runs));
+    m_closedZones.Set(static_cast<double>(counts.m_zones));
+    m_closedZoneRuns.Set(static_cast<double>(counts.m_runs));
 }
 }
--- a/tests/fleetschedulerzonestest.cpp
+++ b/tests/fleetschedulerzonestest.cpp
@@ -312,8 +312,8 @@
     fleet.answer(fleet.m_starts.front(), OrderOutcome::Accepted);
     testing::internal::CaptureStderr();
     fleet.close({{"a", true}});
-    EXPECT_EQ(fleet.m_scheduler.closedZones(), 1U);
-    EXPECT_EQ(fleet.m_scheduler.runsInClosedZones(), 1U);
+    EXPECT_EQ(fleet.m_scheduler.closedZoneCounts().m_zones, 1U);
+    EXPECT_EQ(fleet.m_scheduler.closedZoneCounts().m_runs, 1U);
     fleet.close({{"a", true}});
     fleet.m_now += Milliseconds{700};
     fleet.close({});
@@ -321,7 +321,7 @@
     EXPECT_NE(lines.find("event=zone_closed zone=a known_ms=0 workers=1 runs=1 waiting=0 epoch=3"), std::string::npos) << lines;
     EXPECT_EQ(lines.find("event=zone_closed"), lines.rfind("event=zone_closed")) << "once: " << lines;
     EXPECT_NE(lines.find("event=zone_reopened zone=a closed_ms=700 workers=1 runs=1 waiting=0 epoch=3"), std::string::npos) << lines;
-    EXPECT_EQ(fleet.m_scheduler.runsInClosedZones(), 0U);
+    EXPECT_EQ(fleet.m_scheduler.closedZoneCounts().m_runs, 0U);
 }
 
 // Guards against an owner whose commits are stored while its feed of the requests is cut off: it would start in a zone that was closed long ago (EVAC).
