--- a/include/burdockspur/fleet/fleetmetrics.hpp
+++ b/include/burdockspur/fleet/fleetmetrics.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockspur/core/clock.hpp"
+#include "burdockspur/fleet/evacuation/zoneevacuation.hpp"
 #include "burdockspur/fleet/fleetanswer.hpp"
 #include "burdockspur/operations/metrics.hpp"
 
@@ -50,6 +51,9 @@
     /// @param longestIdle longest such time
     auto recordWaits(std::size_t idleJobs, Duration longestIdle) -> void;
 
+    /// @brief Records the zones that the operator has closed.
+    auto recordClosedZones(const ZoneEvacuation::Counts &counts) -> void;
+
 private:
     static constexpr std::size_t orderCount = 4;
     static constexpr std::size_t outcomeCount = static_cast<std::size_t>(OrderOutcome::NoAnswer) + 1;
@@ -65,5 +69,7 @@
     prometheus::Gauge &m_waiting;
     prometheus::Gauge &m_idleJobs;
     prometheus::Gauge &m_longestIdle;
+    prometheus::Gauge &m_closedZones;
+    prometheus::Gauge &m_closedZoneRuns;
 };
 }
