Pass no time of confirmation with an answer that is cut

Cause: a cut answer of the operator's table would confirm closed zones and configuration that later changes may have replaced; the check stood in one of two readers only. Change: TableFollower passes the default time, which every reader takes as no confirmation. Test: FollowsAtOnceAfterAnAnswerThatIsNotWhole.

--- a/include/burdockspur/fleet/tablefollower.hpp
+++ b/include/burdockspur/fleet/tablefollower.hpp
@@ -30,7 +30,7 @@
         /// @brief Called with all rows of the table, joined from all pages.
         std::function<void(const RowPage &, TimePoint confirmedAt)> m_listed;
         /// @brief Called with the changes; with no rows when the store has confirmed that there are none. A page with RowPage::m_hasMore
-        /// confirms nothing, because later changes are not read yet.
+        /// confirms nothing, because later changes are not read yet; its confirmedAt has the default value.
         std::function<void(const RowPage &, TimePoint confirmedAt)> m_changed;
         /// @brief Called when the changes cannot be read and the caller has to list the table. When it is empty, the follower lists the
         /// table itself.
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -284,7 +284,7 @@
         m_configuration = std::make_shared<const FleetConfiguration>(std::move(*decoded));
         m_toScheduler->push(ConfigurationConfirmed{m_configuration, confirmedAt});
     }
-    if (m_configuration && !page.m_hasMore) {
+    if (m_configuration) {
         m_toApi->push(ConfigurationConfirmed{m_configuration, confirmedAt});
     }
 }
--- a/src/fleet/tablefollower.cpp
+++ b/src/fleet/tablefollower.cpp
@@ -97,7 +97,8 @@
         }
         m_version = std::max(m_version, page->m_version);
         // An answer without changes comes at the end of the wait, so it confirms the time of its end rather than that of the call.
-        m_listener.m_changed(*page, page->m_rows.empty() ? std::min(Clock::now(), sentAt + m_options.m_wait) : sentAt);
+        const auto confirmedAt = page->m_rows.empty() ? std::min(Clock::now(), sentAt + m_options.m_wait) : sentAt;
+        m_listener.m_changed(*page, page->m_hasMore ? TimePoint{} : confirmedAt);
         if (!*alive) {
             return;
         }
--- a/tests/tablefollowertest.cpp
+++ b/tests/tablefollowertest.cpp
@@ -178,13 +178,15 @@
     ManualStore store;
     std::deque<std::function<void()>> later;
     std::size_t rows = 0;
+    TimePoint confirmed;
     TableFollower follower(store,
                            "table",
                            {.m_pause = Milliseconds{400}},
                            {.m_listed = [](const RowPage &, TimePoint) {},
                             .m_changed =
-                                [&rows](const RowPage &page, TimePoint) {
+                                [&](const RowPage &page, TimePoint confirmedAt) {
                                     rows += page.m_rows.size();
+                                    confirmed = confirmedAt;
                                 },
                             .m_lost = nullptr,
                             .m_runLater =
@@ -200,8 +202,10 @@
         EXPECT_TRUE(later.empty()) << "the follower pauses although there are more changes";
         ASSERT_EQ(store.m_calls.size(), 1U);
         EXPECT_EQ(store.m_followedFrom, version);
+        EXPECT_EQ(confirmed, TimePoint{}) << "later changes exist";
     }
     store.answer(pageAt(11));
+    EXPECT_GT(confirmed, TimePoint{});
     EXPECT_EQ(rows, 3U);
     EXPECT_TRUE(store.m_calls.empty());
     EXPECT_EQ(later.size(), 1U) << "the last answer is whole, so the follower pauses";
