Judge the store by the calls of each host, and tell refused callers when to return

Cause: only the time-out of a call (1.2 s) showed a silent store. A submission sent to it hung for up to three time-outs, until its caller left without an answer, and after the return each feed waited for its own time-out and then 0.8 s for a change. Every refusal said one second, whatever was wrong.

Change: StoreReachability decides from overdue and refused calls whether the store answers this host. ObservedStore ends submissions that are under way when a silence is known (504) and refuses later ones without sending them (503), and ends calls from the time of a silence when the store answers again. TableFollower probes with a call that does not wait. RetryAdvice grows the pause of refused callers with the outage and spreads them by the hash of the job.

--- a/include/burdockspur/fleet/apiduty.hpp
+++ b/include/burdockspur/fleet/apiduty.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/core/eventloopduty.hpp"
 #include "burdockspur/fleet/fleetrings.hpp"
 #include "burdockspur/fleet/fleetsettings.hpp"
+#include "burdockspur/fleet/refusals/retryadvice.hpp"
 #include "burdockspur/link/httpserver.hpp"
 
 #include <cstdint>
@@ -56,6 +57,7 @@
         std::string_view m_kind;
         std::string m_job;
         TimePoint m_receivedAt;
+        std::string m_path = {}; ///< set when the job is not known
     };
 
     [[nodiscard]] auto listen() -> Result<void>;
@@ -63,6 +65,7 @@
     auto on(ConfigurationConfirmed &&input) -> void;
     auto on(PendingCounts &&input) -> void;
     auto on(StoreReply &&input) -> void;
+    auto on(StoreConditionChanged &&input) -> void;
     auto on(DrainStarted &&input) -> void;
     auto on(StoreDrained &&input) -> void;
 
@@ -70,11 +73,12 @@
     auto servePending(ExchangeId exchange, const PendingCall &call, TimePoint receivedAt) -> void;
     auto forward(ExchangeId exchange, ApiCall &&call, TimePoint receivedAt) -> void;
     auto refuse(const OpenCall &call, const Error &error) -> void;
-    auto answer(const OpenCall &call, HttpResponse &&response, std::string_view reason) -> void;
+    auto answer(const OpenCall &call, HttpResponse &&response, std::string_view reason, int retryAfter = 0) -> void;
     auto closeWhenIdle() -> void;
 
     [[nodiscard]] auto hasFreshConfiguration(TimePoint now) const -> bool;
     [[nodiscard]] auto isReady(TimePoint now) const -> bool;
+    [[nodiscard]] auto isStoreAnswering(TimePoint now) const -> bool;
 
     FleetSettings m_settings;
     const FleetPlatform &m_platform;
@@ -90,6 +94,8 @@
     std::unique_ptr<AdminServer> m_admin;
     std::shared_ptr<const FleetConfiguration> m_configuration;
     TimePoint m_confirmedAt; ///< time at which the store last confirmed the configuration
+    StoreReport m_store; ///< how the store answers this host
+    RetryAdvice m_retryAdvice;
     PendingCounts m_pending;
     std::unordered_map<std::uint64_t, OpenCall> m_open; ///< requests forwarded to the store, by ticket
     std::uint64_t m_lastTicket = 0;
--- a/include/burdockspur/fleet/fleetmetrics.hpp
+++ b/include/burdockspur/fleet/fleetmetrics.hpp
@@ -31,6 +31,13 @@
     /// @param took time from the request to its answer
     auto recordCall(std::string_view kind, int status, Duration took) -> void;
 
+    /// @brief Records when a refused caller was told to come back.
+    /// @param seconds the advice, in seconds
+    auto recordRetryAdvice(int seconds) -> void;
+
+    /// @brief Records whether the store answers this host.
+    auto recordStore(bool isAnswering) -> void;
+
     /// Kinds of orders to workers.
     enum class Order : std::uint8_t {
         Report,
@@ -58,7 +65,9 @@
     /// Counters in use, by order and outcome; the registry would compare all labels for each answer.
     std::array<std::array<std::atomic<prometheus::Counter *>, outcomeCount>, orderCount> m_orders{};
     prometheus::Histogram &m_callSeconds;
+    prometheus::Histogram &m_retryAfterSeconds;
     prometheus::Histogram &m_roundSeconds;
+    prometheus::Gauge &m_storeAnswering;
     prometheus::Gauge &m_owner;
     prometheus::Gauge &m_jobs;
     prometheus::Gauge &m_workers;
--- a/include/burdockspur/fleet/fleetrings.hpp
+++ b/include/burdockspur/fleet/fleetrings.hpp
@@ -7,6 +7,7 @@
 #include "burdockspur/fleet/fleetcommand.hpp"
 #include "burdockspur/fleet/fleetscheduler.hpp"
 #include "burdockspur/fleet/formerowner.hpp"
+#include "burdockspur/fleet/refusals/storecondition.hpp"
 #include "burdockspur/fleet/waitingjobs.hpp"
 
 #include <cstdint>
@@ -54,8 +55,13 @@
 struct StoreDrained {
 };
 
+/// @brief The store has begun or ceased to answer this host.
+struct StoreConditionChanged {
+    StoreReport m_report;
+};
+
 /// @brief A message to the duty that serves the callers.
-using ApiInput = std::variant<ConfigurationConfirmed, PendingCounts, StoreReply, DrainStarted, StoreDrained>;
+using ApiInput = std::variant<ConfigurationConfirmed, PendingCounts, StoreReply, StoreConditionChanged, DrainStarted, StoreDrained>;
 
 /// @brief This host has become the owner, and reads the jobs now.
 struct OwnershipClaimed {
--- a/include/burdockspur/fleet/fleetstoreduty.hpp
+++ b/include/burdockspur/fleet/fleetstoreduty.hpp
@@ -8,6 +8,7 @@
 #include "burdockspur/fleet/ownercommit.hpp"
 #include "burdockspur/fleet/ownershipcandidate.hpp"
 #include "burdockspur/fleet/ownershipclaim.hpp"
+#include "burdockspur/fleet/refusals/storereachability.hpp"
 #include "burdockspur/operations/logthrottle.hpp"
 #include "burdockspur/port/changestore.hpp"
 
@@ -26,6 +27,7 @@
 class FleetPlatform;
 class HttpClient;
 class JobStore;
+class ObservedStore;
 class PollTimer;
 class TableFollower;
 template<typename T>
@@ -58,6 +60,11 @@
     auto on(DrainStarted &&drain) -> void;
     auto later(Milliseconds pause, std::function<void()> call) -> void;
 
+    // Outages of the store
+    auto makeStores() -> void;
+    auto applyStoreCondition() -> void;
+    auto probeStore() -> void;
+
     // Configuration
     auto applyConfiguration(const RowPage &page, TimePoint confirmedAt) -> void;
 
@@ -100,10 +107,14 @@
     HandOver m_handOver;
     std::unique_ptr<RingOutbox<ApiInput>> m_toApi;
     std::unique_ptr<RingOutbox<FleetInput>> m_toScheduler;
+    StoreReachability m_reachability; ///< judged by the calls through all views of the store
     std::unique_ptr<HttpClient> m_client;
-    std::unique_ptr<ChangeStore> m_store;
+    std::unique_ptr<ChangeStore> m_platformStore;
+    std::unique_ptr<ObservedStore> m_store;
+    std::unique_ptr<ObservedStore> m_callerStore; ///< view for the calls of callers, who are refused during an outage
     std::unique_ptr<HttpClient> m_ownerClient; ///< separate connections for the owner's row
-    std::unique_ptr<ChangeStore> m_ownerStore;
+    std::unique_ptr<ChangeStore> m_ownerPlatformStore;
+    std::unique_ptr<ObservedStore> m_ownerStore;
     std::unique_ptr<FleetCodec> m_codec;
     std::unique_ptr<JobStore> m_jobStore;
     std::unique_ptr<OwnerCommit> m_commits;
@@ -121,6 +132,7 @@
     bool m_isOwnerCallInFlight = false; ///< a read of the owner's row or a claim is in flight
     bool m_hasLoadedJobs = false; ///< the scheduler has received the jobs of this ownership
     bool m_isDraining = false;
+    bool m_isProbing = false; ///< a probe of the store is under way or due
     std::optional<OwnershipRelease> m_release; ///< written as soon as no commit is in flight
     bool m_isAwaitingHandOver = false; ///< the owner's row is polled at the short interval
     bool m_isReleased = false; ///< the release for a planned stop was started
--- a/include/burdockspur/fleet/tablefollower.hpp
+++ b/include/burdockspur/fleet/tablefollower.hpp
@@ -55,10 +55,14 @@
     /// @brief Follows the changes after a version, for a caller that has listed the table itself.
     auto startAfter(std::uint64_t version) -> void;
 
+    /// @brief Asks for changes at once, without waiting for an earlier call, because that may hang in a silent store.
+    auto probe() -> void;
+
 private:
     auto list(std::string_view after) -> void;
-    auto follow() -> void;
-    auto handleFailure(std::string_view step, const Error &error) -> void;
+    auto follow(Milliseconds wait) -> void;
+    auto takeChanges(const RowPage &page, TimePoint sentAt, Milliseconds wait) -> void;
+    auto handleFailure(std::string_view step, const Error &error, std::uint64_t call) -> void;
     auto recordAnswer() -> void;
     auto relist() -> void;
 
@@ -70,6 +74,9 @@
     std::string m_listedUpTo; ///< name after which the page in flight begins
     TimePoint m_listingSince; ///< time at which the first page was requested
     std::uint64_t m_version = 0; ///< version up to which the changes are known
+    std::uint64_t m_lastCall = 0; ///< number of the last call
+    std::uint64_t m_round = 0; ///< increases with each answer and with each page of a list; answers to calls of earlier rounds are ignored
+    bool m_isFollowing = false; ///< the table is listed, and its changes are read
     std::uint32_t m_feedTimeouts = 0; ///< consecutive timeouts of calls for changes
     std::optional<TimePoint> m_failingSince; ///< first failed call since the last answer
     std::shared_ptr<bool> m_alive; ///< false once the object is destroyed, so that pending callbacks do nothing
--- a/src/fleet/apiduty.cpp
+++ b/src/fleet/apiduty.cpp
@@ -33,8 +33,6 @@
 constexpr Milliseconds stopMargin{900};
 /// Time for the kernel to send the last answers.
 constexpr Milliseconds flushTime{150};
-/// Value of Retry-After: this host or another one can probably serve the request a second later.
-constexpr int retryAfterSeconds = 1;
 
 [[nodiscard]] auto kindOf(const ApiCall &call) noexcept -> std::string_view
 {
@@ -155,7 +153,12 @@
 auto ApiDuty::isReady(TimePoint now) const -> bool
 {
     // A recent confirmation of the configuration also shows that the store accepts submissions of this host.
-    return !m_isDraining && now - m_confirmedAt <= maxConfirmationAge && hasFreshConfiguration(now);
+    return !m_isDraining && isStoreAnswering(now) && hasFreshConfiguration(now);
+}
+
+auto ApiDuty::isStoreAnswering(TimePoint now) const -> bool
+{
+    return m_store.m_condition == StoreCondition::Answering && now - m_confirmedAt <= maxConfirmationAge;
 }
 
 auto ApiDuty::processInputs() -> void
@@ -182,10 +185,23 @@
     m_pending = std::move(input);
 }
 
+auto ApiDuty::on(StoreConditionChanged &&input) -> void
+{
+    const auto &report = input.m_report;
+    if (report.m_condition == StoreCondition::Answering && m_store.m_condition != StoreCondition::Answering) {
+        logEvent(LogLevel::Info,
+                 "callers_refused",
+                 {{"refused", m_retryAdvice.refused()}, {"outage_ms", std::chrono::duration_cast<Milliseconds>(report.m_lastOutage).count()}});
+    }
+    m_store = report;
+    m_retryAdvice.observe(m_store);
+    m_fleetMetrics.recordStore(report.m_condition == StoreCondition::Answering);
+}
+
 auto ApiDuty::serve(ExchangeId exchange, const HttpRequest &request) -> void
 {
     const TimePoint now = Clock::now();
-    const OpenCall invalid{exchange, "invalid", {}, now};
+    const OpenCall invalid{exchange, "invalid", {}, now, std::string(request.path())};
     if (!hasFreshConfiguration(now)) {
         // With an older configuration, whether a queue exists cannot be decided either way.
         refuse(invalid, Error{ErrorCode::Unavailable, "the configuration is not confirmed"});
@@ -229,7 +245,7 @@
 auto ApiDuty::forward(ExchangeId exchange, ApiCall &&call, TimePoint receivedAt) -> void
 {
     OpenCall open{exchange, kindOf(call), jobOf(call), receivedAt};
-    if (receivedAt - m_confirmedAt > maxConfirmationAge) {
+    if (!isStoreAnswering(receivedAt)) {
         // Nothing was sent to the store, so the answer can state for certain that the request had no effect.
         refuse(open, Error{ErrorCode::Unavailable, "the store does not answer"});
         return;
@@ -263,10 +279,14 @@
 auto ApiDuty::refuse(const OpenCall &call, const Error &error) -> void
 {
     const bool isRetryable = error.m_code == ErrorCode::Unavailable || error.m_code == ErrorCode::Overloaded;
-    answer(call, m_codec->errorResponse(error, isRetryable ? retryAfterSeconds : 0), error.m_message);
+    const int retryAfter = isRetryable ? m_retryAdvice.adviseRefused(call.m_job.empty() ? call.m_path : call.m_job, Clock::now()) : 0;
+    if (isRetryable) {
+        m_fleetMetrics.recordRetryAdvice(retryAfter);
+    }
+    answer(call, m_codec->errorResponse(error, retryAfter), error.m_message, retryAfter);
 }
 
-auto ApiDuty::answer(const OpenCall &call, HttpResponse &&response, std::string_view reason) -> void
+auto ApiDuty::answer(const OpenCall &call, HttpResponse &&response, std::string_view reason, int retryAfter) -> void
 {
     const TimePoint now = Clock::now();
     const int status = response.m_status;
@@ -277,6 +297,7 @@
               {"kind", call.m_kind},
               {"status", status},
               {"reason", reason},
+              {"retry_after_s", retryAfter},
               {"took_ms", ageInMs(now, call.m_receivedAt)},
               {"config", m_configuration ? m_configuration->m_version : 0},
               {"config_age_ms", ageInMs(now, m_confirmedAt)}});
--- a/src/fleet/fleetmetrics.cpp
+++ b/src/fleet/fleetmetrics.cpp
@@ -22,7 +22,9 @@
 FleetMetrics::FleetMetrics(Metrics &metrics)
     : m_metrics(metrics)
     , m_callSeconds(metrics.durationHistogram("burdockspur_call_seconds", "Time from a caller's request to its answer"))
+    , m_retryAfterSeconds(metrics.durationHistogram("burdockspur_call_retry_after_seconds", "Time after which a refused caller was told to come back"))
     , m_roundSeconds(metrics.durationHistogram("burdockspur_round_seconds", "Time of one round of scheduling decisions"))
+    , m_storeAnswering(metrics.gauge("burdockspur_store_answering", "1 while the store answers this host"))
     , m_owner(metrics.gauge("burdockspur_owner", "1 while this host schedules the fleet"))
     , m_jobs(metrics.gauge("burdockspur_jobs", "Jobs in the memory of the owner"))
     , m_workers(metrics.gauge("burdockspur_workers", "Workers in the memory of the owner"))
@@ -30,6 +32,7 @@
     , m_idleJobs(metrics.gauge("burdockspur_idle_jobs", "Jobs with a waiting task that had no run for more than a second"))
     , m_longestIdle(metrics.gauge("burdockspur_longest_idle_seconds", "Longest time for which a job with a waiting task has no run"))
 {
+    recordStore(true);
 }
 
 auto FleetMetrics::recordCall(std::string_view kind, int status, Duration took) -> void
@@ -38,6 +41,16 @@
     m_callSeconds.Observe(seconds(took));
 }
 
+auto FleetMetrics::recordRetryAdvice(int seconds) -> void
+{
+    m_retryAfterSeconds.Observe(static_cast<double>(seconds));
+}
+
+auto FleetMetrics::recordStore(bool isAnswering) -> void
+{
+    m_storeAnswering.Set(isAnswering ? 1 : 0);
+}
+
 auto FleetMetrics::recordOrder(Order order, OrderOutcome outcome) -> void
 {
     auto &known = m_orders[static_cast<std::size_t>(order)][static_cast<std::size_t>(outcome)];
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -3,6 +3,7 @@
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/fleet/archivecalls.hpp"
 #include "burdockspur/fleet/jobstore.hpp"
+#include "burdockspur/fleet/refusals/observedstore.hpp"
 #include "burdockspur/fleet/tablefollower.hpp"
 #include "burdockspur/host/ringoutbox.hpp"
 #include "burdockspur/impl/polltimer.hpp"
@@ -29,6 +30,8 @@
 constexpr Milliseconds ownerPollInterval{400};
 /// Time between two polls of the owner's row by a host to which the ownership may be handed over at any moment.
 constexpr Milliseconds handOverPollInterval{100};
+/// Time between two probes of a store that does not answer; callers wait for the end of an outage on average half as long.
+constexpr Milliseconds probeInterval{200};
 /// Connections to the store: three calls that wait for changes, the reads of a takeover, and calls for callers.
 constexpr std::size_t storeConnections = 12;
 /// Connections for the owner's row, whose heartbeats must not wait behind other calls: one for a commit, one for a read, and one for
@@ -69,21 +72,12 @@
     m_alive = std::make_shared<bool>(true);
     m_toApi = std::make_unique<RingOutbox<ApiInput>>(m_rings.m_api, warnRingFull("gate"));
     m_toScheduler = std::make_unique<RingOutbox<FleetInput>>(m_rings.m_scheduler, warnRingFull("scheduler"));
-    HttpClientLimits limits;
-    limits.m_maxConnectionsPerEndpoint = storeConnections;
-    limits.m_connectTimeout = connectTimeout;
-    m_client = std::make_unique<HttpClient>(limits);
-    // The settings were validated, so the endpoint can be parsed.
-    m_store = m_platform.makeStore(*m_client, parseEndpoint(m_settings.m_storeEndpoint).value_or(HttpEndpoint{}), m_settings.m_storeTimeout);
+    makeStores();
     m_codec = m_platform.makeCodec();
-    m_jobStore = std::make_unique<JobStore>(*m_store);
+    m_jobStore = std::make_unique<JobStore>(*m_callerStore);
     const auto wait = [this](Milliseconds pause, std::function<void()> call) {
         later(pause, std::move(call));
     };
-    HttpClientLimits ownerLimits = limits;
-    ownerLimits.m_maxConnectionsPerEndpoint = ownerConnections;
-    m_ownerClient = std::make_unique<HttpClient>(ownerLimits);
-    m_ownerStore = m_platform.makeStore(*m_ownerClient, parseEndpoint(m_settings.m_storeEndpoint).value_or(HttpEndpoint{}), m_settings.m_storeTimeout);
     m_commits = std::make_unique<OwnerCommit>(*m_ownerStore,
                                               OwnerCommit::Listener{.m_answered =
                                                                         [this](const CommitAnswer &answer) {
@@ -120,6 +114,68 @@
     m_ownerTimer->startNow();
 }
 
+auto FleetStoreDuty::makeStores() -> void
+{
+    HttpClientLimits limits;
+    limits.m_maxConnectionsPerEndpoint = storeConnections;
+    limits.m_connectTimeout = connectTimeout;
+    m_client = std::make_unique<HttpClient>(limits);
+    limits.m_maxConnectionsPerEndpoint = ownerConnections;
+    m_ownerClient = std::make_unique<HttpClient>(limits);
+    // The settings were validated, so the endpoint can be parsed.
+    const auto endpoint = parseEndpoint(m_settings.m_storeEndpoint).value_or(HttpEndpoint{});
+    m_platformStore = m_platform.makeStore(*m_client, endpoint, m_settings.m_storeTimeout);
+    m_ownerPlatformStore = m_platform.makeStore(*m_ownerClient, endpoint, m_settings.m_storeTimeout);
+    const auto viewOf = [this](ChangeStore &store, ObservedStore::DuringOutage duringOutage) {
+        return std::make_unique<ObservedStore>(store,
+                                               m_reachability,
+                                               duringOutage,
+                                               ObservedStore::Listener{.m_changed =
+                                                                           [this] {
+                                                                               applyStoreCondition();
+                                                                           },
+                                                                       .m_runLater =
+                                                                           [this](Milliseconds pause, std::function<void()> call) {
+                                                                               later(pause, std::move(call));
+                                                                           }});
+    };
+    m_store = viewOf(*m_platformStore, ObservedStore::DuringOutage::Call);
+    m_callerStore = viewOf(*m_platformStore, ObservedStore::DuringOutage::Refuse);
+    m_ownerStore = viewOf(*m_ownerPlatformStore, ObservedStore::DuringOutage::Call);
+}
+
+auto FleetStoreDuty::applyStoreCondition() -> void
+{
+    const auto &report = m_reachability.report();
+    logEvent(report.m_condition == StoreCondition::Answering ? LogLevel::Info : LogLevel::Warning,
+             "store_condition",
+             {{"condition", conditionName(report.m_condition)},
+              {"since_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - report.m_since).count()},
+              {"last_outage_ms", std::chrono::duration_cast<Milliseconds>(report.m_lastOutage).count()}});
+    m_toApi->push(StoreConditionChanged{report});
+    for (auto *const store : {m_store.get(), m_callerStore.get(), m_ownerStore.get()}) {
+        store->applyCondition();
+    }
+    if (report.m_condition == StoreCondition::Answering && m_jobRows) {
+        m_jobRows->probe();
+    }
+}
+
+auto FleetStoreDuty::probeStore() -> void
+{
+    // Calls of their own, because those under way may hang until their time-out; refused calls are repeated soon anyway.
+    if (m_reachability.isInDoubt(Clock::now())) {
+        if (m_reachability.condition() != StoreCondition::Refusing) {
+            m_configurationRows->probe();
+        }
+        later(probeInterval, [this] {
+            probeStore();
+        });
+    } else {
+        m_isProbing = false;
+    }
+}
+
 auto FleetStoreDuty::tearDown() -> void
 {
     *m_alive = false;
@@ -132,8 +188,11 @@
     m_commits.reset();
     m_jobStore.reset();
     m_ownerStore.reset();
-    m_ownerClient.reset();
+    m_callerStore.reset();
     m_store.reset();
+    m_ownerPlatformStore.reset();
+    m_ownerClient.reset();
+    m_platformStore.reset();
     m_client.reset();
     m_codec.reset();
     m_toScheduler.reset();
@@ -278,6 +337,10 @@
 auto FleetStoreDuty::pollOwner() -> void
 {
     m_ownerTimer->startNext();
+    if (!m_isProbing) {
+        m_isProbing = true;
+        probeStore();
+    }
     if (m_commits->isOwner()) {
         // The owner need not read the row: each of its commits checks the version, and the counts in the row are its own.
         const auto &row = m_commits->row();
--- a/src/fleet/tablefollower.cpp
+++ b/src/fleet/tablefollower.cpp
@@ -41,21 +41,29 @@
 auto TableFollower::startAfter(std::uint64_t version) -> void
 {
     m_version = version;
-    follow();
+    follow(m_options.m_wait);
+}
+
+auto TableFollower::probe() -> void
+{
+    if (m_isFollowing) {
+        follow(Milliseconds{0});
+    }
 }
 
 auto TableFollower::list(std::string_view after) -> void
 {
     m_listedUpTo = after;
+    m_isFollowing = false;
     if (after.empty()) {
         m_listingSince = Clock::now();
     }
-    m_store.list(m_table, {}, m_listedUpTo, listRows, [this, alive = m_alive](Result<RowPage> &&page) {
-        if (!*alive) {
+    m_store.list(m_table, {}, m_listedUpTo, listRows, [this, alive = m_alive, call = ++m_lastCall, round = ++m_round](Result<RowPage> &&page) {
+        if (!*alive || round != m_round) {
             return;
         }
         if (!page) {
-            handleFailure("list", page.error());
+            handleFailure("list", page.error(), call);
             return;
         }
         // The first page may lack changes made after it was read, so the changes are followed from its version on.
@@ -73,48 +81,58 @@
         const RowPage listing = std::exchange(m_listing, {});
         m_listener.m_listed(listing, m_listingSince);
         if (*alive) {
-            follow();
+            follow(m_options.m_wait);
         }
     });
 }
 
-auto TableFollower::follow() -> void
+auto TableFollower::follow(Milliseconds wait) -> void
 {
+    m_isFollowing = true;
     const TimePoint sentAt = Clock::now();
-    m_store.follow(m_table, m_version, m_options.m_wait, [this, alive = m_alive, sentAt](Result<RowPage> &&page) {
-        if (!*alive) {
+    m_store.follow(m_table, m_version, wait, [this, alive = m_alive, sentAt, wait, call = ++m_lastCall, round = m_round](Result<RowPage> &&page) {
+        // The first answer to one of several calls for the same changes counts.
+        if (!*alive || round != m_round) {
             return;
         }
         if (!page) {
-            handleFailure("follow", page.error());
-            return;
-        }
-        recordAnswer();
-        if (page->m_isHistoryCompacted) {
-            logEvent(LogLevel::Warning, "table_history_gone", {{"table", m_table}, {"version", m_version}});
-            relist();
-            return;
-        }
-        m_version = std::max(m_version, page->m_version);
-        // An answer without changes comes at the end of the wait, so it confirms the time of its end rather than that of the call.
-        m_listener.m_changed(*page, page->m_rows.empty() ? std::min(Clock::now(), sentAt + m_options.m_wait) : sentAt);
-        if (!*alive) {
+            handleFailure("follow", page.error(), call);
             return;
         }
-        if (m_options.m_pause.count() == 0) {
-            follow();
-            return;
+        takeChanges(*page, sentAt, wait);
+    });
+}
+
+auto TableFollower::takeChanges(const RowPage &page, TimePoint sentAt, Milliseconds wait) -> void
+{
+    ++m_round;
+    recordAnswer();
+    if (page.m_isHistoryCompacted) {
+        logEvent(LogLevel::Warning, "table_history_gone", {{"table", m_table}, {"version", m_version}});
+        relist();
+        return;
+    }
+    m_version = std::max(m_version, page.m_version);
+    // An answer without changes comes at the end of the wait, so it confirms the time of its end rather than that of the call.
+    const auto alive = m_alive;
+    m_listener.m_changed(page, page.m_rows.empty() ? std::min(Clock::now(), sentAt + wait) : sentAt);
+    if (!*alive) {
+        return;
+    }
+    if (m_options.m_pause.count() == 0) {
+        follow(m_options.m_wait);
+        return;
+    }
+    m_listener.m_runLater(m_options.m_pause, [this, alive, round = m_round] {
+        if (*alive && round == m_round) {
+            follow(m_options.m_wait);
         }
-        m_listener.m_runLater(m_options.m_pause, [this, alive] {
-            if (*alive) {
-                follow();
-            }
-        });
     });
 }
 
 auto TableFollower::relist() -> void
 {
+    m_isFollowing = false;
     if (m_listener.m_lost) {
         m_listener.m_lost();
     } else {
@@ -131,8 +149,12 @@
     }
 }
 
-auto TableFollower::handleFailure(std::string_view step, const Error &error) -> void
+auto TableFollower::handleFailure(std::string_view step, const Error &error, std::uint64_t call) -> void
 {
+    if (call != m_lastCall) {
+        // A later call for the same rows is under way.
+        return;
+    }
     if (!m_failingSince) {
         m_failingSince = Clock::now();
         logEvent(LogLevel::Warning, "table_unreachable", {{"table", m_table}, {"step", step}, {"version", m_version}, {"reason", error.m_message}});
@@ -144,8 +166,8 @@
         m_feedTimeouts = 0;
         logEvent(LogLevel::Warning, "table_feed_too_slow", {{"table", m_table}, {"version", m_version}});
     }
-    m_listener.m_runLater(m_options.m_retry, [this, alive = m_alive, isFeed, isTooLarge] {
-        if (!*alive) {
+    m_listener.m_runLater(m_options.m_retry, [this, alive = m_alive, call, isFeed, isTooLarge] {
+        if (!*alive || call != m_lastCall) {
             return;
         }
         if (!isFeed) {
@@ -154,7 +176,8 @@
         } else if (isTooLarge) {
             relist();
         } else {
-            follow();
+            // After an outage the first answer must not wait for a change: the host serves nobody until it has one.
+            follow(Milliseconds{0});
         }
     });
 }
--- a/tests/tablefollowertest.cpp
+++ b/tests/tablefollowertest.cpp
@@ -32,9 +32,10 @@
         m_calls.push_back(std::move(callback));
     }
 
-    auto follow(std::string_view /*table*/, std::uint64_t version, Milliseconds /*wait*/, PageCallback callback) -> void override
+    auto follow(std::string_view /*table*/, std::uint64_t version, Milliseconds wait, PageCallback callback) -> void override
     {
         m_followedFrom = version;
+        m_followWait = wait;
         m_calls.push_back(std::move(callback));
     }
 
@@ -48,6 +49,7 @@
 
     std::deque<PageCallback> m_calls;
     std::uint64_t m_followedFrom = 0;
+    Milliseconds m_followWait{0}; ///< of the last call for changes
     std::uint32_t m_listLimit = 0; ///< of the last list
     std::string m_listedAfter; ///< name after which the last list begins
 };
@@ -170,3 +172,68 @@
     EXPECT_EQ(rows, 2U);
     EXPECT_EQ(store.m_followedFrom, 7U) << "changes after the first page may be missing from it";
 }
+
+// Guards against a host that refuses callers for 0.8 s after the return of the store, because its first call waits for a change of the
+// configuration before it confirms it.
+TEST(TableFollowerTest, TheFirstCallAfterAnOutageDoesNotWaitForChanges)
+{
+    ManualStore store;
+    std::deque<std::function<void()>> later;
+    int confirmations = 0;
+    TableFollower follower(store,
+                           "table",
+                           {.m_wait = Milliseconds{800}},
+                           {.m_listed = [](const RowPage &, TimePoint) {},
+                            .m_changed =
+                                [&confirmations](const RowPage &, TimePoint confirmedAt) {
+                                    EXPECT_LE(confirmedAt, Clock::now());
+                                    ++confirmations;
+                                },
+                            .m_lost = nullptr,
+                            .m_runLater =
+                                [&later](Milliseconds, std::function<void()> call) {
+                                    later.push_back(std::move(call));
+                                }});
+    follower.startAfter(7);
+    EXPECT_EQ(store.m_followWait, Milliseconds{800});
+    store.answer(failure(ErrorCode::Unavailable, "reset"));
+    later.front()();
+    EXPECT_EQ(store.m_followWait, Milliseconds{0});
+    store.answer(pageAt(7));
+    EXPECT_EQ(confirmations, 1);
+    EXPECT_EQ(store.m_followWait, Milliseconds{800});
+}
+
+// Guards against a follower that waits for the time-out of its call in a silent store although a later call is answered, and against
+// changes that are taken twice when both are answered.
+TEST(TableFollowerTest, AProbeIsAnsweredInPlaceOfACallThatHangs)
+{
+    ManualStore store;
+    std::deque<std::function<void()>> later;
+    std::vector<std::uint64_t> versions;
+    TableFollower follower(store,
+                           "table",
+                           {.m_wait = Milliseconds{800}},
+                           {.m_listed = [](const RowPage &, TimePoint) {},
+                            .m_changed =
+                                [&versions](const RowPage &page, TimePoint) {
+                                    versions.push_back(page.m_version);
+                                },
+                            .m_lost = nullptr,
+                            .m_runLater =
+                                [&later](Milliseconds, std::function<void()> call) {
+                                    later.push_back(std::move(call));
+                                }});
+    follower.startAfter(7);
+    follower.probe();
+    EXPECT_EQ(store.m_followWait, Milliseconds{0});
+    follower.probe();
+    ASSERT_EQ(store.m_calls.size(), 3U);
+    store.answer(failure(ErrorCode::Timeout, "no response in time"));
+    EXPECT_TRUE(later.empty()) << "later calls are under way";
+    store.answer(pageAt(9));
+    EXPECT_EQ(store.m_followedFrom, 9U);
+    store.answer(pageAt(8));
+    EXPECT_EQ(versions, (std::vector<std::uint64_t>{9})) << "changes before version 9 were taken with the first answer";
+    EXPECT_EQ(store.m_calls.size(), 1U) << "one call at a time once the store answers";
+}
