Settle a commit without an answer by reading the owner's row after 0.4 s

Cause: a commit whose answer was lost held up all starts until its time-out of 1.2 s and the read after it, although it was stored.

Change: OwnerCommit reads the row while an answer is late. A row with the number of the commit settles it as stored, a row of another owner ends the ownership; anything else leaves the commit under way, because it may still take effect.

--- a/include/burdockspur/fleet/ownercommit.hpp
+++ b/include/burdockspur/fleet/ownercommit.hpp
@@ -23,7 +23,7 @@
 ///
 /// Each commit requires the version of the owner's row that the previous one left. After a commit with a conflict or an unknown
 /// outcome the row is read back: its commit number shows which commit was the last to take effect, and its host, incarnation and
-/// epoch show whether this process is still the owner.
+/// epoch show whether this process is still the owner. The row is also read while an answer is late, because it may be lost.
 class OwnerCommit
 {
 public:
@@ -76,6 +76,9 @@
 
 private:
     auto readBack(std::uint64_t number, std::uint64_t generation) -> void;
+    auto readWhileUnanswered(std::uint64_t number, std::uint64_t call) -> void;
+    auto lose(const Result<FleetOwnerRow> &current) -> void;
+    [[nodiscard]] auto isOwnRow(const Result<FleetOwnerRow> &row) const -> bool;
     auto finish(std::uint64_t number, bool isStored) -> void;
 
     ChangeStore &m_store;
@@ -86,6 +89,8 @@
     TimePoint m_sentAt; ///< time at which the commit in flight was sent
     TimePoint m_storedAt; ///< time at which the last stored commit was sent
     std::uint64_t m_generation = 0; ///< identifies the ownership; answers with another generation are ignored
+    std::uint64_t m_call = 0; ///< identifies the transaction whose answer is awaited; 0 when it has been settled
+    std::uint64_t m_lastCall = 0;
     bool m_isOwner = false;
     bool m_inFlight = false;
 };
--- a/src/fleet/ownercommit.cpp
+++ b/src/fleet/ownercommit.cpp
@@ -10,12 +10,20 @@
 {
 /// Pause between two attempts to read back the owner's row after a commit with a conflict or an unknown outcome.
 constexpr Milliseconds readBackPause{150};
+/// Time without an answer after which the row is read to see whether the commit was stored. Answers that are not lost take some 10 ms, and
+/// all starts wait for the commit.
+constexpr Milliseconds lateAnswer{400};
 
 [[nodiscard]] auto writtenVersion(const CommitResult &result, std::string_view key) -> std::uint64_t
 {
     const auto row = std::ranges::find(result.m_rows, key, &TableRow::m_key);
     return row == result.m_rows.end() ? 0 : row->m_version;
 }
+
+[[nodiscard]] auto decodeCurrent(const std::vector<TableRow> &rows) -> Result<FleetOwnerRow>
+{
+    return rows.empty() ? Result<FleetOwnerRow>(failure(ErrorCode::UnknownJob, "absent")) : decodeFleetOwnerRow(rows.front().m_value);
+}
 }
 
 OwnerCommit::OwnerCommit(ChangeStore &store, Listener listener)
@@ -38,6 +46,7 @@
     ++m_generation;
     m_isOwner = false;
     m_inFlight = false;
+    m_call = 0;
 }
 
 auto OwnerCommit::waitingJobs() const -> std::optional<WaitingJobs>
@@ -67,10 +76,15 @@
     transaction.m_puts = order.m_puts;
     transaction.m_puts.push_back({std::string(fleetOwnerKey), encodeRow(m_pendingRow)});
     transaction.m_deletes = order.m_deletes;
-    m_store.commit(transaction, [this, number = order.m_number, generation = m_generation](CommitResult &&result) {
-        if (generation != m_generation) {
+    m_call = ++m_lastCall;
+    m_listener.m_runLater(lateAnswer, [this, number = order.m_number, call = m_call] {
+        readWhileUnanswered(number, call);
+    });
+    m_store.commit(transaction, [this, number = order.m_number, generation = m_generation, call = m_call](CommitResult &&result) {
+        if (call != m_call) {
             return;
         }
+        m_call = 0;
         switch (result.m_status) {
         case CommitResult::Status::Committed:
             m_version = writtenVersion(result, fleetOwnerKey);
@@ -90,6 +104,47 @@
     });
 }
 
+auto OwnerCommit::readWhileUnanswered(std::uint64_t number, std::uint64_t call) -> void
+{
+    if (call != m_call) {
+        return;
+    }
+    m_store.read(fleetOwnerKey, [this, number, call](Result<std::vector<TableRow>> &&rows) {
+        if (call != m_call) {
+            return;
+        }
+        const auto current = rows ? decodeCurrent(*rows) : Result<FleetOwnerRow>(std::unexpected(rows.error()));
+        if (rows && !isOwnRow(current)) {
+            lose(current);
+            return;
+        }
+        if (current && current->m_commit == number) {
+            logEvent(LogLevel::Info, "commit_settled", {{"commit", number}, {"epoch", m_row.m_epoch}});
+            m_call = 0;
+            m_version = rows->front().m_version;
+            m_row = *current;
+            finish(number, true);
+            return;
+        }
+        // The transaction may still be under way, so only its own end shows that it was not stored.
+        m_listener.m_runLater(lateAnswer, [this, number, call] {
+            readWhileUnanswered(number, call);
+        });
+    });
+}
+
+auto OwnerCommit::isOwnRow(const Result<FleetOwnerRow> &row) const -> bool
+{
+    return row && row->m_epoch == m_row.m_epoch && row->m_incarnation == m_row.m_incarnation && row->m_host == m_row.m_host;
+}
+
+auto OwnerCommit::lose(const Result<FleetOwnerRow> &current) -> void
+{
+    logEvent(LogLevel::Warning, "ownership_lost", {{"epoch", m_row.m_epoch}, {"owner", current ? current->m_host : std::string()}});
+    end();
+    m_listener.m_lost();
+}
+
 auto OwnerCommit::readBack(std::uint64_t number, std::uint64_t generation) -> void
 {
     m_store.read(fleetOwnerKey, [this, number, generation](Result<std::vector<TableRow>> &&rows) {
@@ -104,12 +159,9 @@
             });
             return;
         }
-        const auto current = rows->empty() ? Result<FleetOwnerRow>(failure(ErrorCode::UnknownJob, "absent")) : decodeFleetOwnerRow(rows->front().m_value);
-        const bool isOwnRow = current && current->m_epoch == m_row.m_epoch && current->m_incarnation == m_row.m_incarnation && current->m_host == m_row.m_host;
-        if (!isOwnRow) {
-            logEvent(LogLevel::Warning, "ownership_lost", {{"epoch", m_row.m_epoch}, {"owner", current ? current->m_host : std::string()}});
-            end();
-            m_listener.m_lost();
+        const auto current = decodeCurrent(*rows);
+        if (!isOwnRow(current)) {
+            lose(current);
             return;
         }
         m_version = rows->front().m_version;
