--- /dev/null
+++ b/tests/processes/crowdendlessstoreheadstest.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# The store sends answers whose heads never end. Guards against a process whose memory grows with what it receives.
+set -euo pipefail
+exec python3 "$(dirname "$0")/crowd.py" "$1" endless_store_heads
