--- a/include/burdockspur/fleet/apiduty.hpp
+++ b/include/burdockspur/fleet/apiduty.hpp
@@ -19,6 +19,7 @@
 namespace Burdockspur
 {
 class AdminServer;
+class ClientGuard;
 class FleetCodec;
 class FleetMetrics;
 class FleetPlatform;
@@ -59,6 +60,7 @@
     };
 
     [[nodiscard]] auto listen() -> Result<void>;
+    auto answerReadinessCheck(ExchangeId exchange) -> void;
     auto processInputs() -> void;
     auto on(ConfigurationConfirmed &&input) -> void;
     auto on(PendingCounts &&input) -> void;
@@ -85,6 +87,7 @@
     std::promise<Result<void>> m_ports;
     std::unique_ptr<FleetCodec> m_codec;
     std::unique_ptr<QObject> m_timers; ///< parent of the timers; delayed calls are cancelled when it is destroyed
+    std::shared_ptr<ClientGuard> m_clients; ///< what the clients of all ports may hold
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_readyServer;
     std::unique_ptr<AdminServer> m_admin;
--- a/include/burdockspur/fleet/fleetmetrics.hpp
+++ b/include/burdockspur/fleet/fleetmetrics.hpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/fleet/fleetanswer.hpp"
+#include "burdockspur/link/clientcounts.hpp"
 #include "burdockspur/operations/metrics.hpp"
 
 #include <array>
@@ -50,6 +51,9 @@
     /// @param longestIdle longest such time
     auto recordWaits(std::size_t idleJobs, Duration longestIdle) -> void;
 
+    /// @brief Records what the clients hold and what was closed or refused; to be called from one thread.
+    auto recordClients(const ClientCounts &counts) -> void;
+
 private:
     static constexpr std::size_t orderCount = 4;
     static constexpr std::size_t outcomeCount = static_cast<std::size_t>(OrderOutcome::NoAnswer) + 1;
@@ -65,5 +69,8 @@
     prometheus::Gauge &m_waiting;
     prometheus::Gauge &m_idleJobs;
     prometheus::Gauge &m_longestIdle;
+    prometheus::Gauge &m_clientBytes;
+    prometheus::Gauge &m_clientConnections;
+    ClientCounts m_clientCounts; ///< as of the last recordClients()
 };
 }
--- a/include/burdockspur/fleet/fleetsettings.hpp
+++ b/include/burdockspur/fleet/fleetsettings.hpp
@@ -5,12 +5,17 @@
 #include "burdockspur/fleet/hostcapacity.hpp"
 #include "burdockspur/operations/settingstable.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <string>
 
 namespace Burdockspur
 {
+struct ClientLimits;
+struct HttpClientLimits;
+struct HttpLimits;
+
 /// @brief Settings of burdockspur-host.
 struct FleetSettings {
     std::string m_hostName;
@@ -18,6 +23,11 @@
     double m_cpuShare = 0; ///< usable share of each processor; 0 when not known
     double m_cores = 1;
     double m_linkMbps = 0; ///< 0 when not known
+    std::uint64_t m_memoryMb = 0; ///< 0 when not known
+    std::uint64_t m_maxFds = 0; ///< 0 when not known
+    std::uint64_t m_clientMemoryPercent = 33;
+    std::uint64_t m_answerMemoryPercent = 12;
+    std::uint64_t m_maxClientConnections = 1'024;
     std::string m_logLevel = "info";
     std::uint64_t m_logLines = 2'000; ///< maximum per second; hosts with 66 workers wrote up to 1,138 on a day of high load
     std::string m_callersEndpoint; ///< ADDRESS:PORT
@@ -44,4 +54,19 @@
 
 /// @brief Capacity of the host according to its settings.
 [[nodiscard]] auto hostCapacityOf(const FleetSettings &settings) noexcept -> HostCapacity;
+
+/// @brief What the clients of all ports may hold together.
+[[nodiscard]] auto clientLimitsOf(const FleetSettings &settings) noexcept -> ClientLimits;
+
+/// @brief Limits of the callers' port.
+[[nodiscard]] auto callerLimitsOf(const FleetSettings &settings) noexcept -> HttpLimits;
+
+/// @brief Limits of the port for readiness checks.
+[[nodiscard]] auto readyLimitsOf(const FleetSettings &settings) noexcept -> HttpLimits;
+
+/// @brief Maximum number of connections to the port of the metrics.
+[[nodiscard]] auto metricsConnectionsOf(const FleetSettings &settings) noexcept -> std::size_t;
+
+/// @brief Limits of what the host receives from the store, or from the workers.
+[[nodiscard]] auto answerLimitsOf(const FleetSettings &settings) noexcept -> HttpClientLimits;
 }
--- a/include/burdockspur/fleet/workercallduty.hpp
+++ b/include/burdockspur/fleet/workercallduty.hpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/core/eventloopduty.hpp"
 #include "burdockspur/fleet/fleetrings.hpp"
+#include "burdockspur/link/httpclient.hpp"
 
 #include <memory>
 #include <vector>
@@ -9,7 +10,6 @@
 namespace Burdockspur
 {
 class FleetPlatform;
-class HttpClient;
 class RunWorkerPort;
 template<typename T>
 class RingOutbox;
@@ -18,9 +18,10 @@
 class WorkerCallDuty final : public EventLoopDuty
 {
 public:
+    /// @param limits limits of what the workers' answers may hold; the numbers of connections are the duty's own
     /// @param platform must outlive the duty
     /// @param rings must outlive the duty
-    WorkerCallDuty(const FleetPlatform &platform, FleetRings &rings);
+    WorkerCallDuty(const HttpClientLimits &limits, const FleetPlatform &platform, FleetRings &rings);
     ~WorkerCallDuty() override;
 
 protected:
@@ -30,6 +31,7 @@
 private:
     auto sendOrders() -> void;
 
+    HttpClientLimits m_limits;
     const FleetPlatform &m_platform;
     FleetRings &m_rings;
     std::unique_ptr<RingOutbox<FleetInput>> m_toScheduler;
--- a/include/burdockspur/impl/inputbuffer.hpp
+++ b/include/burdockspur/impl/inputbuffer.hpp
@@ -60,11 +60,23 @@
 
     auto clear() noexcept -> void
     {
+        if (m_bytes.capacity() > keptBytes) {
+            m_bytes = std::string();
+        }
         m_bytes.clear();
         m_offset = 0;
     }
 
+    /// @brief Bytes allocated.
+    [[nodiscard]] auto capacity() const noexcept -> std::size_t
+    {
+        return m_bytes.capacity();
+    }
+
 private:
+    /// A buffer of this size stays allocated between two messages; most messages are smaller.
+    static constexpr std::size_t keptBytes = std::size_t{16} * 1024;
+
     std::string m_bytes;
     std::size_t m_offset = 0;
 };
--- a/include/burdockspur/impl/jsonvalue.hpp
+++ b/include/burdockspur/impl/jsonvalue.hpp
@@ -28,11 +28,15 @@
 /// megabytes, on hosts with 160 MB.
 inline constexpr int maxLevels = 32;
 
-/// @brief True if the brackets of a text are nested more deeply than maxLevels.
-/// @param text any bytes; brackets inside strings do not count
-[[nodiscard]] inline auto isTooDeep(std::string_view text) noexcept -> bool
+/// Lists of the platform have at most 500 rows or 1 MB. A list of millions of empty values would take many times its bytes.
+inline constexpr std::size_t maxValues = 200'000;
+
+/// @brief True if a text has more than maxLevels levels or maxValues values.
+/// @param text any bytes; brackets and commas inside strings do not count
+[[nodiscard]] inline auto isTooComplex(std::string_view text) noexcept -> bool
 {
     int levels = 0;
+    std::size_t values = 0;
     bool isInString = false;
     for (std::size_t i = 0; i < text.size(); ++i) {
         const char character = text[i];
@@ -42,7 +46,11 @@
         } else if (character == '"') {
             isInString = true;
         } else if (character == '[' || character == '{') {
-            if (++levels > maxLevels) {
+            if (++levels > maxLevels || ++values > maxValues) {
+                return true;
+            }
+        } else if (character == ',') {
+            if (++values > maxValues) {
                 return true;
             }
         } else if (character == ']' || character == '}') {
@@ -55,10 +63,10 @@
 /// @brief Parses a text that must be one JSON object.
 /// @param document receives the object; in this mode, nlohmann's parser neither recurses nor throws
 /// @param text any bytes
-/// @returns false for anything else, and for a document with more than maxLevels levels
+/// @returns false for anything else, and for a document with more than maxLevels levels or maxValues values
 [[nodiscard]] inline auto parseObject(Value &document, std::string_view text) -> bool
 {
-    if (isTooDeep(text)) {
+    if (isTooComplex(text)) {
         document = Value(nullptr);
         return false;
     }
--- a/include/burdockspur/impl/requestparser.hpp
+++ b/include/burdockspur/impl/requestparser.hpp
@@ -47,6 +47,12 @@
     /// @brief Returns the complete request; the parser is then ready for the next one.
     [[nodiscard]] auto take() -> HttpRequest;
 
+    /// @brief Drops the current request and what is allocated for it.
+    auto discard() -> void;
+
+    /// @brief Bytes allocated for the current request; fields are estimated.
+    [[nodiscard]] auto heldBytes() const noexcept -> std::size_t;
+
 private:
     class Private;
     std::unique_ptr<Private> m_d;
--- a/include/burdockspur/impl/responseparser.hpp
+++ b/include/burdockspur/impl/responseparser.hpp
@@ -41,6 +41,9 @@
     /// @brief Returns the complete response.
     [[nodiscard]] auto take() -> HttpResponse;
 
+    /// @brief Bytes allocated for the current response; fields are estimated.
+    [[nodiscard]] auto heldBytes() const noexcept -> std::size_t;
+
 private:
     class Private;
     std::unique_ptr<Private> m_d;
--- a/include/burdockspur/link/httpserver.hpp
+++ b/include/burdockspur/link/httpserver.hpp
@@ -12,6 +12,8 @@
 
 namespace Burdockspur
 {
+class ClientGuard;
+
 /// @brief Identifies an unanswered request of a connection.
 struct ExchangeId {
     std::uint64_t m_connection = 0;
@@ -24,7 +26,8 @@
 ///
 /// Lives in the thread of an EventLoopDuty; all members must be called there. Responses may be passed at any
 /// time and in any order; each connection sends them in the order of its requests. The server itself answers
-/// malformed or oversized requests with a JSON error and a stable code.
+/// malformed or oversized requests with a JSON error and a stable code. When clients hold too much memory, it closes connections or refuses
+/// complete requests with 503 before the handler gets them.
 ///
 /// @code
 /// HttpServer server(limits, [&](ExchangeId id, HttpRequest &&request) { server.respond(id, jsonResponse(200, "{}")); });
@@ -36,7 +39,10 @@
     /// @brief Receives each complete request, which must be answered with respond(), now or later.
     using Handler = std::function<void(ExchangeId, HttpRequest &&)>;
 
-    HttpServer(const HttpLimits &limits, Handler handler);
+    /// @param limits limits of each connection
+    /// @param handler receives the requests
+    /// @param guard budget that servers of one thread share; nullptr for one of its own with HttpLimits::m_maxHeldBytes
+    HttpServer(const HttpLimits &limits, Handler handler, std::shared_ptr<ClientGuard> guard = nullptr);
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer(HttpServer &&) = delete;
--- a/src/fleet/apiduty.cpp
+++ b/src/fleet/apiduty.cpp
@@ -1,6 +1,7 @@
 #include "burdockspur/fleet/apiduty.hpp"
 
 #include "burdockspur/fleet/fleetmetrics.hpp"
+#include "burdockspur/link/clientguard.hpp"
 #include "burdockspur/link/endpointtext.hpp"
 #include "burdockspur/operations/adminserver.hpp"
 #include "burdockspur/operations/log.hpp"
@@ -90,22 +91,19 @@
 {
     m_codec = m_platform.makeCodec();
     m_timers = std::make_unique<QObject>();
-    HttpLimits limits;
-    limits.m_maxBodyBytes = FleetConfiguration{}.m_maxBodyBytes;
-    limits.m_maxHeaderBytes = FleetConfiguration{}.m_maxHeaderBytes;
-    limits.m_requestTimeout = FleetConfiguration{}.m_headerTimeout;
-    limits.m_idleTimeout = FleetConfiguration{}.m_idleTimeout;
-    m_callerServer = std::make_unique<HttpServer>(limits, [this](ExchangeId exchange, HttpRequest &&request) {
-        serve(exchange, request);
-    });
-    m_readyServer = std::make_unique<HttpServer>(limits, [this](ExchangeId exchange, HttpRequest && /*request*/) {
-        const TimePoint now = Clock::now();
-        const bool ready = isReady(now);
-        if (ready != std::exchange(m_wasReady, ready)) {
-            logEvent(LogLevel::Info, "ready_changed", {{"ready", ready}, {"configuration_age_ms", ageInMs(now, m_confirmedAt)}, {"draining", m_isDraining}});
-        }
-        m_readyServer->respond(exchange, jsonResponse(ready ? 200 : 503, "{}"));
-    });
+    m_clients = std::make_shared<ClientGuard>(clientLimitsOf(m_settings));
+    m_callerServer = std::make_unique<HttpServer>(
+        callerLimitsOf(m_settings),
+        [this](ExchangeId exchange, HttpRequest &&request) {
+            serve(exchange, request);
+        },
+        m_clients);
+    m_readyServer = std::make_unique<HttpServer>(
+        readyLimitsOf(m_settings),
+        [this](ExchangeId exchange, HttpRequest && /*request*/) {
+            answerReadinessCheck(exchange);
+        },
+        m_clients);
     m_admin = std::make_unique<AdminServer>(
         m_metrics,
         [this] {
@@ -113,13 +111,28 @@
         },
         [] {
             return false;
-        });
+        },
+        m_clients,
+        metricsConnectionsOf(m_settings));
+    m_admin->beforeMetrics([this] {
+        m_fleetMetrics.recordClients(m_clients->counts());
+    });
     watch(m_rings.m_api.wakeDescriptor(), [this] {
         processInputs();
     });
     m_ports.set_value(listen());
 }
 
+auto ApiDuty::answerReadinessCheck(ExchangeId exchange) -> void
+{
+    const TimePoint now = Clock::now();
+    const bool ready = isReady(now);
+    if (ready != std::exchange(m_wasReady, ready)) {
+        logEvent(LogLevel::Info, "ready_changed", {{"ready", ready}, {"configuration_age_ms", ageInMs(now, m_confirmedAt)}, {"draining", m_isDraining}});
+    }
+    m_readyServer->respond(exchange, jsonResponse(ready ? 200 : 503, "{}"));
+}
+
 auto ApiDuty::listen() -> Result<void>
 {
     const auto open = [](auto &server, std::string_view text) -> Result<void> {
@@ -145,6 +158,7 @@
     m_admin.reset();
     m_readyServer.reset();
     m_callerServer.reset();
+    m_clients.reset();
 }
 
 auto ApiDuty::hasFreshConfiguration(TimePoint now) const -> bool
--- a/src/fleet/fleetmetrics.cpp
+++ b/src/fleet/fleetmetrics.cpp
@@ -29,6 +29,8 @@
     , m_waiting(metrics.gauge("burdockspur_waiting_tasks", "Tasks that wait for capacity"))
     , m_idleJobs(metrics.gauge("burdockspur_idle_jobs", "Jobs with a waiting task that had no run for more than a second"))
     , m_longestIdle(metrics.gauge("burdockspur_longest_idle_seconds", "Longest time for which a job with a waiting task has no run"))
+    , m_clientBytes(metrics.gauge("burdockspur_client_bytes", "Memory held by the clients of all ports"))
+    , m_clientConnections(metrics.gauge("burdockspur_client_connections", "Open connections of the clients of all ports"))
 {
 }
 
@@ -65,4 +67,27 @@
     m_idleJobs.Set(static_cast<double>(idleJobs));
     m_longestIdle.Set(seconds(longestIdle));
 }
+
+auto FleetMetrics::recordClients(const ClientCounts &counts) -> void
+{
+    struct Row {
+        std::string_view m_action;
+        std::uint64_t ClientCounts::*m_count;
+    };
+    static constexpr std::array<Row, 4> rows{{
+        {"closed_for_memory", &ClientCounts::m_closedForMemory},
+        {"closed_for_descriptor", &ClientCounts::m_closedForDescriptor},
+        {"refused_connection", &ClientCounts::m_refusedConnections},
+        {"refused_request", &ClientCounts::m_refusedRequests},
+    }};
+    m_clientBytes.Set(static_cast<double>(counts.m_heldBytes));
+    m_clientConnections.Set(static_cast<double>(counts.m_connections));
+    for (const auto &row : rows) {
+        m_metrics
+            .counter(
+                "burdockspur_clients_limited_total", "Connections and requests of clients that were closed or refused", {{"action", std::string(row.m_action)}})
+            .Increment(static_cast<double>(counts.*row.m_count - m_clientCounts.*row.m_count));
+    }
+    m_clientCounts = counts;
+}
 }
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -1,12 +1,56 @@
 #include "burdockspur/fleet/fleetsettings.hpp"
 
+#include "burdockspur/contract/fleetconfiguration.hpp"
+#include "burdockspur/link/clientlimits.hpp"
 #include "burdockspur/link/endpointtext.hpp"
+#include "burdockspur/link/httpclient.hpp"
+#include "burdockspur/link/httplimits.hpp"
 #include "burdockspur/operations/log.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace Burdockspur
 {
+namespace
+{
+/// Memory and descriptors of the smallest hosts, for a host whose settings do not tell them.
+constexpr std::uint64_t assumedMemoryMb = 160;
+constexpr std::uint64_t assumedFds = 4'100;
+constexpr std::size_t bytesPerMb = std::size_t{1024} * 1024;
+/// A server keeps at least this many connections, also on a host with few descriptors.
+constexpr std::size_t fewestConnections = 8;
+
+/// Divisors of the descriptors of the process; the others are for the store, the workers and the owner's connections to them.
+constexpr std::size_t callersPart = 4;
+constexpr std::size_t readyPart = 64;
+constexpr std::size_t metricsPart = 128;
+/// Connections above the limit of a server that may read an error, as a part of the limit.
+constexpr std::size_t rejectedPart = 16;
+
+/// Part of the clients' memory that only ordinary connections use.
+constexpr std::size_t keptPart = 8;
+
+[[nodiscard]] auto memoryBytesOf(const FleetSettings &settings, std::uint64_t percent) noexcept -> std::size_t
+{
+    constexpr std::uint64_t wholePercent = 100;
+    return (settings.m_memoryMb == 0 ? assumedMemoryMb : settings.m_memoryMb) * bytesPerMb * percent / wholePercent;
+}
+
+[[nodiscard]] auto connectionsOf(const FleetSettings &settings, std::size_t part) noexcept -> std::size_t
+{
+    const std::size_t descriptors = settings.m_maxFds == 0 ? assumedFds : settings.m_maxFds;
+    return std::max(fewestConnections, descriptors / part);
+}
+
+[[nodiscard]] auto withConnections(HttpLimits limits, std::size_t connections) noexcept -> HttpLimits
+{
+    limits.m_maxConnections = connections;
+    limits.m_maxRejected = std::max(fewestConnections, std::min(limits.m_maxRejected, connections / rejectedPart));
+    return limits;
+}
+}
+
 auto fleetSettingsTable() -> SettingsTable<FleetSettings>
 {
     using enum SettingKind;
@@ -17,12 +61,15 @@
     static constexpr SettingRange period{1, 3'600'000};
     static constexpr SettingRange bytes{1'024, 1e8};
     static constexpr SettingRange seconds{1, 86'400};
-    static constexpr std::array<SettingsField<S>, 18> table{{
+    static constexpr SettingRange percent{1, 80};
+    static constexpr std::array<SettingsField<S>, 23> table{{
         {"host.name", &S::m_hostName, Text, Required, name, "", "Name of this entry host"},
         {"host.zone", &S::m_zone, Text, Required, name, "", "Availability zone"},
         {"host.cpu_share", &S::m_cpuShare, Number, Optional, SettingRange{0, 1e3}, "", "Share of each processor that the host may use; 0 if not known"},
         {"host.cores", &S::m_cores, Number, Optional, SettingRange{0, 1e4}, "", "Processors of the host"},
         {"host.link_mbps", &S::m_linkMbps, Number, Optional, SettingRange{0, 1e7}, "Mbit/s", "Link of the host; 0 if not known"},
+        {"host.memory_mb", &S::m_memoryMb, Integer, Optional, SettingRange{0, 1e7}, "MB", "Memory of the host; 0 if not known, which counts as 160"},
+        {"host.max_fds", &S::m_maxFds, Integer, Optional, SettingRange{0, 1e7}, "", "Descriptors of the process; 0 if not known, which counts as 4100"},
         {"log.level", &S::m_logLevel, Text, Optional, name, "", "debug, info, warning or error"},
         {"log.lines_per_s",
          &S::m_logLines,
@@ -32,6 +79,27 @@
          "lines",
          "Maximum number of log lines per second below warnings; 0 for no limit"},
         {"callers.endpoint", &S::m_callersEndpoint, Text, Required, endpoint, "", "ADDRESS:PORT for callers"},
+        {"clients.memory_percent",
+         &S::m_clientMemoryPercent,
+         Integer,
+         Optional,
+         percent,
+         "%",
+         "Part of host.memory_mb that the clients of all ports may hold together; beyond it, connections are closed"},
+        {"clients.max_connections",
+         &S::m_maxClientConnections,
+         Integer,
+         Optional,
+         SettingRange{16, 1e6},
+         "connections",
+         "Maximum number of open connections of callers; at most a quarter of host.max_fds"},
+        {"answers.memory_percent",
+         &S::m_answerMemoryPercent,
+         Integer,
+         Optional,
+         percent,
+         "%",
+         "Part of host.memory_mb that incomplete answers of the store, or of the workers, may hold"},
         {"ready.endpoint", &S::m_readyEndpoint, Text, Required, endpoint, "", "ADDRESS:PORT for the readiness checks of the load balancer"},
         {"metrics.endpoint", &S::m_metricsEndpoint, Text, Required, endpoint, "", "ADDRESS:PORT of the metrics"},
         {"store.endpoint", &S::m_storeEndpoint, Text, Required, endpoint, "", "ADDRESS:PORT of the table service"},
@@ -101,6 +169,42 @@
     return limits;
 }
 
+auto clientLimitsOf(const FleetSettings &settings) noexcept -> ClientLimits
+{
+    ClientLimits limits;
+    limits.m_totalBytes = memoryBytesOf(settings, settings.m_clientMemoryPercent);
+    limits.m_keptBytes = limits.m_totalBytes / keptPart;
+    return limits;
+}
+
+auto callerLimitsOf(const FleetSettings &settings) noexcept -> HttpLimits
+{
+    HttpLimits limits;
+    limits.m_maxBodyBytes = FleetConfiguration{}.m_maxBodyBytes;
+    limits.m_maxHeaderBytes = FleetConfiguration{}.m_maxHeaderBytes;
+    limits.m_requestTimeout = FleetConfiguration{}.m_headerTimeout;
+    limits.m_idleTimeout = FleetConfiguration{}.m_idleTimeout;
+    return withConnections(limits, std::min<std::size_t>(settings.m_maxClientConnections, connectionsOf(settings, callersPart)));
+}
+
+auto readyLimitsOf(const FleetSettings &settings) noexcept -> HttpLimits
+{
+    return withConnections(callerLimitsOf(settings), connectionsOf(settings, readyPart));
+}
+
+auto metricsConnectionsOf(const FleetSettings &settings) noexcept -> std::size_t
+{
+    return connectionsOf(settings, metricsPart);
+}
+
+auto answerLimitsOf(const FleetSettings &settings) noexcept -> HttpClientLimits
+{
+    HttpClientLimits limits;
+    limits.m_maxHeldBytes = memoryBytesOf(settings, settings.m_answerMemoryPercent);
+    limits.m_maxBodyBytes = std::min<std::uint64_t>(limits.m_maxBodyBytes, limits.m_maxHeldBytes);
+    return limits;
+}
+
 auto hostCapacityOf(const FleetSettings &settings) noexcept -> HostCapacity
 {
     return {settings.m_cpuShare * settings.m_cores, settings.m_linkMbps};
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -69,7 +69,7 @@
     m_alive = std::make_shared<bool>(true);
     m_toApi = std::make_unique<RingOutbox<ApiInput>>(m_rings.m_api, warnRingFull("gate"));
     m_toScheduler = std::make_unique<RingOutbox<FleetInput>>(m_rings.m_scheduler, warnRingFull("scheduler"));
-    HttpClientLimits limits;
+    HttpClientLimits limits = answerLimitsOf(m_settings);
     limits.m_maxConnectionsPerEndpoint = storeConnections;
     limits.m_connectTimeout = connectTimeout;
     m_client = std::make_unique<HttpClient>(limits);
--- a/src/host/entrysettings.cpp
+++ b/src/host/entrysettings.cpp
@@ -17,7 +17,7 @@
     static constexpr SettingRange count{1, 1'000'000};
     static constexpr SettingRange percent{0, 100};
     static constexpr SettingRange bytes{1'024, 1e9};
-    static constexpr std::array<SettingsField<S>, 46> table{{
+    static constexpr std::array<SettingsField<S>, 47> table{{
         {"host.name", &S::m_hostName, Text, Required, name, "", "Name of this entry host in the host list"},
         {"host.zone", &S::m_zone, Text, Required, name, "", "Availability zone; workers in it are preferred"},
         {"host.region", &S::m_region, Text, Required, name, "", "Region"},
@@ -27,6 +27,13 @@
         {"callers.max_connections", &S::m_maxConnections, Integer, Optional, count, "connections", "Maximum number of open connections"},
         {"callers.max_header_bytes", &S::m_maxHeaderBytes, Integer, Optional, bytes, "bytes", "Longest header of a request"},
         {"callers.max_body_bytes", &S::m_maxBodyBytes, Integer, Optional, bytes, "bytes", "Longest body of a request"},
+        {"callers.max_held_bytes",
+         &S::m_maxHeldBytes,
+         Integer,
+         Optional,
+         SettingRange{1e6, 1e12},
+         "bytes",
+         "Memory that all callers may hold together; beyond it, connections are closed"},
         {"callers.max_pipelined", &S::m_maxPipelined, Integer, Optional, count, "requests", "Unanswered requests of one connection"},
         {"callers.request_timeout_ms", &HttpLimits::m_requestTimeout, DurationMs, Optional, period, "ms", "Timeout to receive a request that has begun"},
         {"callers.idle_timeout_ms", &S::m_idleTimeout, DurationMs, Optional, period, "ms", "Timeout of a connection without a request"},
--- /dev/null
+++ b/src/link/clientguard.cpp
@@ -0,0 +1,180 @@
+#include "burdockspur/link/clientguard.hpp"
+
+#include "burdockspur/link/memorybudget.hpp"
+#include "burdockspur/operations/log.hpp"
+#include "burdockspur/operations/logthrottle.hpp"
+
+#include <QTimer>
+
+#include <algorithm>
+#include <string_view>
+#include <unordered_map>
+
+#if __has_include(<malloc.h>)
+#    include <malloc.h>
+#endif
+
+namespace Burdockspur
+{
+namespace
+{
+/// Memory freed since the last peak, as a part of the total, above which it is given back to the system.
+constexpr std::size_t trimShare = 8;
+/// Sockets of closed connections are freed in a later pass of the event loop; also bounds how often memory is given back.
+constexpr Milliseconds trimDelay{500};
+
+/// The allocator keeps freed memory of a thread unless it is asked to give it back.
+auto giveBackMemory() -> void
+{
+#ifdef __GLIBC__
+    ::malloc_trim(0);
+#endif
+}
+}
+
+class ClientGuard::Private
+{
+public:
+    explicit Private(const ClientLimits &limits)
+        : m_limits(limits)
+        , m_budget(limits)
+    {
+        m_trimTimer.setSingleShot(true);
+        m_trimTimer.setInterval(trimDelay);
+        QObject::connect(&m_trimTimer, &QTimer::timeout, &m_trimTimer, [this] {
+            m_peakBytes = m_budget.heldBytes();
+            giveBackMemory();
+        });
+    }
+
+    auto closeClient(ClientKey key) -> void
+    {
+        if (const auto server = m_servers.find(key.m_server); server != m_servers.end()) {
+            server->second(key.m_connection);
+        }
+        m_budget.close(key);
+    }
+
+    /// Writes at most one line a second.
+    auto log(std::string_view reason) -> void
+    {
+        if (const auto heldBack = m_throttle.admit(Clock::now())) {
+            logEvent(LogLevel::Warning,
+                     "clients_limited",
+                     {{"reason", reason},
+                      {"held_bytes", m_budget.heldBytes()},
+                      {"limit_bytes", m_limits.m_totalBytes},
+                      {"connections", m_budget.connections()},
+                      {"closed_for_memory", m_counts.m_closedForMemory},
+                      {"closed_for_descriptor", m_counts.m_closedForDescriptor},
+                      {"refused_connections", m_counts.m_refusedConnections},
+                      {"refused_requests", m_counts.m_refusedRequests},
+                      {"held_back", *heldBack}});
+        }
+    }
+
+    auto closeForMemory(ClientKey key) -> void
+    {
+        ++m_counts.m_closedForMemory;
+        log("memory");
+        closeClient(key);
+    }
+
+    auto noteHeld() -> void
+    {
+        const std::size_t held = m_budget.heldBytes();
+        m_peakBytes = std::max(m_peakBytes, held);
+        if (m_peakBytes - held > m_limits.m_totalBytes / trimShare && !m_trimTimer.isActive()) {
+            m_trimTimer.start();
+        }
+    }
+
+    ClientLimits m_limits;
+    MemoryBudget m_budget;
+    std::unordered_map<std::uint32_t, CloseConnection> m_servers;
+    std::uint32_t m_lastServer = 0;
+    ClientCounts m_counts;
+    LogThrottle m_throttle;
+    std::size_t m_peakBytes = 0; ///< most bytes held since memory was last given back
+    QTimer m_trimTimer;
+};
+
+ClientGuard::ClientGuard(const ClientLimits &limits)
+    : m_d(std::make_unique<Private>(limits))
+{
+}
+
+ClientGuard::~ClientGuard() = default;
+
+auto ClientGuard::addServer(CloseConnection closeConnection) -> std::uint32_t
+{
+    m_d->m_servers.emplace(++m_d->m_lastServer, std::move(closeConnection));
+    return m_d->m_lastServer;
+}
+
+auto ClientGuard::removeServer(std::uint32_t server) -> void
+{
+    m_d->m_servers.erase(server);
+}
+
+auto ClientGuard::open(ClientKey key, std::uint64_t address, TimePoint now) -> void
+{
+    m_d->m_budget.open(key, address, now);
+}
+
+auto ClientGuard::update(ClientKey key, const ClientUse &use) -> void
+{
+    m_d->m_budget.update(key, use);
+    while (const auto victim = m_d->m_budget.victim()) {
+        m_d->closeForMemory(*victim);
+    }
+    m_d->noteHeld();
+}
+
+auto ClientGuard::close(ClientKey key) -> void
+{
+    m_d->m_budget.close(key);
+    m_d->noteHeld();
+}
+
+auto ClientGuard::settle(std::size_t bytes) -> void
+{
+    m_d->m_budget.settle(bytes);
+    m_d->noteHeld();
+}
+
+auto ClientGuard::admit(ClientKey key, std::size_t bytes) -> bool
+{
+    while (const auto victim = m_d->m_budget.victimFor(bytes, key)) {
+        m_d->closeForMemory(*victim);
+    }
+    if (m_d->m_budget.hasRoom(bytes)) {
+        return true;
+    }
+    ++m_d->m_counts.m_refusedRequests;
+    m_d->log("memory");
+    return false;
+}
+
+auto ClientGuard::makeRoom(std::uint32_t server, std::uint64_t address, TimePoint now) -> bool
+{
+    const auto idlest = m_d->m_budget.idlest(server, address, now);
+    if (idlest) {
+        ++m_d->m_counts.m_closedForDescriptor;
+        m_d->log("connections");
+        m_d->closeClient(*idlest);
+        return true;
+    }
+    ++m_d->m_counts.m_refusedConnections;
+    m_d->log("connections");
+    return false;
+}
+
+auto ClientGuard::counts() const noexcept -> ClientCounts
+{
+    ClientCounts counts = m_d->m_counts;
+    counts.m_heldBytes = m_d->m_budget.heldBytes();
+    counts.m_connections = m_d->m_budget.connections();
+    return counts;
+}
+}
--- a/src/link/httpclient.cpp
+++ b/src/link/httpclient.cpp
@@ -7,6 +7,7 @@
 #include "burdockspur/impl/responseparser.hpp"
 #include "burdockspur/impl/retiredsockets.hpp"
 #include "burdockspur/operations/log.hpp"
+#include "burdockspur/operations/logthrottle.hpp"
 
 #include <QHostAddress>
 #include <QNetworkProxy>
@@ -33,6 +34,9 @@
 /// A response that has arrived in time is read even by a process that is late, but at most this long after the deadline of the call.
 constexpr std::chrono::seconds maxReadDelay{5};
 
+/// A response up to this size is received even if the incomplete ones hold too much.
+constexpr std::size_t smallResponseBytes = std::size_t{128} * 1024;
+
 /// Status of a response from which a process can be identified.
 constexpr int okStatus = 200;
 
@@ -118,6 +122,7 @@
     std::optional<std::uint64_t> m_process; ///< identity of the process that has accepted the connection, once it is known
     bool m_isProbing = false; ///< the probe of m_call was sent, the request was not
     bool m_hasCompletedCall = false; ///< an earlier call on this connection got its response
+    std::size_t m_heldBytes = 0; ///< allocated for the incomplete response to m_call
     bool m_hasInput = false; ///< bytes of the response to m_call were received
 };
 
@@ -402,11 +407,39 @@
                 finish(connection);
                 return;
             }
+            if (noteHeld(*connection, connection->m_input.capacity() + connection->m_parser.heldBytes())) {
+                logLimited(connection->m_pool);
+                fail(connection, ErrorCode::AnswerCorrupt, "incomplete responses hold too much memory");
+                return;
+            }
+        }
+    }
+
+    /// Notes what the incomplete response of a connection holds.
+    /// @returns true if it is beyond a small one and all together hold too much
+    [[nodiscard]] auto noteHeld(Connection &connection, std::size_t bytes) -> bool
+    {
+        m_heldBytes += bytes - std::exchange(connection.m_heldBytes, bytes);
+        return m_heldBytes > m_limits.m_maxHeldBytes && bytes > smallResponseBytes;
+    }
+
+    /// Writes at most one line a second.
+    auto logLimited(const Pool &pool) -> void
+    {
+        if (const auto heldBack = m_throttle.admit(Clock::now())) {
+            logEvent(LogLevel::Warning,
+                     "answers_limited",
+                     {{"address", pool.m_endpoint.m_address},
+                      {"port", pool.m_endpoint.m_port},
+                      {"held_bytes", m_heldBytes},
+                      {"limit_bytes", m_limits.m_maxHeldBytes},
+                      {"held_back", *heldBack}});
         }
     }
 
     auto finish(const ConnectionPointer &connection) -> void
     {
+        (void)noteHeld(*connection, 0);
         QTcpSocket &socket = *connection->m_socket;
         const bool isReusable = connection->m_parser.keepsAlive() && connection->m_input.empty() && socket.bytesAvailable() == 0 && socket.bytesToWrite() == 0
             && socket.state() == QAbstractSocket::ConnectedState;
@@ -522,6 +555,7 @@
             return;
         }
         Pool &pool = connection.m_pool;
+        (void)noteHeld(connection, 0);
         m_retired.retire(std::move(connection.m_socket));
         pool.m_connecting -= connection.m_state == ConnectionState::Connecting ? 1 : 0;
         std::erase(pool.m_idle, &connection);
@@ -635,6 +669,8 @@
     std::unordered_map<HttpEndpoint, std::unique_ptr<Pool>, EndpointHash> m_pools;
     std::vector<std::pair<Callback, HttpReply>> m_deferred;
     std::size_t m_openCalls = 0;
+    std::size_t m_heldBytes = 0; ///< allocated for incomplete responses
+    LogThrottle m_throttle;
     int m_deferDepth = 0; ///< above 0, callbacks are called in a later iteration of the event loop
     bool m_isInsideConnect = false; ///< true during connectToHost(), which may report an error synchronously
     QObject m_context;
--- a/src/link/httpserver.cpp
+++ b/src/link/httpserver.cpp
@@ -7,6 +7,7 @@
 #include "burdockspur/impl/listener.hpp"
 #include "burdockspur/impl/requestparser.hpp"
 #include "burdockspur/impl/retiredsockets.hpp"
+#include "burdockspur/link/clientguard.hpp"
 #include "burdockspur/operations/log.hpp"
 
 #include <QHostAddress>
@@ -16,6 +17,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -39,21 +41,54 @@
 /// Pause after a failed accept, e.g. when file descriptors are exhausted.
 constexpr Milliseconds acceptRetryDelay{1'000};
 
-/// Connections above the limit that may linger to read an error response; further ones are closed at once.
-constexpr std::size_t maxRejectedConnections = 64;
-
 constexpr int listenBacklog = 1024;
 
+/// Memory of a connection beside its input and answers: objects of the socket, and the first block of each of its two buffers.
+constexpr std::size_t connectionBytes = std::size_t{24} * 1024;
+
+/// Copies of a request between the handler and the answer: decoded, encoded for the next process, and in the buffer of that connection.
+constexpr std::size_t copiesUnderWay = 3;
+
+/// Bytes of a request that count as progress of its connection; single bytes do not.
+constexpr std::size_t progressBytes = std::size_t{4} * 1024;
+
+/// Value of Retry-After when this server has no room.
+constexpr std::string_view retryAfterSeconds = "1";
+
+[[nodiscard]] auto fieldBytes(const std::vector<HttpField> &fields) noexcept -> std::size_t
+{
+    std::size_t bytes = fields.capacity() * sizeof(HttpField);
+    for (const auto &field : fields) {
+        bytes += field.m_name.capacity() + field.m_value.capacity();
+    }
+    return bytes;
+}
+
+[[nodiscard]] auto heldBytes(const HttpRequest &request) noexcept -> std::size_t
+{
+    return request.m_target.capacity() + request.m_body.capacity() + fieldBytes(request.m_fields);
+}
+
+[[nodiscard]] auto heldBytes(const HttpResponse &response) noexcept -> std::size_t
+{
+    return response.m_body.capacity() + fieldBytes(response.m_fields);
+}
+
 [[nodiscard]] auto errorResponse(int status, std::string_view code, std::string_view message) -> HttpResponse
 {
     std::string body = R"({"code":)" + jsonQuoted(code);
     body.append(R"(,"message":)").append(jsonQuoted(message)).append(R"(,"outcome":"refused"})");
-    return jsonResponse(status, std::move(body));
+    auto response = jsonResponse(status, std::move(body));
+    if (status == httpStatus(ErrorCode::Overloaded)) {
+        response.m_fields.push_back({"Retry-After", std::string(retryAfterSeconds)});
+    }
+    return response;
 }
 
 /// Response that a request waits for; a connection sends them in the order of its requests.
 struct PendingResponse {
     std::optional<HttpResponse> m_response; ///< empty until respond()
+    std::size_t m_bytes = 0; ///< allocated for the request until respond(), for the response afterwards
     bool m_isHead = false;
     bool m_isVersion10 = false;
     bool m_closesConnection = false; ///< the connection is closed after this response
@@ -82,6 +117,11 @@
     RequestParser m_parser;
     InputBuffer m_input;
     std::deque<PendingResponse> m_pendingResponses;
+    std::size_t m_bytesUnderWay = 0; ///< of the pending responses without a response
+    std::size_t m_responseBytes = 0; ///< of the pending responses with one
+    std::size_t m_bytesSinceProgress = 0; ///< bytes of the request since m_progressAt
+    TimePoint m_progressAt; ///< see ClientUse
+    bool m_hasCompletedRequest = false;
     std::uint64_t m_firstSequence = 1; ///< sequence number of the first pending response
     std::uint64_t m_bytesQueued = 0; ///< bytes passed to the socket since it was opened
     std::uint64_t m_writeDueBytes = 0; ///< number of bytes, counted as in m_bytesQueued, that must be sent by m_writeDeadline
@@ -104,9 +144,13 @@
 class HttpServer::Private
 {
 public:
-    Private(const HttpLimits &limits, Handler handler)
+    Private(const HttpLimits &limits, Handler handler, std::shared_ptr<ClientGuard> guard)
         : m_limits(limits)
         , m_handler(std::move(handler))
+        , m_guard(guard ? std::move(guard) : std::make_shared<ClientGuard>(ownLimits(limits)))
+        , m_number(m_guard->addServer([this](std::uint64_t id) {
+            withConnection(id, &Private::close);
+        }))
         , m_deadlineTimer([this](TimePoint now) {
             return processDeadlines(now);
         })
@@ -122,20 +166,83 @@
         });
     }
 
+    ~Private()
+    {
+        while (!m_connections.empty()) {
+            withConnection(m_connections.begin()->first, &Private::close);
+        }
+        for (const auto &[exchange, bytes] : m_abandoned) {
+            m_guard->settle(bytes);
+        }
+        m_guard->removeServer(m_number);
+    }
+
+    Private(const Private &) = delete;
+    Private(Private &&) = delete;
+    auto operator=(const Private &) -> Private & = delete;
+    auto operator=(Private &&) -> Private & = delete;
+
+    /// Budget of a server that shares none.
+    [[nodiscard]] static auto ownLimits(const HttpLimits &limits) -> ClientLimits
+    {
+        constexpr std::size_t keptShare = 8;
+        ClientLimits own;
+        own.m_totalBytes = limits.m_maxHeldBytes;
+        own.m_keptBytes = limits.m_maxHeldBytes / keptShare;
+        return own;
+    }
+
     auto accept(std::unique_ptr<QTcpSocket> socket) -> void
     {
+        const std::uint64_t address = qHash(socket->peerAddress());
+        const TimePoint now = Clock::now();
         socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
         socket->setReadBufferSize(readAheadBytes);
         const auto connection = std::make_shared<Connection>(m_nextConnection++, m_limits);
         connection->m_socket = std::move(socket);
-        const bool isRejected = m_connections.size() - m_rejected >= m_limits.m_maxConnections;
-        if (isRejected) {
+        const bool isFull = m_connections.size() - m_rejected >= m_limits.m_maxConnections;
+        if (isFull && !m_guard->makeRoom(m_number, address, now)) {
             reject(connection);
             return;
         }
-        m_wasOverloaded = false;
+        m_wasOverloaded = m_wasOverloaded && isFull;
+        connection->m_progressAt = now;
         registerConnection(connection);
+        m_guard->open(keyOf(*connection), address, now);
         updateDeadlines(*connection);
+        account(connection);
+    }
+
+    [[nodiscard]] auto keyOf(const Connection &connection) const noexcept -> ClientKey
+    {
+        return {m_number, connection.m_id};
+    }
+
+    /// Tells the budget what the connection holds; closes it when the budget says so.
+    auto account(const ConnectionPointer &connection) -> void
+    {
+        if (!connection->m_socket) {
+            return;
+        }
+        const auto unread = connection->m_socket->bytesAvailable() + connection->m_socket->bytesToWrite();
+        ClientUse use;
+        use.m_bytes = connectionBytes + connection->m_input.capacity() + connection->m_parser.heldBytes() + connection->m_responseBytes
+            + static_cast<std::size_t>(unread);
+        use.m_bytesUnderWay = connection->m_bytesUnderWay;
+        use.m_progressAt = connection->m_progressAt;
+        use.m_hasUnanswered = connection->m_bytesUnderWay > 0;
+        use.m_hasCompletedRequest = connection->m_hasCompletedRequest;
+        m_guard->update(keyOf(*connection), use);
+    }
+
+    /// Notes received bytes of a request; enough of them count as progress.
+    static auto noteProgress(Connection &connection, std::size_t bytes) -> void
+    {
+        connection.m_bytesSinceProgress += bytes;
+        if (connection.m_bytesSinceProgress >= progressBytes) {
+            connection.m_bytesSinceProgress = 0;
+            connection.m_progressAt = Clock::now();
+        }
     }
 
     auto registerConnection(const ConnectionPointer &connection) -> void
@@ -172,7 +279,7 @@
             m_wasOverloaded = true;
             logEvent(LogLevel::Warning, "http_connections_exhausted", {{"limit", m_limits.m_maxConnections}});
         }
-        const bool canLinger = m_rejected < maxRejectedConnections;
+        const bool canLinger = m_rejected < m_limits.m_maxRejected;
         if (canLinger) {
             connection->m_isRejected = true;
             ++m_rejected;
@@ -197,7 +304,9 @@
             return;
         }
         connection->m_isProcessing = true;
-        while (connection->m_socket && canReadRequest(*connection) && parseRequest(connection)) {}
+        while (connection->m_socket && canReadRequest(*connection) && parseRequest(connection)) {
+            account(connection);
+        }
         connection->m_isProcessing = false;
         if (connection->m_socket) {
             writeResponses(connection);
@@ -213,7 +322,7 @@
     /// @returns false when more bytes are needed
     auto parseRequest(const ConnectionPointer &connection) -> bool
     {
-        if (connection->m_input.empty() && connection->m_input.fill(*connection->m_socket, readAheadBytes) == 0) {
+        if (connection->m_input.empty() && fillInput(*connection, readAheadBytes) == 0) {
             return false;
         }
         auto consumed = connection->m_parser.feed(connection->m_input.view());
@@ -228,7 +337,14 @@
             return true;
         }
         connection->m_needsContinue = !connection->m_continueSent && connection->m_parser.expectsContinue();
-        return connection->m_input.fill(*connection->m_socket, m_limits.m_maxHeaderBytes + readAheadBytes) > 0;
+        return fillInput(*connection, m_limits.m_maxHeaderBytes + readAheadBytes) > 0;
+    }
+
+    [[nodiscard]] static auto fillInput(Connection &connection, std::size_t limit) -> std::size_t
+    {
+        const std::size_t count = connection.m_input.fill(*connection.m_socket, limit);
+        noteProgress(connection, count);
+        return count;
     }
 
     auto dispatch(const ConnectionPointer &connection) -> void
@@ -242,7 +358,16 @@
         connection->m_needsContinue = false;
         connection->m_continueSent = false;
         connection->m_requestDeadline = TimePoint::max();
+        connection->m_hasCompletedRequest = true;
+        connection->m_progressAt = Clock::now();
+        pending.m_bytes = copiesUnderWay * heldBytes(request);
+        if (!m_guard->admit(keyOf(*connection), pending.m_bytes)) {
+            // The handler has not seen the request, so the refusal can state that it had no effect.
+            appendErrorResponse(*connection, httpStatus(ErrorCode::Overloaded), errorName(ErrorCode::Overloaded), "clients hold too much memory");
+            return;
+        }
         const ExchangeId exchange{connection->m_id, connection->m_firstSequence + connection->m_pendingResponses.size()};
+        connection->m_bytesUnderWay += pending.m_bytes;
         connection->m_pendingResponses.push_back(std::move(pending));
         ++m_openExchanges;
         m_handler(exchange, std::move(request));
@@ -253,17 +378,21 @@
         logEvent(LogLevel::Debug, "http_request_rejected", {{"connection", connection.m_id}, {"code", code}, {"message", message}});
         PendingResponse pending;
         pending.m_response = errorResponse(status, code, message);
+        pending.m_bytes = heldBytes(*pending.m_response);
         pending.m_closesConnection = true;
+        connection.m_responseBytes += pending.m_bytes;
         connection.m_pendingResponses.push_back(std::move(pending));
         connection.m_isInputClosed = true;
         connection.m_needsContinue = false;
         connection.m_input.clear();
+        connection.m_parser.discard();
     }
 
     auto respond(ExchangeId exchange, HttpResponse &&response) -> bool
     {
         const auto found = m_connections.find(exchange.m_connection);
         if (found == m_connections.end()) {
+            settle(exchange);
             return false;
         }
         const ConnectionPointer connection = found->second;
@@ -272,7 +401,11 @@
             || connection->m_pendingResponses[index].m_response) {
             return false;
         }
-        connection->m_pendingResponses[index].m_response = std::move(response);
+        PendingResponse &pending = connection->m_pendingResponses[index];
+        connection->m_bytesUnderWay -= pending.m_bytes;
+        pending.m_bytes = heldBytes(response);
+        connection->m_responseBytes += pending.m_bytes;
+        pending.m_response = std::move(response);
         --m_openExchanges;
         if (!connection->m_isProcessing) {
             writeResponses(connection);
@@ -293,6 +426,7 @@
             }
             const PendingResponse pending = std::move(connection->m_pendingResponses.front());
             connection->m_pendingResponses.pop_front();
+            connection->m_responseBytes -= pending.m_bytes;
             ++connection->m_firstSequence;
             connection->m_closesAfterWrite = pending.m_closesConnection;
             connection->m_isInputClosed = connection->m_isInputClosed || pending.m_closesConnection;
@@ -315,7 +449,8 @@
         }
         finishWriting(*connection);
         updateDeadlines(*connection);
-        if (wasPaused) {
+        account(connection);
+        if (wasPaused && connection->m_socket) {
             scheduleResume(connection);
         }
     }
@@ -369,7 +504,9 @@
         }
         finishWriting(*connection);
         updateDeadlines(*connection);
-        if (canReadRequest(*connection)) {
+        connection->m_progressAt = Clock::now();
+        account(connection);
+        if (connection->m_socket && canReadRequest(*connection)) {
             scheduleResume(connection);
         }
     }
@@ -479,14 +616,32 @@
             return;
         }
         m_retired.retire(std::move(connection->m_socket));
-        m_openExchanges -= static_cast<std::size_t>(std::ranges::count_if(connection->m_pendingResponses, [](const PendingResponse &pending) {
-            return !pending.m_response;
-        }));
+        std::uint64_t sequence = connection->m_firstSequence;
+        for (const auto &pending : connection->m_pendingResponses) {
+            if (!pending.m_response) {
+                --m_openExchanges;
+                // The handler still holds the request, until respond() or abort().
+                m_abandoned.emplace(std::pair(connection->m_id, sequence), pending.m_bytes);
+            }
+            ++sequence;
+        }
         connection->m_pendingResponses.clear();
+        connection->m_input.clear();
+        connection->m_parser.discard();
         m_rejected -= connection->m_isRejected ? 1 : 0;
+        m_guard->close(keyOf(*connection));
         m_connections.erase(connection->m_id);
     }
 
+    /// Notes the answer to a request whose connection is closed.
+    auto settle(ExchangeId exchange) -> void
+    {
+        if (const auto found = m_abandoned.find({exchange.m_connection, exchange.m_sequence}); found != m_abandoned.end()) {
+            m_guard->settle(found->second);
+            m_abandoned.erase(found);
+        }
+    }
+
     auto beginDrain() -> void
     {
         m_isDraining = true;
@@ -500,6 +655,9 @@
 
     HttpLimits m_limits;
     Handler m_handler;
+    std::shared_ptr<ClientGuard> m_guard;
+    std::uint32_t m_number; ///< number of this server in m_guard
+    std::map<std::pair<std::uint64_t, std::uint64_t>, std::size_t> m_abandoned; ///< unanswered requests of closed connections
     RetiredSockets m_retired;
     std::unordered_map<std::uint64_t, ConnectionPointer> m_connections;
     std::uint64_t m_nextConnection = 1;
@@ -513,8 +671,8 @@
     Listener m_listener;
 };
 
-HttpServer::HttpServer(const HttpLimits &limits, Handler handler)
-    : m_d(std::make_unique<Private>(limits, std::move(handler)))
+HttpServer::HttpServer(const HttpLimits &limits, Handler handler, std::shared_ptr<ClientGuard> guard)
+    : m_d(std::make_unique<Private>(limits, std::move(handler), std::move(guard)))
 {
 }
 
@@ -538,6 +696,7 @@
 auto HttpServer::abort(ExchangeId exchange) -> void
 {
     m_d->withConnection(exchange.m_connection, &Private::close);
+    m_d->settle(exchange);
 }
 
 auto HttpServer::beginDrain() -> void
--- a/src/link/requestparser.cpp
+++ b/src/link/requestparser.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <limits>
 #include <optional>
 
@@ -16,6 +17,9 @@
 namespace http = boost::beast::http;
 using BeastParser = http::request_parser<http::string_body>;
 
+/// Allocated by Beast for each header field, beside its text.
+constexpr std::size_t fieldBytes = 96;
+
 [[nodiscard]] auto toError(const boost::system::error_code &error) -> std::unexpected<Error>
 {
     if (error == http::error::body_limit) {
@@ -44,6 +48,7 @@
         m_parser->header_limit(m_maxHeaderBytes);
         m_parser->body_limit(m_maxBodyBytes);
         m_headerBytes = 0;
+        m_fieldBytes = 0;
     }
 
     [[nodiscard]] auto feed(std::string_view input) -> Result<std::size_t>
@@ -63,6 +68,10 @@
         if (error) {
             return toError(error);
         }
+        if (inHeader) {
+            const auto header = input.substr(0, std::min(consumed, input.find("\r\n\r\n")));
+            m_fieldBytes += header.size() + fieldBytes * static_cast<std::size_t>(std::ranges::count(header, '\n'));
+        }
         if (inHeader && !m_parser->is_header_done()) {
             // Beast applies its limit to the input of each call only, so a header sent in pieces would be unbounded.
             m_headerBytes += consumed;
@@ -89,6 +98,7 @@
 
     std::uint32_t m_maxHeaderBytes;
     std::uint64_t m_maxBodyBytes;
+    std::size_t m_fieldBytes = 0; ///< estimate of what the fields take
     std::size_t m_headerBytes = 0; ///< consumed while the header was incomplete; above 0 once a request has started
     std::optional<BeastParser> m_parser;
 };
@@ -147,4 +157,14 @@
     m_d->restart();
     return request;
 }
+
+auto RequestParser::discard() -> void
+{
+    m_d->restart();
+}
+
+auto RequestParser::heldBytes() const noexcept -> std::size_t
+{
+    return m_d->m_fieldBytes + m_d->m_parser->get().body().capacity();
+}
 }
--- a/src/link/responseparser.cpp
+++ b/src/link/responseparser.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <optional>
 
 namespace Burdockspur
@@ -14,6 +15,9 @@
 namespace http = boost::beast::http;
 using BeastParser = http::response_parser<http::string_body>;
 
+/// Allocated by Beast for each header field, beside its text.
+constexpr std::size_t fieldBytes = 96;
+
 /// Limit for the status line and all fields of one response.
 constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
 
@@ -41,6 +45,7 @@
         m_parser->body_limit(m_maxBodyBytes);
         m_parser->skip(m_isHead);
         m_headerBytes = 0;
+        m_fieldBytes = 0;
     }
 
     [[nodiscard]] auto feed(std::string_view input) -> Result<std::size_t>
@@ -63,11 +68,16 @@
     /// Parses bytes of one message, which may be an interim response.
     [[nodiscard]] auto feedMessage(std::string_view input) -> Result<std::size_t>
     {
+        const bool inHeader = !m_parser->is_header_done();
         boost::system::error_code error;
         const std::size_t consumed = feedParser(*m_parser, input, error);
         if (error) {
             return failure(ErrorCode::AnswerCorrupt, "not a valid HTTP response: " + error.message());
         }
+        if (inHeader) {
+            const auto header = input.substr(0, std::min(consumed, input.find("\r\n\r\n")));
+            m_fieldBytes += header.size() + fieldBytes * static_cast<std::size_t>(std::ranges::count(header, '\n'));
+        }
         const std::size_t unconsumed = input.size() - consumed;
         if (!m_parser->is_header_done()) {
             // Beast applies its limit to the input of each call only, so a header sent in pieces would be unbounded.
@@ -84,6 +94,7 @@
     }
 
     std::uint64_t m_maxBodyBytes;
+    std::size_t m_fieldBytes = 0; ///< estimate of what the fields take
     std::size_t m_headerBytes = 0; ///< consumed while the header was incomplete
     bool m_isHead = false;
     std::optional<BeastParser> m_parser;
@@ -128,4 +139,9 @@
     response.m_body = std::move(message.body());
     return response;
 }
+
+auto ResponseParser::heldBytes() const noexcept -> std::size_t
+{
+    return m_d->m_fieldBytes + m_d->m_parser->get().body().capacity();
+}
 }
--- a/src/operations/adminserver.cpp
+++ b/src/operations/adminserver.cpp
@@ -4,6 +4,7 @@
 #include "burdockspur/operations/log.hpp"
 #include "burdockspur/operations/metrics.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace Burdockspur
@@ -15,23 +16,26 @@
     return jsonResponse(httpStatus(code), jsonText(QJsonObject{{"code", jsonString(errorName(code))}, {"message", jsonString(message)}}));
 }
 
-// The admin port serves only a few scrapers and operators.
-[[nodiscard]] auto adminLimits() -> HttpLimits
+[[nodiscard]] auto adminLimits(std::size_t maxConnections) -> HttpLimits
 {
     HttpLimits limits;
-    limits.m_maxConnections = 32;
+    limits.m_maxConnections = maxConnections;
+    limits.m_maxRejected = std::min(limits.m_maxRejected, maxConnections);
     limits.m_maxBodyBytes = 64UL * 1024UL;
     return limits;
 }
 }
 
-AdminServer::AdminServer(const Metrics &metrics, StatusCallback status, DrainCallback drain)
+AdminServer::AdminServer(const Metrics &metrics, StatusCallback status, DrainCallback drain, std::shared_ptr<ClientGuard> guard, std::size_t maxConnections)
     : m_metrics(&metrics)
     , m_status(std::move(status))
     , m_drain(std::move(drain))
-    , m_server(adminLimits(), [this](ExchangeId exchange, HttpRequest &&request) {
-        m_server.respond(exchange, respond(request));
-    })
+    , m_server(
+          adminLimits(maxConnections),
+          [this](ExchangeId exchange, HttpRequest &&request) {
+              m_server.respond(exchange, respond(request));
+          },
+          std::move(guard))
 {
     struct Entry {
         std::string_view m_method;
@@ -55,6 +59,11 @@
     m_routes.push_back({std::string(method), std::string(path), std::move(handler)});
 }
 
+auto AdminServer::beforeMetrics(std::function<void()> refresh) -> void
+{
+    m_refresh = std::move(refresh);
+}
+
 auto AdminServer::listen(std::string_view address, std::uint16_t port) -> Result<std::uint16_t>
 {
     return m_server.listen(address, port);
@@ -82,6 +91,9 @@
 
 auto AdminServer::showMetrics(const HttpRequest &) -> HttpResponse
 {
+    if (m_refresh) {
+        m_refresh();
+    }
     return {200, {{"Content-Type", "text/plain; version=0.0.4; charset=utf-8"}}, m_metrics->text()};
 }
 
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <thread>
@@ -604,3 +605,32 @@
     expectFailure(2, ErrorCode::AnswerCorrupt, false);
     EXPECT_EQ(countOf(server.allReceived(), "/order"), 0U);
 }
+
+// Guards against a process whose memory grows with the answers of many peers that never end.
+TEST_F(HttpClientTest, IncompleteResponsesAreBoundedTogether)
+{
+    m_limits.m_maxHeldBytes = std::size_t{4} * 1024 * 1024;
+    restartClient();
+    std::vector<std::unique_ptr<RawServer>> servers;
+    for (std::size_t i = 0; i < 12; ++i) {
+        servers.push_back(std::make_unique<RawServer>());
+        call(servers.back()->port(), request("GET", "/"));
+        servers.back()->peer(0).waitForText("\r\n\r\n");
+        servers.back()->peer(0).send("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + largeText(999'999));
+    }
+    waitForReplies(8);
+    for (const auto &reply : m_replies) {
+        ASSERT_FALSE(reply);
+        EXPECT_EQ(reply.error().m_error.m_code, ErrorCode::AnswerCorrupt);
+    }
+    RawServer server;
+    call(server.port(), request("GET", "/"));
+    server.peer(0).waitForText("\r\n\r\n");
+    server.peer(0).send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    // The other large answers may fail meanwhile, but a small one is received.
+    waitUntil([&] {
+        return std::ranges::any_of(m_replies, [](const HttpReply &reply) {
+            return reply && reply->m_body == "ok";
+        });
+    });
+}
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -1,9 +1,12 @@
 #include "burdockspur/link/httpserver.hpp"
 #include "burdockspur/core/randomsource.hpp"
+#include "burdockspur/link/clientguard.hpp"
 #include "linktesting.hpp"
 
 #include <gtest/gtest.h>
 
+#include <QTimer>
+
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -43,7 +46,7 @@
 
     auto start(HttpServer::Handler handler) -> void
     {
-        m_server = std::make_unique<HttpServer>(m_limits, std::move(handler));
+        m_server = std::make_unique<HttpServer>(m_limits, std::move(handler), m_guard);
         const auto port = m_server->listen("127.0.0.1", 0);
         ASSERT_TRUE(port) << port.error().m_message;
         m_port = *port;
@@ -77,7 +80,25 @@
         EXPECT_TRUE(peer.received().ends_with("\r\n\r\nalive"));
     }
 
+    /// Lets the clients of the server hold 2 MB, of which a quarter is kept for ordinary ones.
+    auto limitClients() -> void
+    {
+        m_guard = std::make_shared<ClientGuard>(ClientLimits{.m_totalBytes = budgetBytes, .m_keptBytes = budgetBytes / 4});
+    }
+
+    /// Waits until the clients hold as little as a number of idle connections.
+    auto waitForHeld(std::size_t connections) -> void
+    {
+        waitUntil([&] {
+            return m_guard->counts().m_connections == connections && m_guard->counts().m_heldBytes <= connections * idleBytes;
+        });
+    }
+
+    static constexpr std::size_t budgetBytes = std::size_t{2} * 1024 * 1024;
+    static constexpr std::size_t idleBytes = std::size_t{48} * 1024;
+
     HttpLimits m_limits;
+    std::shared_ptr<ClientGuard> m_guard;
     std::vector<Exchange> m_exchanges;
     std::unique_ptr<HttpServer> m_server;
     std::uint16_t m_port = 0;
@@ -572,3 +593,160 @@
     waiting.waitForClose();
     EXPECT_EQ(waiting.received(), "");
 }
+
+// Guards against a process whose memory grows with the incomplete bodies of many clients, and against an ordinary caller who is refused
+// because of them.
+TEST_F(HttpServerTest, IncompleteBodiesStayWithinTheBudget)
+{
+    limitClients();
+    startCollecting();
+    const std::string part = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 300000\r\n\r\n" + largeText(299'999);
+    std::vector<std::unique_ptr<RawPeer>> crowd;
+    for (int i = 0; i < 20; ++i) {
+        crowd.push_back(std::make_unique<RawPeer>(m_port));
+        crowd.back()->send(part);
+    }
+    waitUntil([&] {
+        EXPECT_LE(m_guard->counts().m_heldBytes, budgetBytes);
+        return m_guard->counts().m_closedForMemory >= 10;
+    });
+    expectServes();
+    crowd.clear();
+    waitForHeld(0);
+}
+
+// Guards against small chunks that cost several times their size and are counted by their size.
+TEST_F(HttpServerTest, ChunksOfOneByteStayWithinTheBudget)
+{
+    limitClients();
+    startCollecting();
+    std::string chunks = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int i = 0; i < 150'000; ++i) {
+        chunks += "1\r\nx\r\n";
+    }
+    std::vector<std::unique_ptr<RawPeer>> crowd;
+    for (int i = 0; i < 20; ++i) {
+        crowd.push_back(std::make_unique<RawPeer>(m_port));
+        crowd.back()->send(chunks);
+    }
+    waitUntil([&] {
+        EXPECT_LE(m_guard->counts().m_heldBytes, budgetBytes);
+        return m_guard->counts().m_closedForMemory >= 5;
+    });
+    expectServes();
+}
+
+// Guards against a process whose memory grows with answers that their callers do not read.
+TEST_F(HttpServerTest, UnreadAnswersStayWithinTheBudget)
+{
+    limitClients();
+    start([this](ExchangeId id, HttpRequest &&request) {
+        m_server->respond(id, jsonResponse(200, request.m_target == "/large" ? largeText(200'000) : "alive"));
+    });
+    std::vector<std::unique_ptr<RawPeer>> crowd;
+    std::string requests;
+    for (int i = 0; i < 200; ++i) {
+        requests += "GET /large HTTP/1.1\r\nHost: a\r\n\r\n";
+    }
+    for (int i = 0; i < 20; ++i) {
+        crowd.push_back(std::make_unique<RawPeer>(m_port, 1));
+        crowd.back()->send(requests);
+    }
+    waitUntil([&] {
+        EXPECT_LE(m_guard->counts().m_heldBytes, budgetBytes);
+        return m_guard->counts().m_closedForMemory >= 3;
+    });
+    EXPECT_TRUE(responseTo("GET /small HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").ends_with("\r\n\r\nalive"));
+}
+
+// Guards against requests under way without a bound, and against a refusal of a request that the handler has seen.
+TEST_F(HttpServerTest, RequestsUnderWayBeyondTheBudgetAreRefusedBeforeTheyRun)
+{
+    limitClients();
+    startCollecting();
+    const std::string request = "POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" + largeText(100'000);
+    std::vector<std::unique_ptr<RawPeer>> crowd;
+    std::size_t refused = 0;
+    for (std::size_t i = 0; i < 12; ++i) {
+        crowd.push_back(std::make_unique<RawPeer>(m_port));
+        crowd.back()->send(request);
+        waitUntil([&] {
+            return m_exchanges.size() + m_guard->counts().m_refusedRequests == i + 1;
+        });
+        if (m_guard->counts().m_refusedRequests > refused) {
+            ++refused;
+            crowd.back()->waitForClose();
+            EXPECT_TRUE(crowd.back()->received().starts_with("HTTP/1.1 503 ")) << crowd.back()->received();
+            EXPECT_TRUE(crowd.back()->received().contains("\r\nRetry-After: 1\r\n"));
+            EXPECT_TRUE(crowd.back()->received().contains(R"("outcome":"refused")"));
+        }
+    }
+    EXPECT_GT(refused, 0U);
+    EXPECT_EQ(m_exchanges.size(), 12U - refused);
+    expectServes();
+    for (const auto &exchange : m_exchanges) {
+        m_server->respond(exchange.m_id, jsonResponse(200, "{}"));
+    }
+    crowd.clear();
+    waitForHeld(0);
+}
+
+// Guards against memory of requests whose callers have left that is no longer counted, or counted for ever.
+TEST_F(HttpServerTest, ARequestCountsUntilItsAnswerAlsoWhenItsCallerHasLeft)
+{
+    limitClients();
+    startCollecting();
+    auto peer = std::make_unique<RawPeer>(m_port);
+    peer->send("POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" + largeText(100'000));
+    waitForExchanges(1);
+    peer.reset();
+    waitUntil([&] {
+        return m_server->openConnections() == 0;
+    });
+    EXPECT_GE(m_guard->counts().m_heldBytes, 100'000U);
+    EXPECT_FALSE(m_server->respond(m_exchanges[0].m_id, jsonResponse(200, "{}")));
+    EXPECT_EQ(m_guard->counts().m_heldBytes, 0U);
+}
+
+// Guards against a crowd at one port that takes the memory of the others, e.g. of the port for readiness checks.
+TEST_F(HttpServerTest, ServersShareABudget)
+{
+    limitClients();
+    startCollecting();
+    HttpServer other(m_limits, [](ExchangeId, HttpRequest &&) {}, m_guard);
+    const auto port = other.listen("127.0.0.1", 0);
+    ASSERT_TRUE(port);
+    std::vector<std::unique_ptr<RawPeer>> crowd;
+    for (const std::uint16_t crowdedPort : {*port, m_port}) {
+        for (int i = 0; i < 20; ++i) {
+            crowd.push_back(std::make_unique<RawPeer>(crowdedPort));
+            crowd.back()->send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 300000\r\n\r\n" + largeText(299'999));
+        }
+    }
+    waitUntil([&] {
+        EXPECT_LE(m_guard->counts().m_heldBytes, budgetBytes);
+        return m_guard->counts().m_closedForMemory >= 20;
+    });
+    expectServes();
+}
+
+// Guards against silent connections that keep all descriptors, so that ordinary callers are refused until the idle timeout.
+TEST_F(HttpServerTest, AnUnusedConnectionGivesWayWhenTheServerIsFull)
+{
+    m_limits.m_maxConnections = 2;
+    limitClients();
+    startCollecting();
+    RawPeer first(m_port);
+    RawPeer second(m_port);
+    const TimePoint opened = Clock::now();
+    waitUntil([&] {
+        return m_server->openConnections() == 2;
+    });
+    QTimer timer;
+    timer.start(100);
+    waitUntil([&] {
+        return Clock::now() - opened > std::chrono::milliseconds(1'200);
+    });
+    expectServes();
+    EXPECT_EQ(m_guard->counts().m_closedForDescriptor, 1U);
+}
