--- a/include/burdockspur/fleet/fleetmetrics.hpp
+++ b/include/burdockspur/fleet/fleetmetrics.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/fleet/evacuation/zoneevacuation.hpp"
 #include "burdockspur/fleet/fleetanswer.hpp"
+#include "burdockspur/link/clientcounts.hpp"
 #include "burdockspur/operations/metrics.hpp"
 
 #include <array>
@@ -61,6 +62,9 @@
     /// @brief Records the zones that the operator has closed.
     auto recordClosedZones(const ZoneEvacuation::Counts &counts) -> void;
 
+    /// @brief Records what the clients hold and what was closed or refused; to be called from one thread.
+    auto recordClients(const ClientCounts &counts) -> void;
+
 private:
     static constexpr std::size_t orderCount = 4;
     static constexpr std::size_t outcomeCount = static_cast<std::size_t>(OrderOutcome::NoAnswer) + 1;
@@ -80,5 +84,8 @@
     prometheus::Gauge &m_longestIdle;
     prometheus::Gauge &m_closedZones;
     prometheus::Gauge &m_closedZoneRuns;
+    prometheus::Gauge &m_clientBytes;
+    prometheus::Gauge &m_clientConnections;
+    ClientCounts m_clientCounts; ///< as of the last recordClients()
 };
 }
--- a/src/fleet/fleetmetrics.cpp
+++ b/src/fleet/fleetmetrics.cpp
@@ -33,6 +33,8 @@
     , m_longestIdle(metrics.gauge("burdockspur_longest_idle_seconds", "Longest time for which a job with a waiting task has no run"))
     , m_closedZones(metrics.gauge("burdockspur_closed_zones", "Zones that the operator has closed, as this host knows"))
     , m_closedZoneRuns(metrics.gauge("burdockspur_closed_zone_runs", "Runs on the workers of closed zones in the memory of the owner"))
+    , m_clientBytes(metrics.gauge("burdockspur_client_bytes", "Memory held by the clients of all ports"))
+    , m_clientConnections(metrics.gauge("burdockspur_client_connections", "Open connections of the clients of all ports"))
 {
     recordStore(true);
 }
@@ -86,4 +88,27 @@
     m_closedZones.Set(static_cast<double>(counts.m_zones));
     m_closedZoneRuns.Set(static_cast<double>(counts.m_runs));
 }
+
+auto FleetMetrics::recordClients(const ClientCounts &counts) -> void
+{
+    struct Row {
+        std::string_view m_action;
+        std::uint64_t ClientCounts::*m_count;
+    };
+    static constexpr std::array<Row, 4> rows{{
+        {"closed_for_memory", &ClientCounts::m_closedForMemory},
+        {"closed_for_descriptor", &ClientCounts::m_closedForDescriptor},
+        {"refused_connection", &ClientCounts::m_refusedConnections},
+        {"refused_request", &ClientCounts::m_refusedRequests},
+    }};
+    m_clientBytes.Set(static_cast<double>(counts.m_heldBytes));
+    m_clientConnections.Set(static_cast<double>(counts.m_connections));
+    for (const auto &row : rows) {
+        m_metrics
+            .counter(
+                "burdockspur_clients_limited_total", "Connections and requests of clients that were closed or refused", {{"action", std::string(row.m_action)}})
+            .Increment(static_cast<double>(counts.*row.m_count - m_clientCounts.*row.m_count));
+    }
+    m_clientCounts = counts;
+}
 }
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -129,7 +129,7 @@
 
 auto FleetStoreDuty::makeStores() -> void
 {
-    HttpClientLimits limits;
+    HttpClientLimits limits = answerLimitsOf(m_settings);
     limits.m_maxConnectionsPerEndpoint = storeConnections;
     limits.m_connectTimeout = connectTimeout;
     m_client = std::make_unique<HttpClient>(limits);
