Test an owner whose feed of the operator's table hangs

Change: the stand-in can leave the calls for changes of a table unanswered, and a host with zones.evacuate_ms must not start anything in a zone that was closed meanwhile.

--- a/standins/fleetstandin.cpp
+++ b/standins/fleetstandin.cpp
@@ -223,6 +223,11 @@
     m_readDelays.insert_or_assign(std::string(table), delay);
 }
 
+auto FleetStandin::silenceFeed(std::string_view table) -> void
+{
+    m_silentFeeds.emplace(table);
+}
+
 auto FleetStandin::serveStore(ExchangeId exchange, const HttpRequest &request) -> void
 {
     if (m_isStoreDown) {
@@ -352,7 +357,7 @@
 auto FleetStandin::answerFeeds() -> void
 {
     std::erase_if(m_feeds, [this](const Feed &feed) {
-        const bool isDue = Clock::now() >= feed.m_until || hasChanges(feed.m_table, feed.m_after);
+        const bool isDue = !m_silentFeeds.contains(feed.m_table) && (Clock::now() >= feed.m_until || hasChanges(feed.m_table, feed.m_after));
         if (isDue) {
             m_store->respond(feed.m_exchange, feedResponse(feed.m_table, feed.m_after));
         }
--- a/standins/fleetstandin.hpp
+++ b/standins/fleetstandin.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,6 +59,9 @@
     /// @brief Delays the answers to reads of a table.
     auto delayReads(std::string_view table, std::chrono::milliseconds delay) -> void;
 
+    /// @brief Leaves every call for changes of a table unanswered from now on; the other calls are answered.
+    auto silenceFeed(std::string_view table) -> void;
+
     /// @brief Number of starts of each task on all workers.
     [[nodiscard]] auto starts() const noexcept -> const std::map<std::string, int> &
     {
@@ -84,6 +88,7 @@
     bool m_isStoreDown = false;
     std::map<std::string, std::chrono::milliseconds, std::less<>> m_readDelays; ///< by table
     std::vector<Feed> m_feeds;
+    std::set<std::string, std::less<>> m_silentFeeds; ///< tables
     std::vector<std::unique_ptr<Worker>> m_workers;
     std::map<std::string, int> m_starts;
     std::unique_ptr<HttpServer> m_store;
--- a/tests/fleethosttest.cpp
+++ b/tests/fleethosttest.cpp
@@ -32,9 +32,10 @@
 class Host
 {
 public:
-    Host(std::string_view name, std::uint16_t storePort, const HostCapacity &capacity = {})
+    Host(std::string_view name, std::uint16_t storePort, const HostCapacity &capacity = {}, Milliseconds evacuate = Milliseconds{0})
         : m_platform(65'536)
     {
+        m_settings.m_evacuate = evacuate;
         m_settings.m_cpuShare = capacity.m_processors;
         m_settings.m_linkMbps = capacity.m_linkMbps;
         const auto endpoint = [](std::uint16_t port) {
@@ -450,6 +451,41 @@
     EXPECT_TRUE(host.isReady());
 }
 
+// Guards against an owner that starts tasks in a closed zone because its feed of the requests hangs while its commits are stored (EVAC): it has to read the
+// requests beside the feed, long before the feed's second time-out, after which the table is listed.
+TEST_F(FleetHostTest, AnOwnerWhoseFeedHangsReadsTheClosedZonesItself)
+{
+    Host host("host-1", m_platform.storePort(), {}, Milliseconds{5'000});
+    host.awaitReady(true);
+    while (readOwner().m_commit == 0) {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 20);
+    }
+    const auto wait = [](Milliseconds length) {
+        const TimePoint until = Clock::now() + length;
+        while (Clock::now() < until) {
+            QCoreApplication::processEvents(QEventLoop::AllEvents, 20);
+        }
+    };
+    m_platform.silenceFeed("op");
+    m_platform.put("op", "", "evacuate/zone-a", "{}");
+    wait(Milliseconds{2'300});
+    TaskJob job;
+    job.m_id = "5c0e7a21d94b36f8";
+    job.m_policy.m_name = "queue";
+    job.m_policy.m_pool = "pool";
+    job.m_steps.push_back({.m_count = 1, .m_demand = {.m_cpuMillis = 500, .m_memoryMb = 64}});
+    m_platform.put("jobs", "5", job.m_id, encodeRow(job));
+    wait(Milliseconds{1'000});
+    EXPECT_TRUE(m_platform.starts().empty());
+    EXPECT_EQ(readOwner().m_host, "host-1");
+    m_platform.remove("op", "", "evacuate/zone-a");
+    const TimePoint until = Clock::now() + std::chrono::seconds(20);
+    while (m_platform.starts().empty() && Clock::now() < until) {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 20);
+    }
+    EXPECT_EQ(m_platform.starts().size(), 1U);
+}
+
 // Guards against a request to close a zone that does not reach the scheduler, or outlives its row. The zone is also that of the host, which stays the
 // owner and ready: the request concerns workers.
 TEST_F(FleetHostTest, NothingStartsInAClosedZoneUntilItsRowIsRemoved)
