Bound the reads of closed zones by the time-out of a call

Cause: the interval of 1.2 s was the default of store.timeout_ms only, so a longer time-out would allow two reads at a time. Change: the interval is the setting.

--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -38,8 +38,6 @@
 constexpr Milliseconds connectTimeout{1'000};
 /// Age of the last confirmation of the closed zones at which they are read beside the feed. While the feed works, each of its waits confirms them.
 constexpr Milliseconds lateZonesAge{1'500};
-/// Time between two such reads; not shorter than a call, so that one is in flight at most.
-constexpr Milliseconds zonesReadInterval{1'200};
 /// Pause before another attempt to read all jobs again.
 constexpr Milliseconds reloadPause{200};
 
@@ -303,7 +301,10 @@
 auto FleetStoreDuty::confirmZones() -> void
 {
     const auto now = Clock::now();
-    if (m_settings.m_evacuate.count() == 0 || now - m_zoneRequests->zones().confirmedAt() < lateZonesAge || now - m_zonesReadAt < zonesReadInterval) {
+    const bool isLate = now - m_zoneRequests->zones().confirmedAt() >= lateZonesAge;
+    // The call before has ended by then, so one is in flight at most.
+    const bool mayRead = now - m_zonesReadAt >= m_settings.m_storeTimeout;
+    if (m_settings.m_evacuate.count() == 0 || !isLate || !mayRead) {
         return;
     }
     m_zonesReadAt = now;
