--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -15,6 +15,7 @@
 #include "burdockspur/fleet/placementpass.hpp"
 #include "burdockspur/fleet/reportpacing.hpp"
 #include "burdockspur/fleet/startwindow.hpp"
+#include "burdockspur/fleet/takeover/queueworkmeans.hpp"
 #include "burdockspur/fleet/taskkinds.hpp"
 
 #include <cstdint>
@@ -345,7 +346,7 @@
     WorkerMap m_workers;
     ReportPacing m_reportPacing;
     PaceController m_paceController; ///< kept across ownerships, because its model of interference stays valid
-    std::map<std::string, double, std::less<>> m_meanWorkByQueue; ///< running mean of the total work of a job in core seconds, by queue
+    QueueWorkMeans m_queueWork; ///< kept across ownerships
     std::unordered_set<std::string> m_archived; ///< ids of archived jobs; a list that was read before a move may still contain them
     std::deque<std::pair<TimePoint, std::string>> m_archivedAt; ///< time of archiving and id, oldest first
     std::unordered_set<std::string> m_deletes; ///< row keys to delete with the next commit
--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -112,6 +112,7 @@
 class ProcessorUse;
 class ProgramOptions;
 class ProgressAssembly;
+class QueueWorkMeans;
 class RandomPolicy;
 class RandomSource;
 class RendezvousPicker;
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -75,6 +75,7 @@
         job->recordContinuationRows(stored.m_continuationRows);
         auto &entry = *m_jobs.insert_or_assign(job->job().m_id, std::move(job)).first->second;
         trackJob(entry);
+        m_queueWork.add(entry.job().m_policy.m_name, entry.totalWork());
         entry.continueWait();
         restoreRuns(entry, now);
         if (stored.m_isCancelled) {
@@ -211,10 +212,7 @@
              {{"job", id}, {"queue", job.m_policy.m_name}, {"steps", job.m_steps.size()}, {"waiting", m_waitingCount}, {"epoch", m_epoch}});
     auto &added = *m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(job), now, wallNow)).first->second;
     trackJob(added);
-    /// Weight of a new job in the running mean of its queue.
-    constexpr double smoothingFactor = 0.05;
-    const auto mean = m_meanWorkByQueue.try_emplace(added.job().m_policy.m_name, added.totalWork()).first;
-    mean->second += smoothingFactor * (added.totalWork() - mean->second);
+    m_queueWork.add(added.job().m_policy.m_name, added.totalWork());
     m_needsPlacement = true;
 }
 
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -88,8 +88,8 @@
     } else if (now + backlog.m_criticalPath > job.deadline()) {
         rank.m_lateness = 1;
     }
-    const auto mean = m_meanWorkByQueue.find(policy.m_name);
-    const double work = mean == m_meanWorkByQueue.end() || mean->second <= 0 ? 1.0 : job.totalWork() / mean->second;
+    const double mean = m_queueWork.mean(policy.m_name).value_or(0);
+    const double work = mean <= 0 ? 1.0 : job.totalWork() / mean;
     const double weight = std::min(maxWeight, baseWeight + (1.0 - baseWeight) * work);
     rank.m_cost = backlog.m_coreSeconds / weight;
     return rank;
