Leave submissions under way alone when the store refuses other calls

Change: only a silence ends them; a store that refuses ends them itself. The new test fails on the code before.

--- a/include/burdockspur/fleet/apiduty.hpp
+++ b/include/burdockspur/fleet/apiduty.hpp
@@ -57,7 +57,7 @@
         std::string_view m_kind;
         std::string m_job;
         TimePoint m_receivedAt;
-        std::string m_path = {}; ///< set when the job is not known
+        std::string m_path; ///< set when the job is not known
     };
 
     [[nodiscard]] auto listen() -> Result<void>;
--- a/include/burdockspur/fleet/refusals/observedstore.hpp
+++ b/include/burdockspur/fleet/refusals/observedstore.hpp
@@ -19,7 +19,7 @@
     /// @brief What becomes of calls while the store does not answer.
     enum class DuringOutage : std::uint8_t {
         Call, ///< calls are sent, and the first answer shows the end of the outage
-        Refuse, ///< new calls are not sent, and open ones end as soon as the outage is known
+        Refuse, ///< new calls are not sent, and open ones end as soon as a silence is known; a store that refuses ends them itself
     };
 
     struct Listener {
--- a/src/fleet/apiduty.cpp
+++ b/src/fleet/apiduty.cpp
@@ -213,7 +213,7 @@
         refuse(invalid, call.error());
     } else if (submit != nullptr && submit->m_job.m_policy.m_needsAdvice) {
         // Every worker would refuse its starts, so the request is refused at once.
-        refuse({exchange, "submit", submit->m_job.m_id, now}, Error{ErrorCode::NoTarget, "queues with advice are not served yet"});
+        refuse({exchange, "submit", submit->m_job.m_id, now, {}}, Error{ErrorCode::NoTarget, "queues with advice are not served yet"});
     } else if (const auto *const pending = std::get_if<PendingCall>(&*call)) {
         servePending(exchange, *pending, now);
     } else {
@@ -223,7 +223,7 @@
 
 auto ApiDuty::servePending(ExchangeId exchange, const PendingCall &call, TimePoint receivedAt) -> void
 {
-    const OpenCall open{exchange, "pending", {}, receivedAt};
+    const OpenCall open{exchange, "pending", {}, receivedAt, {}};
     const auto &waiting = m_pending.m_waiting;
     // A job may be missing from the counts until it must be visible, so the jobs that were counted may be older than the counts.
     if (!waiting || receivedAt - waiting->m_asOf > maxPendingAge + m_settings.m_jobVisible - visibilityMargin) {
@@ -244,7 +244,7 @@
 
 auto ApiDuty::forward(ExchangeId exchange, ApiCall &&call, TimePoint receivedAt) -> void
 {
-    OpenCall open{exchange, kindOf(call), jobOf(call), receivedAt};
+    OpenCall open{exchange, kindOf(call), jobOf(call), receivedAt, {}};
     if (!isStoreAnswering(receivedAt)) {
         // Nothing was sent to the store, so the answer can state for certain that the request had no effect.
         refuse(open, Error{ErrorCode::Unavailable, "the store does not answer"});
--- a/src/fleet/refusals/observedstore.cpp
+++ b/src/fleet/refusals/observedstore.cpp
@@ -174,7 +174,7 @@
     const auto &report = m_reachability.report();
     if (report.m_condition == StoreCondition::Answering) {
         endCalls(report.m_silentUntil, "sent while the store was silent");
-    } else if (m_duringOutage == DuringOutage::Refuse) {
+    } else if (report.m_condition == StoreCondition::Silent && m_duringOutage == DuringOutage::Refuse) {
         endCalls(TimePoint::max(), "the store does not answer");
     }
 }
--- a/tests/observedstoretest.cpp
+++ b/tests/observedstoretest.cpp
@@ -140,6 +140,28 @@
     EXPECT_TRUE(m_store.m_commits.empty());
 }
 
+// Guards against a stored submission that is answered 504 because a part of the store refuses other calls for a moment.
+TEST_F(ObservedStoreTest, ASubmissionUnderWayIsNotEndedByRefusalsOfOtherCalls)
+{
+    const auto view = viewOf(ObservedStore::DuringOutage::Refuse);
+    JobStore jobs(*view);
+    TaskJob job;
+    job.m_id = "5c0e7a21d94b36f8";
+    std::optional<Result<JobPhase>> result;
+    jobs.submit(job, [&result](Result<JobPhase> &&received) {
+        result = std::move(received);
+    });
+    const TimePoint now = Clock::now();
+    ASSERT_FALSE(m_reachability.end(m_reachability.begin(now, 0ms), StoreCallEnd::Refused, now + 1ms));
+    ASSERT_TRUE(m_reachability.end(m_reachability.begin(now + 2ms, 0ms), StoreCallEnd::Refused, now + 3ms));
+    view->applyCondition();
+    run();
+    EXPECT_FALSE(result);
+    m_store.m_commits.front()(CommitResult{.m_status = CommitResult::Status::Committed, .m_rows = {}, .m_error = {}});
+    ASSERT_TRUE(result);
+    EXPECT_TRUE(*result);
+}
+
 // Guards against a host that stays without configuration, jobs or ownership for a whole time-out after the return of a silent store.
 TEST_F(ObservedStoreTest, CallsFromTheSilenceEndWhenTheStoreAnswersAgain)
 {
