--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -115,6 +115,7 @@
 class ProcessorUse;
 class ProgramOptions;
 class ProgressAssembly;
+class QueueWorkMeans;
 class RandomPolicy;
 class RandomSource;
 class RendezvousPicker;
