Start copies of stragglers where a step allows them

A run that takes seven times as long as its siblings makes its whole step late. Where a submission allows it, the owner now starts a second run beside it, when the job gains by that and no work waits for the room. The first end counts, the other run is stopped.

TaskProgress holds a second assignment, stored before the start is ordered and restored by a successor; rows without it are read as before. A copy takes the place of an original run that is lost, stopped or fails. Failures of both runs count as attempts, and the job fails only when none is left and no run.

--- a/include/burdockspur/fleet/fleetjob.hpp
+++ b/include/burdockspur/fleet/fleetjob.hpp
@@ -8,6 +8,7 @@
 #include "burdockspur/fleet/jobbacklog.hpp"
 #include "burdockspur/fleet/jobprogress.hpp"
 #include "burdockspur/fleet/placementrefusal.hpp"
+#include "burdockspur/fleet/stragglers/stepdurations.hpp"
 
 #include <algorithm>
 #include <cstddef>
@@ -40,6 +41,7 @@
     TimePoint m_heldLoggedAt; ///< see HeldTaskLog
     FailureAttribution m_failedRuns;
     FailureAttribution m_slowRuns;
+    StepDurations m_stepDurations; ///< of the steps that allow copies
 
     /// @param job the job as submitted
     /// @param now start of its deadline, unless the wall clock shows that the job is older
@@ -112,6 +114,9 @@
     /// @brief Finds a task of an open occurrence; nullptr if there is none. Marks the backlog as out of date, because the caller may change the task.
     [[nodiscard]] auto findTask(const TaskId &id) -> TaskProgress *;
 
+    /// @brief Finds a task of an open occurrence; nullptr if there is none.
+    [[nodiscard]] auto taskAt(const TaskId &id) const noexcept -> const TaskProgress *;
+
     /// @brief Step of a task.
     [[nodiscard]] auto stepOf(const TaskId &id) const noexcept -> const TaskStep &
     {
@@ -145,6 +150,12 @@
         return m_hasStarted;
     }
 
+    /// @brief When the job was accepted, as far as the clocks of the hosts allow to tell.
+    [[nodiscard]] auto acceptedAt() const noexcept -> TimePoint
+    {
+        return m_acceptedAt;
+    }
+
     /// @brief End of the job's objective.
     [[nodiscard]] auto deadline() const noexcept -> TimePoint
     {
--- a/include/burdockspur/fleet/fleetmetrics.hpp
+++ b/include/burdockspur/fleet/fleetmetrics.hpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/fleet/fleetanswer.hpp"
+#include "burdockspur/fleet/stragglers/copycounters.hpp"
 #include "burdockspur/operations/metrics.hpp"
 
 #include <array>
@@ -50,6 +51,10 @@
     /// @param longestIdle longest such time
     auto recordWaits(std::size_t idleJobs, Duration longestIdle) -> void;
 
+    /// @brief Records the counters of the copies of stragglers; only one thread calls this.
+    /// @param counters since the start of the process
+    auto recordCopies(const CopyCounters &counters) -> void;
+
 private:
     static constexpr std::size_t orderCount = 4;
     static constexpr std::size_t outcomeCount = static_cast<std::size_t>(OrderOutcome::NoAnswer) + 1;
@@ -65,5 +70,9 @@
     prometheus::Gauge &m_waiting;
     prometheus::Gauge &m_idleJobs;
     prometheus::Gauge &m_longestIdle;
+    prometheus::Counter &m_copiesStarted;
+    prometheus::Counter &m_copiesWon;
+    prometheus::Counter &m_copyWaste;
+    CopyCounters m_recordedCopies; ///< what the counters of copies already contain
 };
 }
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -15,6 +15,8 @@
 #include "burdockspur/fleet/placementpass.hpp"
 #include "burdockspur/fleet/reportpacing.hpp"
 #include "burdockspur/fleet/startwindow.hpp"
+#include "burdockspur/fleet/stragglers/durationmodel.hpp"
+#include "burdockspur/fleet/stragglers/stragglerwatch.hpp"
 #include "burdockspur/fleet/taskkinds.hpp"
 
 #include <cstdint>
@@ -48,7 +50,8 @@
 ///
 /// Receives events with their time and queues commands; it uses no socket, thread, codec or clock. Invariants:
 /// - an assignment is stored before its start order is sent, so that a successor can find every run that may exist;
-/// - a task is assigned again only after its last run has ended or can no longer start, or after the worker's lease has expired;
+/// - a task is assigned again only after its last run has ended or can no longer start, or after the worker's lease has expired; if its step allows
+///   copies, a second run may be assigned beside one;
 /// - the end of a run is acknowledged to the worker only after its effects are stored;
 /// - the resources reserved for a run are freed only when the run is removed.
 class FleetScheduler
@@ -169,6 +172,12 @@
         return m_heldTaskLog.longestIdle();
     }
 
+    /// @brief Counters of the copies of stragglers since construction.
+    [[nodiscard]] auto copyCounters() const noexcept -> const CopyCounters &
+    {
+        return m_stragglers.counters();
+    }
+
     /// @brief Counters of the placement work since construction.
     [[nodiscard]] auto placementCounters() const noexcept -> const PlacementCounters &
     {
@@ -233,16 +242,27 @@
     auto processEnds(FleetWorker &worker, std::span<const EndedTask> ended, TimePoint now) -> void;
     /// @brief Processes the end of a run that was already counted as lost.
     auto processLateEnd(const EndedTask &end) -> void;
-    /// @brief Completes a task by the late end of an earlier run; the current run is removed, or stopped if its start order was sent.
-    auto completeAfterLateEnd(FleetJob &job, const TaskId &id) -> void;
-    /// @brief Counts the failure of a run unless it was counted before; fails the job at the last attempt of a finite task.
-    auto countFailure(FleetJob &job, const TaskStep &step, TaskProgress &task, RunNumber run) -> void;
+    /// @brief Completes a task by the success of a run, which may not be assigned any more; its other runs are removed, or stopped if their start orders
+    /// were sent.
+    auto completeTask(FleetJob &job, const TaskId &id, RunNumber run) -> void;
+    /// @brief Removes a run of a task that is not needed any more, or stops it if its start order was sent.
+    auto withdrawRun(std::string_view worker, const TaskId &id, RunNumber run) -> void;
+    /// @brief Fails the job when a finite task has no attempt left; not while another run of the task is under way that was to run beside the failed one.
+    auto failAfterLastAttempt(FleetJob &job, const TaskStep &step, const TaskProgress &task) -> void;
     /// @brief Updates the runs of a worker from its report, and stops reported runs that the owner has not assigned.
     auto processRunningTasks(FleetWorker &worker, const ReportAnswer &answer, TimePoint now) -> void;
     /// @brief Removes an ended run and updates its task; the success of one gang member completes all members.
     auto endRun(FleetWorker &worker, TaskRun &run, RunEnd how, std::string_view checkpoint, TimePoint now) -> void;
-    /// @brief Updates a task after the end of its run: done, or waiting again.
-    auto endTask(FleetJob &job, const TaskId &id, RunEnd how, std::string_view checkpoint) -> void;
+    /// @brief Updates a task after the end of a run: done, waiting again, or continued by its other run. The end of a run that is not assigned any more
+    /// has no effect.
+    auto endTask(FleetJob &job, const TaskId &id, RunNumber run, RunEnd how, std::string_view checkpoint) -> void;
+    /// @brief Lets a copy count as the only run of its task.
+    auto promoteCopy(const TaskId &id, const TaskProgress &task) -> void;
+    /// @brief Learns from the success of a run, and counts the work of one that was not needed.
+    /// @param isWorkerTrusted whether the worker was trusted before the end
+    auto learnFromEnd(const TaskRun &run, RunEnd how, bool isWorkerTrusted, TimePoint now) -> void;
+    /// @brief Judges which runs of a worker are worth a copy.
+    auto watchStragglers(const FleetWorker &worker, TimePoint now) -> void;
     /// @brief Removes a run that cannot start any more and makes its task wait again.
     auto requeueRun(FleetWorker &worker, TaskRun &run, std::string_view reason) -> void;
     /// @brief Marks all runs of a worker as lost.
@@ -310,6 +330,13 @@
     [[nodiscard]] auto reserveCapacity(const WaitingTask &waiting, PoolCapacities &pools, TimePoint now) -> bool;
     /// @brief Assigns all tasks of a gang, or none.
     [[nodiscard]] auto placeGang(std::span<const WaitingTask> members, PoolCapacities &pools, TimePoint now) -> bool;
+    /// @brief Assigns copies of stragglers while no waiting task can use the room.
+    auto placeCopies(PoolCapacities &pools, TimePoint now) -> void;
+    /// @brief Assigns a copy of a run.
+    /// @returns false if no worker has room
+    auto placeCopy(const TaskRun &original, const CopyWorth &worth, PoolCapacities &pools, TimePoint now) -> bool;
+    /// @brief Stops copies whose room a waiting task can use.
+    auto yieldCopies() -> void;
     /// @brief Assigns a task to a worker; the start order follows once the assignment is stored.
     /// @param choice result of the search, with a worker
     auto assign(const WaitingTask &waiting, const WorkerChoice &choice, RunNumber run, TimePoint now) -> void;
@@ -345,6 +372,8 @@
     WorkerMap m_workers;
     ReportPacing m_reportPacing;
     PaceController m_paceController; ///< kept across ownerships, because its model of interference stays valid
+    DurationModel m_durations; ///< kept across ownerships for the same reason
+    StragglerWatch m_stragglers;
     std::map<std::string, double, std::less<>> m_meanWorkByQueue; ///< running mean of the total work of a job in core seconds, by queue
     std::unordered_set<std::string> m_archived; ///< ids of archived jobs; a list that was read before a move may still contain them
     std::deque<std::pair<TimePoint, std::string>> m_archivedAt; ///< time of archiving and id, oldest first
--- a/include/burdockspur/fleet/taskrun.hpp
+++ b/include/burdockspur/fleet/taskrun.hpp
@@ -40,6 +40,7 @@
     std::uint32_t m_priority = 0; ///< of the job's queue when the run was assigned or restored; 0 comes first
     bool m_isServing = false;
     bool m_isFilling = false;
+    bool m_isCopy = false; ///< runs beside the original run of its task, whose place it has not taken
     bool m_isYielding = false; ///< filling task that was placed in spite of the guards; uses only processors that other runs leave
     int m_paceLimit = fullPacePercent; ///< highest pace in percent; below 100 only for a yielding run
     Milliseconds m_tailTarget{0};
--- a/include/burdockspur/impl/fleetschedulerparts.hpp
+++ b/include/burdockspur/impl/fleetschedulerparts.hpp
@@ -22,6 +22,7 @@
     const TaskStep *m_step = nullptr;
     const JobQueuePolicy *m_policy = nullptr;
     PlacementTurn m_turn = PlacementTurn::Ranked;
+    const TaskRun *m_original = nullptr; ///< run beside which a copy is to run; nullptr for a task without a run
 
     /// Built on demand, because a backlog has thousands of tasks of which few are assigned.
     [[nodiscard]] auto id() const -> TaskId
--- a/src/fleet/fleetjob.cpp
+++ b/src/fleet/fleetjob.cpp
@@ -62,6 +62,18 @@
     return tasks;
 }
 
+/// @brief Finds a task; nullptr if there is none.
+template<typename Progress>
+[[nodiscard]] auto taskIn(Progress &progress, const TaskId &id) noexcept -> decltype(&progress.m_open[0].m_steps[0].m_tasks[0])
+{
+    const auto occurrence = std::ranges::find(progress.m_open, id.m_occurrence, &OccurrenceProgress::m_number);
+    if (occurrence == progress.m_open.end() || id.m_step >= occurrence->m_steps.size()) {
+        return nullptr;
+    }
+    auto &tasks = occurrence->m_steps[id.m_step].m_tasks;
+    return id.m_index < tasks.size() ? &tasks[id.m_index] : nullptr;
+}
+
 [[nodiscard]] auto workOf(const TaskStep &step) noexcept -> double
 {
     constexpr double millisPerUnit = 1000.0;
@@ -255,16 +267,16 @@
 
 auto FleetJob::findTask(const TaskId &id) -> TaskProgress *
 {
-    const auto occurrence = std::ranges::find(m_progress.m_open, id.m_occurrence, &OccurrenceProgress::m_number);
-    if (occurrence == m_progress.m_open.end() || id.m_step >= occurrence->m_steps.size()) {
-        return nullptr;
-    }
-    auto &tasks = occurrence->m_steps[id.m_step].m_tasks;
-    if (id.m_index >= tasks.size()) {
-        return nullptr;
+    auto *const task = taskIn(m_progress, id);
+    if (task != nullptr) {
+        invalidateBacklog();
     }
-    invalidateBacklog();
-    return &tasks[id.m_index];
+    return task;
+}
+
+auto FleetJob::taskAt(const TaskId &id) const noexcept -> const TaskProgress *
+{
+    return taskIn(m_progress, id);
 }
 
 auto FleetJob::isReady(const OccurrenceProgress &occurrence, std::size_t step) const noexcept -> bool
@@ -283,6 +295,7 @@
         return std::ranges::all_of(occurrence.m_steps, isDone);
     });
     if (closed > 0) {
+        m_stepDurations.forgetBefore(m_progress.m_open.empty() ? m_progress.m_nextOccurrence : m_progress.m_open.front().m_number);
         invalidateBacklog();
     }
     const bool isOver = m_progress.m_open.empty() && !nextDueTime();
--- a/src/fleet/fleetmetrics.cpp
+++ b/src/fleet/fleetmetrics.cpp
@@ -29,6 +29,9 @@
     , m_waiting(metrics.gauge("burdockspur_waiting_tasks", "Tasks that wait for capacity"))
     , m_idleJobs(metrics.gauge("burdockspur_idle_jobs", "Jobs with a waiting task that had no run for more than a second"))
     , m_longestIdle(metrics.gauge("burdockspur_longest_idle_seconds", "Longest time for which a job with a waiting task has no run"))
+    , m_copiesStarted(metrics.counter("burdockspur_copies_started_total", "Copies of stragglers that were assigned"))
+    , m_copiesWon(metrics.counter("burdockspur_copies_won_total", "Copies that have succeeded before the original run"))
+    , m_copyWaste(metrics.counter("burdockspur_copy_waste_core_seconds_total", "Work of runs that were stopped because of a copy"))
 {
 }
 
@@ -65,4 +68,12 @@
     m_idleJobs.Set(static_cast<double>(idleJobs));
     m_longestIdle.Set(seconds(longestIdle));
 }
+
+auto FleetMetrics::recordCopies(const CopyCounters &counters) -> void
+{
+    m_copiesStarted.Increment(static_cast<double>(counters.m_started - m_recordedCopies.m_started));
+    m_copiesWon.Increment(static_cast<double>(counters.m_won - m_recordedCopies.m_won));
+    m_copyWaste.Increment(counters.m_wastedCoreSeconds - m_recordedCopies.m_wastedCoreSeconds);
+    m_recordedCopies = counters;
+}
 }
--- a/src/fleet/fleetrows.cpp
+++ b/src/fleet/fleetrows.cpp
@@ -131,8 +131,8 @@
     return step;
 }
 
-/// A task is [phase, run, failures, worker, incarnation, checkpoint, failed run]; a waiting task that never ran is 0. The last column
-/// is present only when a run has failed.
+/// A task is [phase, run, failures, worker, incarnation, checkpoint, failed run, copy, worker of the copy, its incarnation]; a waiting task that never
+/// ran is 0. The failed run is present only when a run has failed or a copy was assigned, and the last three columns only in the second case.
 auto writeTask(Writer &writer, const TaskProgress &task) -> void
 {
     if (task == TaskProgress{}) {
@@ -146,12 +146,37 @@
     put(writer, task.m_worker);
     writer.Uint64(task.m_incarnation);
     put(writer, task.m_checkpoint);
-    if (task.m_lastFailedRun > 0) {
+    const bool wasCopied = task.m_copy.m_run > 0;
+    if (task.m_lastFailedRun > 0 || wasCopied) {
         writer.Uint(task.m_lastFailedRun);
     }
+    if (wasCopied) {
+        writer.Uint(task.m_copy.m_run);
+        put(writer, task.m_copy.m_worker);
+        writer.Uint64(task.m_copy.m_incarnation);
+    }
     writer.EndArray();
 }
 
+/// @brief Reads the columns of a copy.
+/// @param columns value of a task with these columns
+/// @param task the task as read so far
+/// @returns nothing for a copy that cannot be one of the task
+[[nodiscard]] auto readCopy(const Value &columns, const TaskProgress &task) -> std::optional<TaskCopy>
+{
+    using namespace JsonValue;
+    constexpr std::size_t first = 7;
+    const auto run = integer<RunNumber>(columns[first]);
+    const auto worker = text(columns[first + 1]);
+    const auto incarnation = integer<std::uint64_t>(columns[first + 2]);
+    if (!run || !worker || !incarnation) {
+        return std::nullopt;
+    }
+    const bool isAssigned = !worker->empty();
+    const bool isPossible = !isAssigned || (task.m_phase == TaskPhase::Assigned && *run > task.m_run && *worker != task.m_worker);
+    return isPossible ? std::optional(TaskCopy{*run, std::string(*worker), *incarnation}) : std::nullopt;
+}
+
 [[nodiscard]] auto readTask(const Value &value) -> std::optional<TaskProgress>
 {
     using namespace JsonValue;
@@ -159,7 +184,8 @@
         return TaskProgress{};
     }
     constexpr std::size_t columns = 6;
-    if (!value.is_array() || value.size() < columns || value.size() > columns + 1) {
+    constexpr std::size_t columnsWithCopy = 10;
+    if (!value.is_array() || value.size() < columns || (value.size() > columns + 1 && value.size() != columnsWithCopy)) {
         return std::nullopt;
     }
     const auto phase = integer<std::uint8_t>(value[0]);
@@ -172,7 +198,15 @@
     if (!phase || *phase > static_cast<std::uint8_t>(TaskPhase::Done) || !run || !failures || !worker || !incarnation || !checkpoint || !failedRun) {
         return std::nullopt;
     }
-    return TaskProgress{static_cast<TaskPhase>(*phase), *run, *failures, std::string(*worker), *incarnation, std::string(*checkpoint), *failedRun};
+    TaskProgress task{static_cast<TaskPhase>(*phase), *run, *failures, std::string(*worker), *incarnation, std::string(*checkpoint), *failedRun, {}};
+    if (value.size() == columnsWithCopy) {
+        auto copy = readCopy(value, task);
+        if (!copy) {
+            return std::nullopt;
+        }
+        task.m_copy = std::move(*copy);
+    }
+    return task;
 }
 
 [[nodiscard]] auto readOccurrence(const Value &value) -> std::optional<OccurrenceProgress>
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -121,6 +121,7 @@
     m_pass.reset();
     m_jobs.clear();
     m_workers.clear();
+    m_stragglers.clear();
     m_archived.clear();
     m_archivedAt.clear();
     m_deletes.clear();
@@ -138,42 +139,60 @@
 auto FleetScheduler::restoreRuns(FleetJob &job, TimePoint now) -> void
 {
     // endTask() may remove occurrences, so the assignments are copied before any task is ended.
-    std::vector<std::pair<TaskId, TaskProgress>> assigned;
+    struct Assignment {
+        TaskId m_id;
+        RunNumber m_run = 0;
+        std::string m_worker;
+        std::uint64_t m_incarnation = 0;
+        std::string m_checkpoint;
+        bool m_isCopy = false;
+    };
+    std::vector<Assignment> assigned;
     for (const auto &occurrence : job.progress().m_open) {
         for (std::uint32_t step = 0; step < occurrence.m_steps.size(); ++step) {
             const auto &tasks = occurrence.m_steps[step].m_tasks;
             for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                if (tasks[index].m_phase == TaskPhase::Assigned) {
-                    assigned.emplace_back(TaskId{job.job().m_id, occurrence.m_number, step, index}, tasks[index]);
+                const auto &task = tasks[index];
+                const TaskId id{job.job().m_id, occurrence.m_number, step, index};
+                if (task.m_phase == TaskPhase::Assigned) {
+                    assigned.push_back({id, task.m_run, task.m_worker, task.m_incarnation, task.m_checkpoint, false});
+                }
+                if (task.hasCopy()) {
+                    assigned.push_back({id, task.m_copy.m_run, task.m_copy.m_worker, task.m_copy.m_incarnation, task.m_checkpoint, true});
+                    m_stragglers.addCopy(id.text(), {task.m_copy.m_worker, policyOf(job).m_priority}, false);
                 }
             }
         }
     }
-    for (const auto &[id, task] : assigned) {
+    for (const auto &stored : assigned) {
         WorkerRecord record;
-        record.m_id = task.m_worker;
-        record.m_incarnation = task.m_incarnation;
-        auto &worker = m_workers.try_emplace(task.m_worker, record, m_limits, inheritedLeaseEndOf(task.m_worker)).first->second;
-        if (task.m_incarnation != worker.m_record.m_incarnation) {
+        record.m_id = stored.m_worker;
+        record.m_incarnation = stored.m_incarnation;
+        auto &worker = m_workers.try_emplace(stored.m_worker, record, m_limits, inheritedLeaseEndOf(stored.m_worker)).first->second;
+        if (stored.m_incarnation != worker.m_record.m_incarnation) {
             // A worker that has answered this owner is in its latest incarnation. Before that, the latest incarnation among the stored tasks
             // counts; an incarnation that is known from the platform's list only does not end another one.
-            const bool isOver = worker.m_isIncarnationConfirmed || (!worker.m_runs.empty() && task.m_incarnation < worker.m_record.m_incarnation);
+            const bool isOver = worker.m_isIncarnationConfirmed || (!worker.m_runs.empty() && stored.m_incarnation < worker.m_record.m_incarnation);
             if (isOver) {
-                endTask(job, id, RunEnd::LeaseLapsed, task.m_checkpoint);
+                endTask(job, stored.m_id, stored.m_run, RunEnd::LeaseLapsed, stored.m_checkpoint);
                 continue;
             }
-            replaceIncarnation(worker, task.m_incarnation, "worker_restarted");
+            replaceIncarnation(worker, stored.m_incarnation, "worker_restarted");
         }
         TaskRun run;
         run.m_job = &job;
-        run.m_task = id;
-        run.m_run = task.m_run;
+        run.m_task = stored.m_id;
+        run.m_run = stored.m_run;
         run.m_stage = RunStage::Unconfirmed;
         run.m_assignedAt = now;
         run.m_priority = policyOf(job).m_priority;
-        run.m_checkpoint = task.m_checkpoint;
-        run.initFromStep(job.stepOf(id), m_paceController.model());
+        run.m_checkpoint = stored.m_checkpoint;
+        run.initFromStep(job.stepOf(stored.m_id), m_paceController.model());
         run.m_pace = run.m_isFilling ? unknownPace : run.m_pace;
+        run.m_isUndisturbed = false;
+        // The original run may have been found to be over before.
+        const auto *const task = job.taskAt(stored.m_id);
+        run.m_isCopy = stored.m_isCopy && task != nullptr && task->roleOf(stored.m_run) == RunRole::Copy;
         worker.addRun(std::move(run));
     }
 }
@@ -259,38 +278,46 @@
     m_needsPlacement = true;
 }
 
-auto FleetScheduler::endTask(FleetJob &job, const TaskId &id, RunEnd how, std::string_view checkpoint) -> void
+auto FleetScheduler::endTask(FleetJob &job, const TaskId &id, RunNumber run, RunEnd how, std::string_view checkpoint) -> void
 {
     auto *const task = job.findTask(id);
-    if (task == nullptr || task->m_phase == TaskPhase::Done) {
+    const auto role = task == nullptr ? RunRole::None : task->roleOf(run);
+    if (role == RunRole::None) {
         return;
     }
     const auto &step = job.stepOf(id);
-    task->m_phase = TaskPhase::Waiting;
-    task->m_worker.clear();
-    task->m_incarnation = 0;
-    if (!checkpoint.empty()) {
-        task->m_checkpoint = checkpoint;
-    }
     if (how == RunEnd::Done && !step.m_isServing) {
-        task->m_phase = TaskPhase::Done;
-        task->m_checkpoint.clear();
+        completeTask(job, id, run);
+        return;
+    }
+    // A copy has done less than the original run, unless that has written no checkpoint.
+    if (!checkpoint.empty() && (role == RunRole::Original || task->m_checkpoint.empty())) {
+        task->m_checkpoint = checkpoint;
     }
+    task->release(run);
     if (how == RunEnd::Failed) {
-        countFailure(job, step, *task, task->m_run);
+        task->m_lastFailedRun = std::max(task->m_lastFailedRun, run);
+        ++task->m_failures;
+    }
+    if (StragglerWatch::mayBeCopied(step)) {
+        m_stragglers.endCopy(id.text());
+        m_stragglers.dropCandidate(id.text());
+    }
+    if (task->m_phase == TaskPhase::Assigned && role == RunRole::Original) {
+        promoteCopy(id, *task);
+    }
+    if (how == RunEnd::Failed || StragglerWatch::mayBeCopied(step)) {
+        failAfterLastAttempt(job, step, *task);
     }
     handleTaskChange(job);
 }
 
-auto FleetScheduler::countFailure(FleetJob &job, const TaskStep &step, TaskProgress &task, RunNumber run) -> void
+auto FleetScheduler::failAfterLastAttempt(FleetJob &job, const TaskStep &step, const TaskProgress &task) -> void
 {
-    // Workers report an end again, also to a successor, until it is acknowledged.
-    if (run <= task.m_lastFailedRun) {
-        return;
-    }
-    task.m_lastFailedRun = run;
-    ++task.m_failures;
-    if (!step.m_isServing && task.m_failures >= policyOf(job).m_maxAttempts) {
+    // Beside a copy that has failed, the original run may still succeed, and the reverse.
+    const bool mayStillSucceed = StragglerWatch::mayBeCopied(step) && task.m_phase == TaskPhase::Assigned;
+    const bool hasAttempts = step.m_isServing || task.m_failures < policyOf(job).m_maxAttempts;
+    if (!hasAttempts && !mayStillSucceed && !isFinal(job.progress().m_phase)) {
         finishJob(job, JobPhase::Failed);
     }
 }
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -191,7 +191,8 @@
                              task.m_waitingSince,
                              &contract,
                              group.m_job->backlog().m_policy,
-                             group.m_rank.m_turn});
+                             group.m_rank.m_turn,
+                             nullptr});
         }
     }
     return tasks;
@@ -289,6 +290,10 @@
     }
     // Updates the counts of tasks that still wait.
     updateBacklogs(now);
+    if (isComplete) {
+        yieldCopies();
+        placeCopies(pools, now);
+    }
     m_paceController.recordBacklog(static_cast<double>(m_waitingFillCpu) / capacity, now);
 }
 
@@ -329,7 +334,7 @@
         }
         const auto choice = chooseWorker(*search, task, pools, now);
         if (choice.m_worker != nullptr) {
-            assign(task, choice, task.m_progress->m_run + 1, now);
+            assign(task, choice, task.m_progress->nextRun(), now);
             examine(*search, pools.update(*choice.m_worker), task, now);
             if (isOfIdleJob) {
                 --m_idleStartsLeft;
@@ -558,19 +563,25 @@
     auto &worker = *choice.m_worker;
     const auto id = waiting.id();
     auto &task = *waiting.m_progress;
-    task.m_phase = TaskPhase::Assigned;
-    task.m_run = run;
-    task.m_worker = worker.m_record.m_id;
-    task.m_incarnation = worker.m_record.m_incarnation;
+    if (waiting.m_original != nullptr) {
+        task.assignCopy(run, worker.m_record.m_id, worker.m_record.m_incarnation);
+    } else {
+        task.m_phase = TaskPhase::Assigned;
+        task.m_run = run;
+        task.m_worker = worker.m_record.m_id;
+        task.m_incarnation = worker.m_record.m_incarnation;
+    }
     TaskRun entry;
     entry.m_job = waiting.m_job;
     entry.m_task = id;
     entry.m_run = run;
     entry.m_assignedAt = now;
     entry.m_priority = waiting.m_policy->m_priority;
-    entry.m_checkpoint = task.m_checkpoint;
+    entry.m_checkpoint = waiting.m_original != nullptr ? waiting.m_original->m_checkpoint : task.m_checkpoint;
     entry.initFromStep(*waiting.m_step, m_paceController.model());
+    entry.m_isCopy = waiting.m_original != nullptr;
     entry.m_isYielding = choice.m_guard.has_value();
+    entry.m_isUndisturbed = entry.m_checkpoint.empty() && !entry.m_isYielding;
     worker.addRun(std::move(entry));
     worker.updatePaceLimits(m_limits);
     worker.m_health.recordAssignment(now);
@@ -583,7 +594,7 @@
              {{"job", id.m_job},
               {"task", id.text()},
               {"run", run},
-              {"worker", task.m_worker},
+              {"worker", worker.m_record.m_id},
               {"in_spite_of", choice.m_guard ? placementGuardNames[static_cast<std::size_t>(*choice.m_guard)] : std::string_view()},
               {"free_cpu", worker.freeResources().m_cpuMillis},
               {"free_mem", worker.freeResources().m_memoryMb},
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -167,7 +167,7 @@
                   {"epoch", m_epoch}});
     }
     for (const auto &run : runs) {
-        endTask(*run.m_job, run.m_task, RunEnd::LeaseLapsed, run.m_checkpoint);
+        endTask(*run.m_job, run.m_task, run.m_run, RunEnd::LeaseLapsed, run.m_checkpoint);
     }
 }
 
@@ -231,6 +231,7 @@
     }
     if (answer.m_outcome != OrderOutcome::Accepted) {
         worker->m_reportDue = now + m_limits.m_reportRetryDelay;
+        watchStragglers(*worker, now);
         return;
     }
     if (answer.m_report.m_incarnation != worker->m_record.m_incarnation) {
@@ -251,6 +252,7 @@
     }
     processEnds(*worker, answer.m_report.m_ended, now);
     processRunningTasks(*worker, answer, now);
+    watchStragglers(*worker, now);
     adjustFillingPaces(*worker, now);
     moveSlowRuns(*worker, now);
 }
@@ -308,31 +310,23 @@
               {"epoch", m_epoch}});
     // The run was counted as lost, but its reported end is definitive, and has to be stored before it is acknowledged.
     if (end.m_cause == RunEnd::Failed) {
-        countFailure(job, step, *task, end.m_run);
+        // Workers report an end again, also to a successor, until it is acknowledged.
+        if (end.m_run > task->m_lastFailedRun) {
+            task->m_lastFailedRun = end.m_run;
+            ++task->m_failures;
+            failAfterLastAttempt(job, step, *task);
+        }
         job.markChanged();
     } else if (step.m_isGang) {
         // The successful end of one member completes all members.
         for (std::uint32_t index = 0; index < step.m_count; ++index) {
             TaskId member = end.m_task;
             member.m_index = index;
-            completeAfterLateEnd(job, member);
+            completeTask(job, member, 0);
         }
     } else {
-        completeAfterLateEnd(job, end.m_task);
-    }
-}
-
-auto FleetScheduler::completeAfterLateEnd(FleetJob &job, const TaskId &id) -> void
-{
-    const auto *const task = job.findTask(id);
-    auto *const worker = task != nullptr && task->m_phase == TaskPhase::Assigned ? findWorker(task->m_worker) : nullptr;
-    auto *const run = worker == nullptr ? nullptr : worker->findRun(id.text());
-    if (run != nullptr && run->m_stage == RunStage::Unsent) {
-        worker->removeRun(id.text());
-    } else if (run != nullptr) {
-        worker->markForStop(*run);
+        completeTask(job, end.m_task, 0);
     }
-    endTask(job, id, RunEnd::Done, {});
 }
 
 auto FleetScheduler::endRun(FleetWorker &worker, TaskRun &run, RunEnd how, std::string_view checkpoint, TimePoint now) -> void
@@ -341,6 +335,8 @@
     FleetJob &job = *run.m_job;
     job.markStarted();
     const auto &step = job.stepOf(id);
+    learnFromEnd(run, how, worker.m_health.isTrusted(now), now);
+    const auto number = run.m_run;
     if (how == RunEnd::Done) {
         worker.m_health.recordSuccess();
         job.m_failedRuns.recordSuccess();
@@ -354,11 +350,13 @@
         for (std::uint32_t index = 0; index < step.m_count; ++index) {
             TaskId member = id;
             member.m_index = index;
-            endTask(job, member, how, {});
+            if (const auto *const task = job.taskAt(member)) {
+                endTask(job, member, task->m_run, how, {});
+            }
         }
         return;
     }
-    endTask(job, id, how, checkpoint);
+    endTask(job, id, number, how, checkpoint);
 }
 
 auto FleetScheduler::processRunningTasks(FleetWorker &worker, const ReportAnswer &answer, TimePoint now) -> void
@@ -468,8 +466,9 @@
     logEvent(LogLevel::Info,
              "run_returned",
              {{"job", id.m_job}, {"task", id.text()}, {"run", run.m_run}, {"worker", worker.m_record.m_id}, {"reason", reason}, {"epoch", m_epoch}});
+    const auto number = run.m_run;
     worker.removeRun(id.text());
-    endTask(job, id, RunEnd::Stopped, {});
+    endTask(job, id, number, RunEnd::Stopped, {});
 }
 
 auto FleetScheduler::recordStartAnswer(const StartAnswer &answer, const TaskRun *run, TimePoint now) -> void
@@ -667,6 +666,7 @@
         return;
     }
     run.m_paceInFlight = true;
+    run.m_isUndisturbed = run.m_isUndisturbed && percent == fullPacePercent;
     m_commands.emplace_back(RunPaceOrder{addressOf(worker), run.m_task, run.m_run, percent});
     logEvent(LogLevel::Info,
              "run_paced",
--- a/src/fleet/fleetworker.cpp
+++ b/src/fleet/fleetworker.cpp
@@ -136,8 +136,10 @@
             candidates.push_back(&run);
         }
     }
-    // The latest runs have done the least work, which is lost.
-    std::ranges::sort(candidates, std::ranges::greater{}, &TaskRun::m_assignedAt);
+    // Copies go first, because their tasks run on. The latest runs have done the least work, which is lost.
+    std::ranges::sort(candidates, std::ranges::greater{}, [](const TaskRun *run) {
+        return std::pair(run->m_isCopy, run->m_assignedAt);
+    });
     std::size_t stopped = 0;
     for (auto *const run : candidates) {
         if (demand.fitsInto(free)) {
--- a/tests/fleetrowstest.cpp
+++ b/tests/fleetrowstest.cpp
@@ -65,6 +65,26 @@
     EXPECT_EQ(decoded->m_continuationRows, 0U);
 }
 
+// Guards against a successor that does not know the second run of a task, or reads a row of an earlier version as corrupt.
+TEST(FleetRowsTest, CopiesAreDecodedUnchanged)
+{
+    JobProgress progress{JobPhase::Running, 1, {}};
+    TaskProgress running{TaskPhase::Assigned, 7, 0, "worker", 99, "checkpoint"};
+    running.assignCopy(8, "other", 100);
+    TaskProgress ended{TaskPhase::Done, 7, 1, "", 0, "", 8};
+    ended.m_copy.m_run = 8;
+    progress.m_open.push_back({0, {{{running, ended}}}});
+    const auto decoded = decodeFirstProgressRow(encodeRow(progress));
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->m_progress, progress);
+    EXPECT_TRUE(decodeFirstProgressRow(R"({"state":"running","next":1,"open":[{"k":0,"steps":[[[1,7,2,"w",99,"c"],[1,7,2,"w",99,"c",6]]]}]})"));
+    // Two runs on one worker, a copy without an original run, a copy with an earlier number, and a cut row.
+    for (const std::string_view task :
+         {R"([1,7,0,"w",99,"",0,8,"w",99])", R"([0,7,0,"",0,"",0,8,"w",99])", R"([1,7,0,"w",99,"",0,7,"v",99])", R"([1,7,0,"w",99,"",0,8])"}) {
+        EXPECT_FALSE(decodeFirstProgressRow(R"({"state":"running","next":1,"open":[{"k":0,"steps":[[)" + std::string(task) + "]]}]}")) << task;
+    }
+}
+
 // Guards against an epoch that is truncated or lost, so that two owners would share a fencing token.
 TEST(FleetRowsTest, OwnerIsDecodedUnchanged)
 {
--- a/tests/fleetsimulation.hpp
+++ b/tests/fleetsimulation.hpp
@@ -110,6 +110,43 @@
     /// @param factor relative to the declared duration
     auto setDurationFactor(std::string_view job, std::uint32_t index, double factor) -> void;
 
+    /// @brief Multiplies the duration of the first run of a task, as on a worker that is slow for it; a copy and later runs take as long as declared.
+    auto setFirstRunFactor(std::string_view job, std::uint32_t index, double factor) -> void;
+
+    /// @brief Lets a share of the steps of random jobs allow copies, and some of the first runs of their tasks take seven times as long.
+    auto enableCopies() noexcept -> void
+    {
+        m_hasCopies = true;
+    }
+
+    /// @brief Lets orders that start a run with a number above 1 be carried out without an answer.
+    auto loseAnswersOfCopies(bool isLost) noexcept -> void
+    {
+        m_losesAnswersOfCopies = isLost;
+    }
+
+    /// @brief Lets the store refuse every commit.
+    auto setStoreDown(bool isDown) noexcept -> void
+    {
+        m_isStoreDown = isDown;
+    }
+
+    /// @brief Index of the worker that runs a run of a task; empty for none.
+    [[nodiscard]] auto workerOf(const std::string &task, RunNumber run) const -> std::optional<std::size_t>;
+
+    /// @brief Counters of the copies of the current owner.
+    [[nodiscard]] auto copyCounters() const -> const CopyCounters &
+    {
+        return m_owners.back()->copyCounters();
+    }
+
+    /// @brief Delays the end of a run.
+    /// @param length from now until its end
+    auto extendRun(const std::string &task, RunNumber run, Milliseconds length) -> void;
+
+    /// @brief Lets one run of a task fail.
+    auto failRun(const std::string &task, RunNumber run) -> void;
+
     /// @brief Makes every owner slow: it processes its inputs in rounds of at most 64, and each input occupies it for a time. The other inputs
     /// wait, as answers do in the connections of a process that is late.
     auto setInputCost(Duration cost) noexcept -> void
@@ -376,6 +413,7 @@
     RandomSource m_archiveRandom; ///< separate, so that archiving does not change the other faults of a seed
     RandomSource m_restartRandom; ///< separate for the same reason
     RandomSource m_jobRandom; ///< shapes of jobs that were added later; separate for the same reason
+    RandomSource m_copyRandom; ///< steps that allow copies and their stragglers; separate for the same reason
     FleetFaults m_faults;
     TimePoint m_now;
     std::uint64_t m_eventNumber = 0;
@@ -409,6 +447,11 @@
     std::map<std::string, TimePoint, std::less<>> m_finalAt;
     std::map<std::pair<std::string, std::uint32_t>, double> m_durationFactors; ///< see setDurationFactor()
     std::set<std::pair<std::string, std::uint32_t>> m_hopelessSteps; ///< see makeHopeless()
+    std::map<std::pair<std::string, std::uint32_t>, double> m_firstRunFactors; ///< see setFirstRunFactor()
+    bool m_hasCopies = false; ///< see enableCopies()
+    bool m_losesAnswersOfCopies = false;
+    bool m_isStoreDown = false;
+    std::map<std::string, TimePoint, std::less<>> m_acknowledgedDoneAt; ///< of tasks that may have copies
     std::vector<Start> m_starts;
     std::unique_ptr<SimulatedInterference> m_interference; ///< empty until enableInterference()
     TimePoint m_disruptedUntil; ///< end of the last disruption
