Stop a copy that is no faster than the original run

A task may have more work than its siblings, so that it is slow on every worker. Once the progress of its copy shows that, the copy only takes room. The watch compares the projected ends of both runs after each report.

--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -262,7 +262,9 @@
     /// @param isWorkerTrusted whether the worker was trusted before the end
     auto learnFromEnd(const TaskRun &run, RunEnd how, bool isWorkerTrusted, TimePoint now) -> void;
     /// @brief Judges which runs of a worker are worth a copy.
-    auto watchStragglers(const FleetWorker &worker, TimePoint now) -> void;
+    auto watchStragglers(FleetWorker &worker, TimePoint now) -> void;
+    /// @brief Stops a copy that is projected to end after the original run.
+    auto stopIfNoFaster(FleetWorker &worker, TaskRun &copy, TimePoint now) -> void;
     /// @brief Removes a run that cannot start any more and makes its task wait again.
     auto requeueRun(FleetWorker &worker, TaskRun &run, std::string_view reason) -> void;
     /// @brief Marks all runs of a worker as lost.
--- a/include/burdockspur/fleet/stragglers/stragglerpolicy.hpp
+++ b/include/burdockspur/fleet/stragglers/stragglerpolicy.hpp
@@ -17,6 +17,9 @@
     /// @returns the worth of a copy; empty if none is to run now
     [[nodiscard]] auto worthOf(const StragglerSituation &situation) const -> std::optional<CopyWorth>;
 
+    /// @brief True if a copy is projected to end after the original run: its task takes long on every worker.
+    [[nodiscard]] auto isNoFaster(const StragglerSituation &copy, const StragglerSituation &original) const -> bool;
+
     /// @brief Number of further copies that may be started in a round.
     /// @param copies copies that run
     /// @param runs all runs
--- a/include/burdockspur/fleet/stragglers/stragglerwatch.hpp
+++ b/include/burdockspur/fleet/stragglers/stragglerwatch.hpp
@@ -40,6 +40,16 @@
     [[nodiscard]] auto worthOf(const FleetWorker &worker, const TaskRun &run, const JobQueuePolicy &policy, const DurationModel &durations, TimePoint now) const
         -> std::optional<CopyWorth>;
 
+    /// @brief True if a copy is projected to end after the original run, so that it is to be stopped.
+    /// @param worker worker of the copy
+    /// @param originalWorker worker of the original run
+    [[nodiscard]] auto isNoFaster(const FleetWorker &worker,
+                                  const TaskRun &copy,
+                                  const FleetWorker &originalWorker,
+                                  const TaskRun &original,
+                                  const DurationModel &durations,
+                                  TimePoint now) const -> bool;
+
     [[nodiscard]] auto hasCandidates() const noexcept -> bool
     {
         return !m_candidates.empty();
--- a/src/fleet/stragglers/fleetschedulercopies.cpp
+++ b/src/fleet/stragglers/fleetschedulercopies.cpp
@@ -30,18 +30,42 @@
 }
 }
 
-auto FleetScheduler::watchStragglers(const FleetWorker &worker, TimePoint now) -> void
+auto FleetScheduler::watchStragglers(FleetWorker &worker, TimePoint now) -> void
 {
-    for (const auto &[name, run] : worker.m_runs) {
+    for (auto &[name, run] : worker.m_runs) {
         if (!StragglerWatch::mayBeCopied(run.m_job->stepOf(run.m_task))) {
             continue;
         }
+        if (run.m_isCopy) {
+            stopIfNoFaster(worker, run, now);
+            continue;
+        }
         if (m_stragglers.observe(worker, run, policyOf(*run.m_job), m_durations, now)) {
             m_needsPlacement = true;
         }
     }
 }
 
+auto FleetScheduler::stopIfNoFaster(FleetWorker &worker, TaskRun &copy, TimePoint now) -> void
+{
+    const auto *const task = copy.m_job->taskAt(copy.m_task);
+    auto *const holder = task == nullptr ? nullptr : findWorker(task->m_worker);
+    const auto *const original = holder == nullptr ? nullptr : holder->findRun(copy.m_task.text());
+    const bool isPair = original != nullptr && original->m_run == task->m_run && !original->m_isStopRequested && !copy.m_isStopRequested;
+    if (!isPair || !m_stragglers.isNoFaster(worker, copy, *holder, *original, m_durations, now)) {
+        return;
+    }
+    worker.markForStop(copy);
+    logEvent(LogLevel::Info,
+             "copy_stopped",
+             {{"job", copy.m_task.m_job},
+              {"task", copy.m_task.text()},
+              {"run", copy.m_run},
+              {"worker", worker.m_record.m_id},
+              {"reason", "no_faster"},
+              {"epoch", m_epoch}});
+}
+
 auto FleetScheduler::learnFromEnd(const TaskRun &run, RunEnd how, bool isWorkerTrusted, TimePoint now) -> void
 {
     auto &job = *run.m_job;
--- a/src/fleet/stragglers/stragglerpolicy.cpp
+++ b/src/fleet/stragglers/stragglerpolicy.cpp
@@ -110,6 +110,14 @@
     return endWithout > expiry && endWith <= expiry ? std::optional(CopyWorth{*remaining, copyTakes, false}) : std::nullopt;
 }
 
+auto StragglerPolicy::isNoFaster(const StragglerSituation &copy, const StragglerSituation &original) const -> bool
+{
+    const auto expected = expectationOf(copy).m_median;
+    const auto copyLeft = remainingTime(copy, expected);
+    const auto originalLeft = remainingTime(original, expected);
+    return copyLeft && originalLeft && !original.m_leaseLeft && *copyLeft >= *originalLeft;
+}
+
 auto StragglerPolicy::allowance(std::size_t copies, std::size_t runs, std::size_t startRoom) const noexcept -> std::size_t
 {
     const auto most = std::max(minCopies, static_cast<std::size_t>(maxCopyShare * static_cast<double>(runs)));
--- a/src/fleet/stragglers/stragglerwatch.cpp
+++ b/src/fleet/stragglers/stragglerwatch.cpp
@@ -35,6 +35,28 @@
                             : Progress{worker.m_lastReportAt - run.m_firstListedAt, run.m_percent - run.m_firstPercent};
 }
 
+[[nodiscard]] auto isSilent(const FleetWorker &worker, TimePoint now) noexcept -> bool
+{
+    return worker.m_unansweredReports > 0 && now - worker.m_lastReportAt >= minSilence;
+}
+
+/// @brief What is known of a run and of the durations of such runs, without its job.
+[[nodiscard]] auto situationOf(const FleetWorker &worker, const TaskRun &run, const DurationModel &durations, TimePoint now) -> StragglerSituation
+{
+    const auto &job = *run.m_job;
+    const auto progress = progressOf(worker, run).value_or(Progress{});
+    StragglerSituation situation;
+    situation.m_observed = progress.m_observed;
+    situation.m_gainedPercent = progress.m_gainedPercent;
+    situation.m_percent = run.m_percent;
+    situation.m_sinceReport = now - worker.m_lastReportAt;
+    situation.m_leaseLeft = isSilent(worker, now) ? std::optional(worker.m_workerLease.latestExpiry() - now) : std::nullopt;
+    situation.m_siblings = job.m_stepDurations.forecastFor(run.m_task);
+    situation.m_learned = situation.m_siblings ? std::nullopt : durations.forecast(DurationKey::of(job.job(), run.m_task.m_step));
+    situation.m_estimate = job.stepOf(run.m_task).m_estimate;
+    return situation;
+}
+
 /// @brief Declared duration of the longest chain of steps that follow a step.
 [[nodiscard]] auto declaredAfter(const TaskJob &job, std::uint32_t step) -> Milliseconds
 {
@@ -66,21 +88,11 @@
     const auto *const task = job.taskAt(run.m_task);
     // One copy for each run: a second one would meet what has ended the first.
     const bool isSingle = task != nullptr && task->roleOf(run.m_run) == RunRole::Original && task->m_copy.m_run <= run.m_run;
-    const bool isSilent = worker.m_unansweredReports > 0 && now - worker.m_lastReportAt >= minSilence;
-    const bool mayRun = run.m_stage == RunStage::Running || (run.m_stage == RunStage::Unconfirmed && isSilent);
+    const bool mayRun = run.m_stage == RunStage::Running || (run.m_stage == RunStage::Unconfirmed && isSilent(worker, now));
     if (!isSingle || !mayRun || run.m_isStopRequested || isFinal(job.progress().m_phase)) {
         return std::nullopt;
     }
-    const auto progress = progressOf(worker, run).value_or(Progress{});
-    StragglerSituation situation;
-    situation.m_observed = progress.m_observed;
-    situation.m_gainedPercent = progress.m_gainedPercent;
-    situation.m_percent = run.m_percent;
-    situation.m_sinceReport = now - worker.m_lastReportAt;
-    situation.m_leaseLeft = isSilent ? std::optional(worker.m_workerLease.latestExpiry() - now) : std::nullopt;
-    situation.m_siblings = job.m_stepDurations.forecastFor(run.m_task);
-    situation.m_learned = situation.m_siblings ? std::nullopt : durations.forecast(DurationKey::of(job.job(), run.m_task.m_step));
-    situation.m_estimate = job.stepOf(run.m_task).m_estimate;
+    auto situation = situationOf(worker, run, durations, now);
     situation.m_age = now - job.acceptedAt();
     situation.m_declaredObjective = job.deadline() - job.acceptedAt();
     situation.m_target = job.job().m_policy.m_target;
@@ -90,6 +102,16 @@
     return m_policy.worthOf(situation);
 }
 
+auto StragglerWatch::isNoFaster(const FleetWorker &worker,
+                                const TaskRun &copy,
+                                const FleetWorker &originalWorker,
+                                const TaskRun &original,
+                                const DurationModel &durations,
+                                TimePoint now) const -> bool
+{
+    return m_policy.isNoFaster(situationOf(worker, copy, durations, now), situationOf(originalWorker, original, durations, now));
+}
+
 auto StragglerWatch::observe(const FleetWorker &worker, const TaskRun &run, const JobQueuePolicy &policy, const DurationModel &durations, TimePoint now) -> bool
 {
     auto &job = *run.m_job;
--- a/tests/stragglerpolicytest.cpp
+++ b/tests/stragglerpolicytest.cpp
@@ -146,6 +146,22 @@
     EXPECT_FALSE(policy.worthOf(situation)) << "the task runs again as soon without a copy";
 }
 
+// A task that has more work than its siblings is slow on every worker. Guards against a copy of it that works to its end.
+TEST(StragglerPolicyTest, ACopyThatIsNoFasterIsRecognised)
+{
+    auto original = straggler();
+    original.m_observed = Milliseconds{1'200};
+    original.m_gainedPercent = original.m_percent = 20;
+    auto copy = straggler();
+    EXPECT_TRUE(policy.isNoFaster(copy, original));
+    EXPECT_FALSE(policy.isNoFaster(ordinary(), original));
+    copy.m_observed = Milliseconds{100};
+    EXPECT_FALSE(policy.isNoFaster(copy, original)) << "not observed yet";
+    copy = straggler();
+    original.m_leaseLeft = Milliseconds{3'000};
+    EXPECT_FALSE(policy.isNoFaster(copy, original)) << "the original run may be lost";
+}
+
 // Guards against copies that take the start orders of ranked work, and against a fleet full of copies.
 TEST(StragglerPolicyTest, CopiesAreBoundedByRunsAndByOrders)
 {
