Copy only runs beyond the ordinary spread of their siblings

A run is now copied only if its projected duration is more than twice what nine of ten such runs take.

--- a/src/fleet/stragglers/stragglerpolicy.cpp
+++ b/src/fleet/stragglers/stragglerpolicy.cpp
@@ -23,6 +23,8 @@
 constexpr double siblingsFactor = 1.5;
 constexpr double learnedFactor = 2.0;
 constexpr double estimateFactor = 3.0;
+/// A run whose projected duration is below this multiple of what nine of ten such runs take may have more work than they, and would take as long elsewhere.
+constexpr double ordinaryFactor = 2.0;
 /// A job whose end with the copy exceeds the objective by this share may still meet it: the caller's objective follows the true durations, of which
 /// the declared ones are a rough estimate.
 constexpr double objectiveTolerance = 1.15;
@@ -44,6 +46,7 @@
 /// @brief Expected duration of a run, how far it is to be trusted, and the ratio of measured to declared durations.
 struct Expectation {
     Duration m_median{0};
+    Duration m_ordinary{0}; ///< longest duration of a run that is no straggler
     double m_factor = estimateFactor;
     double m_scale = 1.0;
 };
@@ -57,12 +60,12 @@
 {
     const auto forecast = situation.m_siblings ? situation.m_siblings : situation.m_learned;
     if (!forecast) {
-        return {situation.m_estimate, estimateFactor, 1.0};
+        return {situation.m_estimate, situation.m_estimate, estimateFactor, 1.0};
     }
-    Expectation expected{forecast->m_median, situation.m_siblings ? siblingsFactor : learnedFactor, 1.0};
+    const auto slowest = std::min(forecast->m_high, scaled(forecast->m_median, maxOrdinary));
+    Expectation expected{forecast->m_median, scaled(slowest, ordinaryFactor), situation.m_siblings ? siblingsFactor : learnedFactor, 1.0};
     if (situation.m_estimate.count() > 0) {
-        const auto ordinary = std::min(forecast->m_high, scaled(forecast->m_median, maxOrdinary));
-        expected.m_scale = std::clamp(RealSeconds(ordinary) / RealSeconds(situation.m_estimate), minScale, maxScale);
+        expected.m_scale = std::clamp(RealSeconds(slowest) / RealSeconds(situation.m_estimate), minScale, maxScale);
     }
     return expected;
 }
@@ -88,12 +91,12 @@
     const Duration copyTakes = expected.m_median + startCost;
     auto remaining = remainingTime(situation, expected.m_median);
     if (situation.m_leaseLeft) {
-        // The task runs again only when its run is known to be over.
+        // The task runs again only when its run is known to be over. Both times rest on the same duration, so its uncertainty does not matter.
         remaining = std::max(*situation.m_leaseLeft, Duration::zero()) + copyTakes;
+    } else if (remaining && situation.m_observed + situation.m_sinceReport + *remaining < expected.m_ordinary) {
+        return std::nullopt;
     }
-    // Both times of a run on a silent worker rest on the same duration, so its uncertainty does not matter.
-    const double factor = situation.m_leaseLeft ? siblingsFactor : expected.m_factor;
-    if (!remaining || *remaining < scaled(copyTakes, factor)) {
+    if (!remaining || *remaining < scaled(copyTakes, situation.m_leaseLeft ? siblingsFactor : expected.m_factor)) {
         return std::nullopt;
     }
     const auto objective = scaled(situation.m_declaredObjective - situation.m_target, expected.m_scale) + situation.m_target;
--- a/tests/stragglerpolicytest.cpp
+++ b/tests/stragglerpolicytest.cpp
@@ -123,6 +123,21 @@
     EXPECT_TRUE(policy.worthOf(situation));
 }
 
+// The work of the tasks of a step is uneven: one of ten has almost twice the work of the others. Guards against copies of such tasks, which are thrown away.
+TEST(StragglerPolicyTest, ATaskWithinTheSpreadOfItsSiblingsIsNoStraggler)
+{
+    auto situation = straggler();
+    situation.m_gainedPercent = situation.m_percent = 18;
+    ASSERT_TRUE(policy.worthOf(situation));
+    situation.m_siblings->m_high = Milliseconds{1'900};
+    EXPECT_FALSE(policy.worthOf(situation));
+    situation.m_gainedPercent = situation.m_percent = 10;
+    EXPECT_TRUE(policy.worthOf(situation));
+    // Another straggler among the siblings.
+    situation.m_siblings->m_high = Milliseconds{6'000};
+    EXPECT_TRUE(policy.worthOf(situation));
+}
+
 // Guards against copies that use up the attempts of a task that fails by itself (BUDGET), so that the job fails where it would have succeeded.
 TEST(StragglerPolicyTest, ACopyNeverRisksTheLastAttempt)
 {
