--- a/include/burdockspur/fleet/fleetmetrics.hpp
+++ b/include/burdockspur/fleet/fleetmetrics.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/fleet/evacuation/zoneevacuation.hpp"
 #include "burdockspur/fleet/fleetanswer.hpp"
+#include "burdockspur/fleet/stragglers/copycounters.hpp"
 #include "burdockspur/link/clientcounts.hpp"
 #include "burdockspur/operations/metrics.hpp"
 
@@ -65,6 +66,10 @@
     /// @brief Records what the clients hold and what was closed or refused; to be called from one thread.
     auto recordClients(const ClientCounts &counts) -> void;
 
+    /// @brief Records the counters of the copies of stragglers; only one thread calls this.
+    /// @param counters since the start of the process
+    auto recordCopies(const CopyCounters &counters) -> void;
+
 private:
     static constexpr std::size_t orderCount = 4;
     static constexpr std::size_t outcomeCount = static_cast<std::size_t>(OrderOutcome::NoAnswer) + 1;
@@ -87,5 +92,9 @@
     prometheus::Gauge &m_clientBytes;
     prometheus::Gauge &m_clientConnections;
     ClientCounts m_clientCounts; ///< as of the last recordClients()
+    prometheus::Counter &m_copiesStarted;
+    prometheus::Counter &m_copiesWon;
+    prometheus::Counter &m_copyWaste;
+    CopyCounters m_recordedCopies; ///< what the counters of copies already contain
 };
 }
--- a/src/fleet/fleetmetrics.cpp
+++ b/src/fleet/fleetmetrics.cpp
@@ -35,6 +35,9 @@
     , m_closedZoneRuns(metrics.gauge("burdockspur_closed_zone_runs", "Runs on the workers of closed zones in the memory of the owner"))
     , m_clientBytes(metrics.gauge("burdockspur_client_bytes", "Memory held by the clients of all ports"))
     , m_clientConnections(metrics.gauge("burdockspur_client_connections", "Open connections of the clients of all ports"))
+    , m_copiesStarted(metrics.counter("burdockspur_copies_started_total", "Copies of stragglers that were assigned"))
+    , m_copiesWon(metrics.counter("burdockspur_copies_won_total", "Copies that have succeeded before the original run"))
+    , m_copyWaste(metrics.counter("burdockspur_copy_waste_core_seconds_total", "Work of runs that were stopped because of a copy"))
 {
     recordStore(true);
 }
@@ -111,4 +114,12 @@
     }
     m_clientCounts = counts;
 }
+
+auto FleetMetrics::recordCopies(const CopyCounters &counters) -> void
+{
+    m_copiesStarted.Increment(static_cast<double>(counters.m_started - m_recordedCopies.m_started));
+    m_copiesWon.Increment(static_cast<double>(counters.m_won - m_recordedCopies.m_won));
+    m_copyWaste.Increment(counters.m_wastedCoreSeconds - m_recordedCopies.m_wastedCoreSeconds);
+    m_recordedCopies = counters;
+}
 }
