--- a/bench/fleetloadsimulation.cpp
+++ b/bench/fleetloadsimulation.cpp
@@ -39,6 +39,13 @@
     return static_cast<std::int64_t>(static_cast<double>(mean) * (1 + share * position));
 }
 
+[[nodiscard]] auto limitsOf(const FleetLoad &load) -> FleetLimits
+{
+    FleetLimits limits;
+    limits.m_lookAhead.m_isOn = load.m_looksAhead;
+    return limits;
+}
+
 [[nodiscard]] auto pacedLoad(const TaskStep &step, int pace) noexcept -> double
 {
     return static_cast<double>(step.m_demand.m_cpuMillis) * pace / fullPercent;
@@ -64,7 +71,7 @@
 };
 
 FleetLoadSimulation::FleetLoadSimulation(std::size_t workers, const FleetLoad &load)
-    : m_scheduler(FleetLimits{})
+    : m_scheduler(limitsOf(load))
     , m_load(load)
     , m_now(TimePoint{} + std::chrono::hours(1))
 {
--- a/bench/fleetloadsimulation.hpp
+++ b/bench/fleetloadsimulation.hpp
@@ -25,6 +25,7 @@
     int m_imagesPerKind = 5; ///< distinct images of each kind of task
     double m_demandVariation = 0; ///< largest deviation of a demand from its mean, as a share of the mean
     std::uint64_t m_spreadPeriod = 0; ///< one of this many jobs with short tasks allows at most two of them on a worker; 0 for none
+    bool m_looksAhead = false; ///< see LookAheadLimits
     std::size_t m_minWaitingTasks = 0; ///< further jobs are submitted until at least this many tasks wait
 };
 
@@ -78,6 +79,11 @@
         return m_scheduler.waitingCount();
     }
 
+    [[nodiscard]] auto lookAhead() const noexcept -> const LookAheadPlacement &
+    {
+        return m_scheduler.lookAhead();
+    }
+
     [[nodiscard]] auto placementCounters() const noexcept -> const PlacementCounters &
     {
         return m_scheduler.placementCounters();
--- a/include/burdockspur/fleet/fleetjob.hpp
+++ b/include/burdockspur/fleet/fleetjob.hpp
@@ -7,6 +7,7 @@
 #include "burdockspur/fleet/headroomtrend.hpp"
 #include "burdockspur/fleet/jobbacklog.hpp"
 #include "burdockspur/fleet/jobprogress.hpp"
+#include "burdockspur/fleet/lookahead/reservedroom.hpp"
 #include "burdockspur/fleet/placementrefusal.hpp"
 
 #include <algorithm>
@@ -37,6 +38,7 @@
     std::vector<HeadroomSample> m_headrooms; ///< latest sample of each worker
     HeadroomTrend m_trend; ///< trend of the samples of all workers
     PlacementRefusal m_refusal; ///< latest search that found no worker for a task of the job
+    std::optional<ReservedRoom> m_reservedRoom; ///< room that is kept for a waiting step of the job
     TimePoint m_heldLoggedAt; ///< see HeldTaskLog
     FailureAttribution m_failedRuns;
     FailureAttribution m_slowRuns;
@@ -145,6 +147,12 @@
         return m_hasStarted;
     }
 
+    /// @brief When a host accepted the job, by this owner's clock.
+    [[nodiscard]] auto acceptedAt() const noexcept -> TimePoint
+    {
+        return m_acceptedAt;
+    }
+
     /// @brief End of the job's objective.
     [[nodiscard]] auto deadline() const noexcept -> TimePoint
     {
--- a/include/burdockspur/fleet/fleetlimits.hpp
+++ b/include/burdockspur/fleet/fleetlimits.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockspur/core/clock.hpp"
+#include "burdockspur/fleet/lookahead/lookaheadlimits.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -117,5 +118,7 @@
 
     /// Share of a worker's processors above which it accepts no more filling tasks.
     double m_maxFillingUse = 0.95;
+
+    LookAheadLimits m_lookAhead; ///< limits of look-ahead placement, which is off unless a deployment asks for it
 };
 }
--- a/include/burdockspur/fleet/fleetmetrics.hpp
+++ b/include/burdockspur/fleet/fleetmetrics.hpp
@@ -2,12 +2,14 @@
 
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/fleet/fleetanswer.hpp"
+#include "burdockspur/fleet/lookahead/startwait.hpp"
 #include "burdockspur/operations/metrics.hpp"
 
 #include <array>
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string_view>
 
 namespace prometheus
@@ -19,6 +21,8 @@
 
 namespace Burdockspur
 {
+class LookAheadPlacement;
+
 /// @brief The metrics of one host. All functions are thread-safe.
 class FleetMetrics
 {
@@ -50,6 +54,12 @@
     /// @param longestIdle longest such time
     auto recordWaits(std::size_t idleJobs, Duration longestIdle) -> void;
 
+    /// @brief Records the room that is kept for large work after a round.
+    auto recordReservedRoom(const LookAheadPlacement &lookAhead) -> void;
+
+    /// @brief Records how long jobs have waited for their first run.
+    auto recordStartWaits(std::span<const StartWait> waits) -> void;
+
 private:
     static constexpr std::size_t orderCount = 4;
     static constexpr std::size_t outcomeCount = static_cast<std::size_t>(OrderOutcome::NoAnswer) + 1;
@@ -65,5 +75,12 @@
     prometheus::Gauge &m_waiting;
     prometheus::Gauge &m_idleJobs;
     prometheus::Gauge &m_longestIdle;
+    prometheus::Gauge &m_reservations;
+    prometheus::Gauge &m_reservedCpu;
+    prometheus::Gauge &m_reservedMemory;
+    prometheus::Gauge &m_reservationsMade;
+    prometheus::Gauge &m_reservationsMoved;
+    prometheus::Gauge &m_reservationsExpired;
+    std::array<prometheus::Histogram *, jobSizeNames.size()> m_startWaits{}; ///< by JobSize
 };
 }
--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -9,6 +9,9 @@
 #include "burdockspur/fleet/formerowner.hpp"
 #include "burdockspur/fleet/heldtasklog.hpp"
 #include "burdockspur/fleet/jobchanges.hpp"
+#include "burdockspur/fleet/lookahead/declareddurations.hpp"
+#include "burdockspur/fleet/lookahead/lookaheadplacement.hpp"
+#include "burdockspur/fleet/lookahead/startwaits.hpp"
 #include "burdockspur/fleet/pacecontroller.hpp"
 #include "burdockspur/fleet/placementcounters.hpp"
 #include "burdockspur/fleet/placementgroup.hpp"
@@ -169,6 +172,18 @@
         return m_heldTaskLog.longestIdle();
     }
 
+    /// @brief Removes and returns the waits of jobs for their first run since the last call.
+    [[nodiscard]] auto takeStartWaits() -> std::vector<StartWait>
+    {
+        return m_startWaits.take();
+    }
+
+    /// @brief Room that is kept for waiting work, and what became of earlier reservations.
+    [[nodiscard]] auto lookAhead() const noexcept -> const LookAheadPlacement &
+    {
+        return m_lookAhead;
+    }
+
     /// @brief Counters of the placement work since construction.
     [[nodiscard]] auto placementCounters() const noexcept -> const PlacementCounters &
     {
@@ -290,7 +305,8 @@
     [[nodiscard]] auto placeGroup(const PlacementGroup &group, PlacementOrder &order, PoolCapacities &pools, TimePoint now) -> bool;
     /// @brief Begins a search for the tasks of a step.
     /// @param first any of the tasks
-    [[nodiscard]] auto beginSearch(const WaitingTask &first, PoolCapacities &pools, TimePoint now) -> WorkerSearch;
+    /// @param claim what the tasks want of a worker
+    [[nodiscard]] auto beginSearch(const WaitingTask &first, const RoomClaim &claim, PoolCapacities &pools, TimePoint now) -> WorkerSearch;
     /// @brief Adds a worker to a search, or counts the guard that excludes it.
     auto examine(WorkerSearch &search, const FreeCapacity &candidate, const WaitingTask &waiting, TimePoint now) -> void;
     /// @brief Removes the best worker with free capacity for a task from a search.
@@ -300,7 +316,7 @@
     /// @param demand processors that the task declares, in thousandths of a core
     [[nodiscard]] static auto hasUnusedCpu(std::int64_t freeFillingCpu, std::int64_t demand) noexcept -> bool;
     /// @brief Fit of a worker for a counted task.
-    [[nodiscard]] static auto roomFitOf(const TaskStep &step, ImageId image, const FreeCapacity &candidate, bool isInRack) -> WorkerFit;
+    [[nodiscard]] auto roomFitOf(const TaskStep &step, ImageId image, const FreeCapacity &candidate, bool isInRack) const -> WorkerFit;
     /// @brief Fit of a worker for a filling task.
     /// @param bypassesGuards true if the fit is needed even if a guard excludes the worker
     [[nodiscard]] auto fillFitOf(const TaskStep &step, ImageId image, const FreeCapacity &candidate, bool isInRack, bool bypassesGuards, TimePoint now) const
@@ -309,7 +325,7 @@
     /// @returns false if no worker could free enough
     [[nodiscard]] auto reserveCapacity(const WaitingTask &waiting, PoolCapacities &pools, TimePoint now) -> bool;
     /// @brief Assigns all tasks of a gang, or none.
-    [[nodiscard]] auto placeGang(std::span<const WaitingTask> members, PoolCapacities &pools, TimePoint now) -> bool;
+    [[nodiscard]] auto placeGang(std::span<const WaitingTask> members, const RoomClaim &claim, PoolCapacities &pools, TimePoint now) -> bool;
     /// @brief Assigns a task to a worker; the start order follows once the assignment is stored.
     /// @param choice result of the search, with a worker
     auto assign(const WaitingTask &waiting, const WorkerChoice &choice, RunNumber run, TimePoint now) -> void;
@@ -358,6 +374,9 @@
     TimePoint m_nextModelWrite; ///< when to store the interference model again
     std::vector<CapacityReservation> m_reservations; ///< of the current round, and of its continuation
     PlacementPass m_pass;
+    DeclaredDurations m_durations;
+    LookAheadPlacement m_lookAhead{m_limits.m_lookAhead, m_durations};
+    StartWaits m_startWaits;
     StartWindow m_startWindow;
     std::size_t m_assignedSinceCommit = 0; ///< runs whose start orders are not sent yet, because no commit contains them
     std::size_t m_triesLeft = 0; ///< tasks that this round may still try to place
--- a/include/burdockspur/fleet/fleetsettings.hpp
+++ b/include/burdockspur/fleet/fleetsettings.hpp
@@ -31,6 +31,7 @@
     Milliseconds m_jobVisible{3'000};
     Milliseconds m_ownerTimeout{1'600};
     std::uint64_t m_rowBytes = 65'536;
+    bool m_looksAhead = false; ///< see LookAheadLimits
 };
 
 /// @brief Names, types and ranges of the settings in the file.
--- a/include/burdockspur/fleet/placementguard.hpp
+++ b/include/burdockspur/fleet/placementguard.hpp
@@ -18,11 +18,12 @@
     Headroom, ///< a serving task would not keep its required headroom
     StepLimit, ///< it runs TaskStep::m_maxPerWorker tasks of the step
     EarlierRun, ///< it still has an earlier run of the task
+    LookAhead, ///< its free capacity is kept for a large step, and the task would not end before that starts, see RoomReservations
 };
 
-constexpr std::size_t placementGuardCount = 9;
+constexpr std::size_t placementGuardCount = 10;
 
 /// Names in logs and metrics, in the order of PlacementGuard.
 constexpr std::array<std::string_view, placementGuardCount> placementGuardNames{
-    "unavailable", "room", "reservation", "label", "trust", "unused_cpu", "headroom", "step_limit", "earlier_run"};
+    "unavailable", "room", "reservation", "label", "trust", "unused_cpu", "headroom", "step_limit", "earlier_run", "look_ahead"};
 }
--- a/include/burdockspur/fleet/poolcapacities.hpp
+++ b/include/burdockspur/fleet/poolcapacities.hpp
@@ -12,6 +12,7 @@
 {
 class FleetWorker;
 struct FleetLimits;
+struct RoomSlot;
 
 /// @brief Free capacity of a worker that accepts new tasks.
 struct FreeCapacity {
@@ -20,6 +21,7 @@
     Resources m_reserved; ///< kept for waiting tasks, see PoolCapacities::reserve()
     std::int64_t m_freeFillingCpu = 0; ///< thousandths of a core, see FleetWorker::freeFillingCpu()
     bool m_isTrusted = false; ///< see WorkerHealth::isTrusted()
+    RoomSlot *m_slot = nullptr; ///< room that is kept for a large step; nullptr for none
 };
 
 /// @brief Free capacities of the workers that accept new tasks in one round of placement, by pool and in the order of addition.
@@ -32,12 +34,22 @@
     /// @param limits must outlive the object
     PoolCapacities(const FleetLimits &limits, TimePoint now);
 
-    /// @brief Adds a worker if it accepts new tasks.
+    /// @brief Adds a worker if it accepts new tasks. Workers are added in ascending order of their ids.
     /// @param worker must outlive the object
     auto add(FleetWorker &worker) -> void;
 
     [[nodiscard]] auto freeCapacitiesOf(std::string_view pool) noexcept -> std::span<FreeCapacity>;
 
+    /// @brief Finds a worker that accepts new tasks; nullptr if there is none.
+    /// @param worker id
+    [[nodiscard]] auto find(std::string_view pool, std::string_view worker) noexcept -> FreeCapacity *;
+
+    /// @brief Capacity of the listed workers of a pool.
+    [[nodiscard]] auto totalOf(std::string_view pool) const noexcept -> Resources;
+
+    /// @brief Mean capacity of the listed workers of all pools.
+    [[nodiscard]] auto meanWorker() const noexcept -> Resources;
+
     /// @brief Number of listed workers of a pool that accept no tasks now.
     [[nodiscard]] auto unavailableWorkersOf(std::string_view pool) const noexcept -> std::uint32_t;
 
@@ -67,6 +79,7 @@
 
     const FleetLimits &m_limits;
     TimePoint m_now;
+    std::int64_t m_listed = 0; ///< number of listed workers
     std::vector<Pool> m_pools; ///< few pools, so a linear search is fast enough
 };
 }
--- a/include/burdockspur/impl/fleetschedulerparts.hpp
+++ b/include/burdockspur/impl/fleetschedulerparts.hpp
@@ -63,6 +63,7 @@
     };
 
     ImageId m_image = 0;
+    RoomClaim m_claim; ///< what the tasks want of a worker
     std::vector<Candidate> m_candidates; ///< heap, the best one at the front
     PlacementRefusal m_refusal; ///< workers that a guard excludes
 };
--- a/src/fleet/fleetduty.cpp
+++ b/src/fleet/fleetduty.cpp
@@ -62,6 +62,8 @@
         }
         const TimePoint end = Clock::now();
         m_metrics.recordRound(m_scheduler.isOwner(), m_scheduler.jobCount(), m_scheduler.workerCount(), m_scheduler.waitingCount(), end - now);
+        m_metrics.recordReservedRoom(m_scheduler.lookAhead());
+        m_metrics.recordStartWaits(m_scheduler.takeStartWaits());
         m_metrics.recordWaits(m_scheduler.idleJobCount(), m_scheduler.longestIdle());
         m_load.recordRound(m_scheduler, m_inputs.size(), now, end);
         if (m_scheduler.isOwner() && end < now + m_roundInterval) {
--- a/src/fleet/fleetmetrics.cpp
+++ b/src/fleet/fleetmetrics.cpp
@@ -1,5 +1,7 @@
 #include "burdockspur/fleet/fleetmetrics.hpp"
 
+#include "burdockspur/fleet/lookahead/lookaheadplacement.hpp"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -29,7 +31,17 @@
     , m_waiting(metrics.gauge("burdockspur_waiting_tasks", "Tasks that wait for capacity"))
     , m_idleJobs(metrics.gauge("burdockspur_idle_jobs", "Jobs with a waiting task that had no run for more than a second"))
     , m_longestIdle(metrics.gauge("burdockspur_longest_idle_seconds", "Longest time for which a job with a waiting task has no run"))
+    , m_reservations(metrics.gauge("burdockspur_room_reservations", "Steps that room is kept for"))
+    , m_reservedCpu(metrics.gauge("burdockspur_reserved_cores", "Processors that are kept for large steps"))
+    , m_reservedMemory(metrics.gauge("burdockspur_reserved_memory_mb", "Memory that is kept for large steps"))
+    , m_reservationsMade(metrics.gauge("burdockspur_room_reservations_made", "Reservations of room since the start of the process"))
+    , m_reservationsMoved(metrics.gauge("burdockspur_room_reservations_moved", "Reserved rooms that were given up because they were late or lost"))
+    , m_reservationsExpired(metrics.gauge("burdockspur_room_reservations_expired", "Reservations of room that ended unused"))
 {
+    for (std::size_t size = 0; size < jobSizeNames.size(); ++size) {
+        m_startWaits[size] = &metrics.durationHistogram(
+            "burdockspur_start_wait_seconds", "Time from the acceptance of a job to its first run", {{"size", std::string(jobSizeNames[size])}});
+    }
 }
 
 auto FleetMetrics::recordCall(std::string_view kind, int status, Duration took) -> void
@@ -65,4 +77,24 @@
     m_idleJobs.Set(static_cast<double>(idleJobs));
     m_longestIdle.Set(seconds(longestIdle));
 }
+
+auto FleetMetrics::recordReservedRoom(const LookAheadPlacement &lookAhead) -> void
+{
+    constexpr double millisPerCore = 1'000;
+    const auto room = lookAhead.reservedRoom();
+    const auto counters = lookAhead.counters();
+    m_reservations.Set(static_cast<double>(lookAhead.reservationCount()));
+    m_reservedCpu.Set(static_cast<double>(room.m_cpuMillis) / millisPerCore);
+    m_reservedMemory.Set(static_cast<double>(room.m_memoryMb));
+    m_reservationsMade.Set(static_cast<double>(counters.m_reserved));
+    m_reservationsMoved.Set(static_cast<double>(counters.m_moved));
+    m_reservationsExpired.Set(static_cast<double>(counters.m_expired));
+}
+
+auto FleetMetrics::recordStartWaits(std::span<const StartWait> waits) -> void
+{
+    for (const auto &wait : waits) {
+        m_startWaits[static_cast<std::size_t>(wait.m_size)]->Observe(seconds(wait.m_wait));
+    }
+}
 }
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -119,6 +119,7 @@
     m_changes.clear();
     m_kinds.clear();
     m_pass.reset();
+    m_lookAhead.clear();
     m_jobs.clear();
     m_workers.clear();
     m_archived.clear();
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -246,6 +246,7 @@
     for (auto *const job : m_changes.m_waiting) {
         addGroups(*job, groups, pools, now);
     }
+    m_lookAhead.beginRound(groups, pools, now);
     const bool hasNewFirst = std::ranges::any_of(groups, [this, now](const PlacementGroup &group) {
         return group.m_step->m_newestSince >= now && m_pass.hasTried(group);
     });
@@ -287,6 +288,7 @@
     if (isComplete) {
         m_pass.reset();
     }
+    m_lookAhead.endRound(groups, pools, now);
     // Updates the counts of tasks that still wait.
     updateBacklogs(now);
     m_paceController.recordBacklog(static_cast<double>(m_waitingFillCpu) / capacity, now);
@@ -301,6 +303,11 @@
     if (isOfIdleJob && (group.m_job->hasRuns() || m_idleStartsLeft == 0)) {
         return true;
     }
+    const auto claim = m_lookAhead.claimOf(group, now);
+    if (m_lookAhead.isKnownRefused(claim)) {
+        group.m_job->m_refusal = m_lookAhead.lastRefusal();
+        return true;
+    }
     const auto tasks = tasksOf(group, now);
     if (tasks.empty()) {
         return true;
@@ -313,7 +320,7 @@
         // All members start together, so they wait until the last run of every member has ended.
         if (tasks.size() == tasks.front().m_step->m_count) {
             countTries(tasks.size());
-            const bool isPlaced = placeGang(tasks, pools, now);
+            const bool isPlaced = placeGang(tasks, claim, pools, now);
             m_idleStartsLeft -= isPlaced && isOfIdleJob ? 1 : 0;
         }
         return true;
@@ -325,12 +332,14 @@
         }
         countTries(1);
         if (!search) {
-            search = beginSearch(task, pools, now);
+            search = beginSearch(task, claim, pools, now);
         }
         const auto choice = chooseWorker(*search, task, pools, now);
         if (choice.m_worker != nullptr) {
             assign(task, choice, task.m_progress->m_run + 1, now);
-            examine(*search, pools.update(*choice.m_worker), task, now);
+            const auto &capacity = pools.update(*choice.m_worker);
+            m_lookAhead.recordAssignment(capacity, claim, now);
+            examine(*search, capacity, task, now);
             if (isOfIdleJob) {
                 --m_idleStartsLeft;
                 break;
@@ -349,7 +358,9 @@
             // The worker that still has a run of this task may accept another task of the step.
             continue;
         }
-        if (choice.m_refusal.workers(PlacementGuard::StepLimit) == 0) {
+        m_lookAhead.recordRefusal(claim, choice.m_refusal);
+        // Reserved room is refused by the duration and the rank of a task too, so it does not exclude every task that demands as much.
+        if (choice.m_refusal.workers(PlacementGuard::StepLimit) + choice.m_refusal.workers(PlacementGuard::LookAhead) == 0) {
             order.markUnplaceable(group, choice.m_refusal);
         }
         break;
@@ -357,9 +368,9 @@
     return true;
 }
 
-auto FleetScheduler::beginSearch(const WaitingTask &first, PoolCapacities &pools, TimePoint now) -> WorkerSearch
+auto FleetScheduler::beginSearch(const WaitingTask &first, const RoomClaim &claim, PoolCapacities &pools, TimePoint now) -> WorkerSearch
 {
-    WorkerSearch search{m_paceController.model().imageId(first.m_step->m_image), {}, {}};
+    WorkerSearch search{m_paceController.model().imageId(first.m_step->m_image), claim, {}, {}};
     for (const auto &candidate : pools.freeCapacitiesOf(first.m_policy->m_pool)) {
         examine(search, candidate, first, now);
     }
@@ -388,6 +399,10 @@
         search.m_refusal.count(PlacementGuard::Label);
         return;
     }
+    if (!m_lookAhead.mayUse(candidate, search.m_claim)) {
+        search.m_refusal.count(PlacementGuard::LookAhead);
+        return;
+    }
     const bool isInRack = step.m_preferredRack.empty() || record.m_rack == step.m_preferredRack;
     const auto fit =
         step.m_isFilling ? fillFitOf(step, search.m_image, candidate, isInRack, bypassesGuards, now) : roomFitOf(step, search.m_image, candidate, isInRack);
@@ -438,11 +453,11 @@
     return choice;
 }
 
-auto FleetScheduler::roomFitOf(const TaskStep &step, ImageId image, const FreeCapacity &candidate, bool isInRack) -> WorkerFit
+auto FleetScheduler::roomFitOf(const TaskStep &step, ImageId image, const FreeCapacity &candidate, bool isInRack) const -> WorkerFit
 {
     const int affinity = step.m_isServing ? imageAffinity(*candidate.m_worker, image) : 0;
-    // Best fit: filling up small remainders keeps large free capacities for large tasks.
-    return {std::nullopt, {candidate.m_isTrusted, true, isInRack, affinity, -candidate.m_free.m_cpuMillis, 0}};
+    const auto fit = m_lookAhead.fitOf(candidate, step);
+    return {std::nullopt, {candidate.m_isTrusted, true, isInRack, affinity, fit.m_keptRoom, fit.m_closeness}};
 }
 
 auto FleetScheduler::fillFitOf(const TaskStep &step, ImageId image, const FreeCapacity &candidate, bool isInRack, bool bypassesGuards, TimePoint now) const
@@ -514,7 +529,7 @@
     return true;
 }
 
-auto FleetScheduler::placeGang(std::span<const WaitingTask> members, PoolCapacities &pools, TimePoint now) -> bool
+auto FleetScheduler::placeGang(std::span<const WaitingTask> members, const RoomClaim &claim, PoolCapacities &pools, TimePoint now) -> bool
 {
     RunNumber run = 0;
     std::string checkpoint;
@@ -523,7 +538,7 @@
         checkpoint = checkpoint.empty() ? member.m_progress->m_checkpoint : checkpoint;
     }
     std::vector<FleetWorker *> chosen;
-    auto search = beginSearch(members.front(), pools, now);
+    auto search = beginSearch(members.front(), claim, pools, now);
     for (const auto &member : members) {
         const auto choice = chooseWorker(search, member, pools, now);
         if (choice.m_worker == nullptr) {
@@ -537,6 +552,9 @@
         chosen.push_back(choice.m_worker);
     }
     if (chosen.size() == members.size()) {
+        for (const auto *const worker : chosen) {
+            m_lookAhead.recordAssignment(pools.update(*worker), claim, now);
+        }
         return true;
     }
     for (std::size_t i = 0; i < chosen.size(); ++i) {
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -514,6 +514,9 @@
               {"epoch", m_epoch}});
     switch (answer.m_outcome) {
     case OrderOutcome::Accepted:
+        if (!run->m_job->hasStarted()) {
+            m_startWaits.record(*run->m_job, now);
+        }
         run->m_job->markStarted();
         if (run->m_stage != RunStage::Running) {
             run->m_stage = RunStage::Running;
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -17,7 +17,7 @@
     static constexpr SettingRange period{1, 3'600'000};
     static constexpr SettingRange bytes{1'024, 1e8};
     static constexpr SettingRange seconds{1, 86'400};
-    static constexpr std::array<SettingsField<S>, 18> table{{
+    static constexpr std::array<SettingsField<S>, 19> table{{
         {"host.name", &S::m_hostName, Text, Required, name, "", "Name of this entry host"},
         {"host.zone", &S::m_zone, Text, Required, name, "", "Availability zone"},
         {"host.cpu_share", &S::m_cpuShare, Number, Optional, SettingRange{0, 1e3}, "", "Share of each processor that the host may use; 0 if not known"},
@@ -48,6 +48,13 @@
          "ms",
          "Time within which an accepted job must be counted and shown"},
         {"owner.silence_ms", &S::m_ownerTimeout, DurationMs, Optional, period, "ms", "Time without a commit after which the owner of the fleet is replaced"},
+        {"placement.look_ahead",
+         &S::m_looksAhead,
+         Boolean,
+         Optional,
+         {},
+         "",
+         "Whether placement reserves room for large work and lets smaller work fill the gaps"},
     }};
     return table;
 }
@@ -97,6 +104,7 @@
     constexpr Milliseconds lateRepeatTime{30'000};
     FleetLimits limits;
     limits.m_rowBytes = static_cast<std::size_t>(settings.m_rowBytes);
+    limits.m_lookAhead.m_isOn = settings.m_looksAhead;
     limits.m_retention = std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(settings.m_retentionSeconds)) + lateRepeatTime;
     return limits;
 }
--- a/src/fleet/heldtasklog.cpp
+++ b/src/fleet/heldtasklog.cpp
@@ -37,6 +37,8 @@
     const auto &backlog = job.backlog();
     const auto &step = backlog.m_steps.front();
     const auto &refusal = job.m_refusal;
+    const bool hasRoom = job.m_reservedRoom && job.m_reservedRoom->m_until > now;
+    const auto room = hasRoom ? *job.m_reservedRoom : ReservedRoom{};
     const TaskId task{job.job().m_id, step.m_occurrence, step.m_step, step.m_tasks.front().m_index};
     logEvent(LogLevel::Warning,
              "task_held_back",
@@ -55,6 +57,10 @@
               {"step_limit", refusal.workers(StepLimit)},
               {"earlier_run", refusal.workers(EarlierRun)},
               {"unavailable", refusal.workers(Unavailable)},
+              {"look_ahead", refusal.workers(LookAhead)},
+              {"reserved_worker", room.m_worker},
+              {"reserved_in_ms", hasRoom ? inMs(room.m_at - now) : 0},
+              {"reserved_left_ms", hasRoom ? inMs(room.m_until - now) : 0},
               {"epoch", epoch}});
 }
 }
--- a/src/fleet/poolcapacities.cpp
+++ b/src/fleet/poolcapacities.cpp
@@ -21,6 +21,7 @@
     if (worker.m_isListed) {
         pool.m_total += worker.m_record.m_capacity;
         pool.m_unreserved += worker.freeResources();
+        ++m_listed;
     }
     if (!worker.acceptsTasks(m_limits, m_now)) {
         pool.m_unavailable += worker.m_isListed ? 1 : 0;
@@ -44,6 +45,32 @@
     return entry == m_pools.end() ? std::span<FreeCapacity>() : std::span(entry->m_capacities);
 }
 
+auto PoolCapacities::find(std::string_view pool, std::string_view worker) noexcept -> FreeCapacity *
+{
+    const auto idOf = [](const FreeCapacity &capacity) -> std::string_view {
+        return capacity.m_worker->m_record.m_id;
+    };
+    const auto capacities = freeCapacitiesOf(pool);
+    const auto found = std::ranges::lower_bound(capacities, worker, {}, idOf);
+    return found == capacities.end() || idOf(*found) != worker ? nullptr : &*found;
+}
+
+auto PoolCapacities::totalOf(std::string_view pool) const noexcept -> Resources
+{
+    const auto entry = std::ranges::find(m_pools, pool, &Pool::m_name);
+    return entry == m_pools.end() ? Resources{} : entry->m_total;
+}
+
+auto PoolCapacities::meanWorker() const noexcept -> Resources
+{
+    Resources mean;
+    for (const auto &pool : m_pools) {
+        mean += pool.m_total;
+    }
+    const auto workers = std::max(m_listed, std::int64_t{1});
+    return {mean.m_cpuMillis / workers, mean.m_memoryMb / workers, mean.m_accelerators / workers};
+}
+
 auto PoolCapacities::isMostlyFree(std::string_view pool) const noexcept -> bool
 {
     const auto entry = std::ranges::find(m_pools, pool, &Pool::m_name);
--- a/tests/fleetsimulation.cpp
+++ b/tests/fleetsimulation.cpp
@@ -35,8 +35,9 @@
 constexpr Milliseconds reportedEndDelay{100};
 }
 
-FleetSimulation::FleetSimulation(std::uint64_t seed, std::size_t workers, const FleetFaults &faults)
-    : m_seed(seed)
+FleetSimulation::FleetSimulation(std::uint64_t seed, std::size_t workers, const FleetFaults &faults, const FleetLimits &limits)
+    : m_limits(limits)
+    , m_seed(seed)
     , m_random(seed)
     , m_archiveRandom(~seed)
     , m_restartRandom(seed ^ 0x5bd1e995U)
@@ -338,7 +339,7 @@
     recordDisruption(reading);
     m_isOwnerAway = true;
     m_lateCommit.reset();
-    auto &owner = *m_owners.emplace_back(std::make_unique<FleetScheduler>(FleetLimits{}));
+    auto &owner = *m_owners.emplace_back(std::make_unique<FleetScheduler>(m_limits));
     m_archives.emplace(&owner, FleetLimits{}.m_retention);
     const Epoch epoch = ++m_epoch;
     owner.prepare(epoch, m_now, formerOwner());
@@ -1189,4 +1190,27 @@
     });
     return start == m_starts.end() ? std::nullopt : std::optional(start->m_at);
 }
+
+auto FleetSimulation::setCapacity(std::size_t worker, const Resources &capacity) -> void
+{
+    m_workers[worker]->m_record.m_capacity = capacity;
+    sendListEntry(worker);
+}
+
+auto FleetSimulation::startTimesOf(std::string_view job) const -> std::vector<TimePoint>
+{
+    std::vector<TimePoint> times;
+    for (const auto &start : m_starts) {
+        if (start.m_task.m_job == job) {
+            times.push_back(start.m_at);
+        }
+    }
+    return times;
+}
+
+auto FleetSimulation::cpuUse() const -> double
+{
+    const auto use = poolUse();
+    return static_cast<double>(use.m_used.m_cpuMillis) / static_cast<double>(use.m_capacity.m_cpuMillis);
+}
 }
--- a/tests/fleetsimulation.hpp
+++ b/tests/fleetsimulation.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockspur/core/randomsource.hpp"
+#include "burdockspur/fleet/fleetlimits.hpp"
 #include "burdockspur/fleet/fleetscheduler.hpp"
 #include "burdockspur/fleet/jobarchive.hpp"
 #include "conditiontimer.hpp"
@@ -57,13 +58,17 @@
 class FleetSimulation
 {
 public:
-    FleetSimulation(std::uint64_t seed, std::size_t workers, const FleetFaults &faults);
+    /// @param limits of every owner
+    FleetSimulation(std::uint64_t seed, std::size_t workers, const FleetFaults &faults, const FleetLimits &limits = {});
     ~FleetSimulation();
     FleetSimulation(const FleetSimulation &) = delete;
     FleetSimulation(FleetSimulation &&) = delete;
     auto operator=(const FleetSimulation &) -> FleetSimulation & = delete;
     auto operator=(FleetSimulation &&) -> FleetSimulation & = delete;
 
+    /// @brief Changes the capacity of a worker; to be called before anything runs there.
+    auto setCapacity(std::size_t worker, const Resources &capacity) -> void;
+
     /// @brief Submits a job of random shape.
     auto submitRandomJob() -> std::string;
 
@@ -226,6 +231,18 @@
     /// @brief Number of runs of a job's tasks that workers have started.
     [[nodiscard]] auto startsOf(std::string_view job) const -> std::size_t;
 
+    /// @brief Times at which runs of a job's tasks were started, in ascending order.
+    [[nodiscard]] auto startTimesOf(std::string_view job) const -> std::vector<TimePoint>;
+
+    /// @brief The owner in charge.
+    [[nodiscard]] auto owner() const noexcept -> const FleetScheduler &
+    {
+        return *m_owners.back();
+    }
+
+    /// @brief Share of the workers' processors that runs have reserved.
+    [[nodiscard]] auto cpuUse() const -> double;
+
     /// @brief Number of tasks of which a run has succeeded, of the jobs whose ids begin with a text.
     [[nodiscard]] auto doneTasksOf(std::string_view prefix) const -> std::size_t;
 
@@ -371,6 +388,7 @@
     auto recordViolation(std::string_view rule, std::string_view task) -> void;
     auto recordHistory(std::string_view task, std::string_view event) -> void;
 
+    FleetLimits m_limits;
     std::uint64_t m_seed;
     RandomSource m_random;
     RandomSource m_archiveRandom; ///< separate, so that archiving does not change the other faults of a seed
