--- a/include/burdockspur/fleet/taskrun.hpp
+++ b/include/burdockspur/fleet/taskrun.hpp
@@ -58,6 +58,8 @@
     std::string m_checkpoint; ///< latest known checkpoint; empty for none
     int m_pace = fullPacePercent; ///< latest pace in percent that the worker has accepted, or unknownPace
     bool m_paceInFlight = false;
+    /// False once something other than its own work may have changed its duration: a pace, a checkpoint that it started from, a former owner.
+    bool m_isUndisturbed = true;
     bool m_isStopRequested = false;
     bool m_stopInFlight = false;
     TimePoint m_stopSentAt;
