--- a/include/burdockspur/fleet/fleetscheduler.hpp
+++ b/include/burdockspur/fleet/fleetscheduler.hpp
@@ -9,7 +9,7 @@
 #include "burdockspur/fleet/formerowner.hpp"
 #include "burdockspur/fleet/heldtasklog.hpp"
 #include "burdockspur/fleet/jobchanges.hpp"
-#include "burdockspur/fleet/lookahead/declareddurations.hpp"
+#include "burdockspur/fleet/lookahead/learneddurations.hpp"
 #include "burdockspur/fleet/lookahead/lookaheadplacement.hpp"
 #include "burdockspur/fleet/lookahead/startwaits.hpp"
 #include "burdockspur/fleet/pacecontroller.hpp"
@@ -18,6 +18,7 @@
 #include "burdockspur/fleet/placementpass.hpp"
 #include "burdockspur/fleet/reportpacing.hpp"
 #include "burdockspur/fleet/startwindow.hpp"
+#include "burdockspur/fleet/stragglers/durationmodel.hpp"
 #include "burdockspur/fleet/taskkinds.hpp"
 
 #include <cstdint>
@@ -374,7 +375,8 @@
     TimePoint m_nextModelWrite; ///< when to store the interference model again
     std::vector<CapacityReservation> m_reservations; ///< of the current round, and of its continuation
     PlacementPass m_pass;
-    DeclaredDurations m_durations;
+    DurationModel m_durationModel; ///< kept across ownerships, because durations stay valid
+    LearnedDurations m_durations{m_durationModel};
     LookAheadPlacement m_lookAhead{m_limits.m_lookAhead, m_durations};
     StartWaits m_startWaits;
     StartWindow m_startWindow;
--- a/include/burdockspur/fleet/lookahead/lookaheadlimits.hpp
+++ b/include/burdockspur/fleet/lookahead/lookaheadlimits.hpp
@@ -31,9 +31,12 @@
     /// A reservation is made only where room is expected within this time.
     Milliseconds m_maxLead{3'000};
 
-    /// A reservation that was not used within this time ends.
+    /// A reservation ends when none of its tasks was placed in its room for this time.
     Milliseconds m_maxHold{4'000};
 
+    /// A reservation ends after this time, although tasks were placed in its room one after the other.
+    Milliseconds m_maxTotalHold{8'000};
+
     /// Time after the end of an unused reservation, or after a search without success, before the step may get another one.
     Milliseconds m_pause{2'000};
 
@@ -44,7 +47,7 @@
     std::uint32_t m_maxMoves = 3;
 
     /// A step is large if a task of it needs this multiple of the mean share of a worker that the pool's tasks need.
-    double m_largeFactor = 1.5;
+    double m_largeFactor = 2.0;
 
     /// Tasks of one step that room is reserved for; the members of a gang do not count against it.
     std::uint32_t m_maxTasksPerStep = 8;
--- a/include/burdockspur/fleet/lookahead/roomreservation.hpp
+++ b/include/burdockspur/fleet/lookahead/roomreservation.hpp
@@ -21,6 +21,7 @@
     Resources m_demand; ///< of one task
     bool m_isGang = false; ///< the tasks start together
     std::list<RoomSlot> m_slots;
+    TimePoint m_madeAt;
     TimePoint m_until; ///< when the reservation ends if it is not used
     std::uint32_t m_moves = 0; ///< moves because room was late
     bool m_isWanted = true; ///< tasks of the step still wait
--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -97,6 +97,7 @@
 class Journal;
 class KeyMapKeeper;
 class KeyMapStore;
+class LearnedDurations;
 class LeastLoaded;
 class LeastLoadedPicker;
 class LogThrottle;
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -207,10 +207,15 @@
         return;
     }
     const std::string id = job.m_id;
+    auto &added = *m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(job), now, wallNow)).first->second;
     logEvent(LogLevel::Info,
              "job_seen",
-             {{"job", id}, {"queue", job.m_policy.m_name}, {"steps", job.m_steps.size()}, {"waiting", m_waitingCount}, {"epoch", m_epoch}});
-    auto &added = *m_jobs.emplace(id, std::make_unique<FleetJob>(std::move(job), now, wallNow)).first->second;
+             {{"job", id},
+              {"queue", added.job().m_policy.m_name},
+              {"steps", added.job().m_steps.size()},
+              {"core_ms", static_cast<std::int64_t>(added.totalWork() * 1'000)},
+              {"waiting", m_waitingCount},
+              {"epoch", m_epoch}});
     trackJob(added);
     /// Weight of a new job in the running mean of its queue.
     constexpr double smoothingFactor = 0.05;
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -1,4 +1,5 @@
 #include "burdockspur/fleet/fleetscheduler.hpp"
+#include "burdockspur/fleet/stragglers/undisturbedduration.hpp"
 #include "burdockspur/operations/log.hpp"
 
 #include <algorithm>
@@ -342,6 +343,9 @@
     job.markStarted();
     const auto &step = job.stepOf(id);
     if (how == RunEnd::Done) {
+        if (const auto took = undisturbedDuration(run, worker.m_health.isTrusted(now), now)) {
+            m_durationModel.recordEnd(DurationKey::of(job.job(), id.m_step), *took);
+        }
         worker.m_health.recordSuccess();
         job.m_failedRuns.recordSuccess();
         job.m_slowRuns.recordSuccess();
--- a/src/fleet/lookahead/roomreservations.cpp
+++ b/src/fleet/lookahead/roomreservations.cpp
@@ -68,7 +68,8 @@
             auto &reservation = entry->second;
             reservation.m_isWanted = true;
             reservation.m_priority = group.m_rank.m_priority;
-            reservation.m_lateness = group.m_rank.m_lateness;
+            // Room that was kept in time stays kept, for a bounded time, although the job turns late while it waits for it.
+            reservation.m_lateness = std::min(reservation.m_lateness, group.m_rank.m_lateness);
         }
     }
 }
@@ -189,6 +190,7 @@
         });
         if (here != slots.end()) {
             --here->m_tasks;
+            own->second.m_until = std::min(now + m_limits.m_maxHold, own->second.m_madeAt + m_limits.m_maxTotalHold);
             ++m_counters.m_used;
         } else if (const auto last = std::ranges::max_element(slots,
                                                               {},
@@ -310,6 +312,7 @@
         reservation.m_lateness = group.m_rank.m_lateness;
         reservation.m_demand = step.m_demand;
         reservation.m_isGang = step.m_isGang;
+        reservation.m_madeAt = now;
         reservation.m_until = now + m_limits.m_maxHold;
         ++m_counters.m_reserved;
     }
@@ -317,8 +320,9 @@
         slot.m_reservation = &reservation;
         reservation.m_slots.push_back(std::move(slot));
         auto &kept = reservation.m_slots.back();
-        // The slot holds back the rest of this pass too.
-        pools.find(pool, kept.m_worker)->m_slot = &kept;
+        auto &capacity = *pools.find(pool, kept.m_worker);
+        capacity.m_slot = &kept;
+        static_cast<void>(forecastSlot(kept, capacity, now));
     }
     tell(group, reservation);
     logRoom(reservation, isNew ? "reserved" : "moved", now);
--- a/tests/roomreservationstest.cpp
+++ b/tests/roomreservationstest.cpp
@@ -209,6 +209,10 @@
     EXPECT_EQ(m_reservations.counters().m_expired, 1U);
     EXPECT_TRUE(m_reservations.mayUse(capacityOf("worker-9"), smallClaim(Milliseconds{60'000})));
     m_now += m_lookAhead.m_pause;
+    for (auto &[id, worker] : m_workers) {
+        // The next runs, because no room is expected soon from runs that are long overdue.
+        worker.m_runs.begin()->second.m_confirmedAt = m_now;
+    }
     round();
     EXPECT_EQ(m_reservations.count(), 1U);
 }
