--- a/include/burdockspur/fleet/lookahead/lookaheadlimits.hpp
+++ b/include/burdockspur/fleet/lookahead/lookaheadlimits.hpp
@@ -43,7 +43,7 @@
     /// A reservation is moved when its room is expected this much later than when it was made or moved last.
     Milliseconds m_slipTolerance{300};
 
-    /// Number of times that a reservation may be moved because it slips. The loss of a worker does not count.
+    /// Number of times, for each task, that the room of a step may be moved because it is late. The loss of a worker does not count.
     std::uint32_t m_maxMoves = 3;
 
     /// A step is large if a task of it needs this multiple of the mean share of a worker that the pool's tasks need.
--- a/include/burdockspur/fleet/lookahead/roomreservation.hpp
+++ b/include/burdockspur/fleet/lookahead/roomreservation.hpp
@@ -23,7 +23,8 @@
     std::list<RoomSlot> m_slots;
     TimePoint m_madeAt;
     TimePoint m_until; ///< when the reservation ends if it is not used
-    std::uint32_t m_moves = 0; ///< moves because room was late
+    std::uint32_t m_firstTasks = 0; ///< tasks that wanted room when the reservation was made
+    std::uint32_t m_moves = 0; ///< moves of a task's room because it was late
     bool m_isWanted = true; ///< tasks of the step still wait
 
     /// @brief Number of tasks that room is kept for.
--- a/src/fleet/lookahead/roomreservations.cpp
+++ b/src/fleet/lookahead/roomreservations.cpp
@@ -83,7 +83,7 @@
     for (auto entry = m_reservations.begin(); entry != m_reservations.end();) {
         auto &[key, reservation] = *entry;
         const bool isExpired = now >= reservation.m_until;
-        const bool isLateTooOften = reservation.m_moves > m_limits.m_maxMoves;
+        const bool isLateTooOften = reservation.m_moves > m_limits.m_maxMoves * reservation.m_firstTasks;
         if (!reservation.m_isWanted || isExpired || isLateTooOften) {
             if (reservation.m_isWanted) {
                 ++m_counters.m_expired;
@@ -216,11 +216,11 @@
     if (std::ranges::none_of(reservation.m_slots, isLate)) {
         return;
     }
-    ++reservation.m_moves;
     std::erase_if(reservation.m_slots, [&](const RoomSlot &slot) {
         if (!isLate(slot)) {
             return false;
         }
+        reservation.m_moves += slot.m_tasks;
         if (auto *const capacity = pools.find(reservation.m_pool, slot.m_worker); capacity != nullptr) {
             capacity->m_slot = nullptr;
         }
@@ -314,6 +314,7 @@
         reservation.m_isGang = step.m_isGang;
         reservation.m_madeAt = now;
         reservation.m_until = now + m_limits.m_maxHold;
+        reservation.m_firstTasks = wish.m_tasks;
         ++m_counters.m_reserved;
     }
     for (auto &slot : slots) {
