--- a/src/operations/jobhistory.cpp
+++ b/src/operations/jobhistory.cpp
@@ -169,6 +169,9 @@
             const auto time = timeOf(*line);
             if (line->event() == "task_held_back" && time >= since && time <= until) {
                 activity = joined({"wait for a worker, held back by ", line->value("guard")});
+                if (const auto worker = line->value("reserved_worker"); !worker.empty()) {
+                    activity += joined({", room on ", worker, " expected ", line->value("reserved_in_ms"), " ms later"});
+                }
             }
         }
         return activity;
--- a/tests/jobhistorytest.cpp
+++ b/tests/jobhistorytest.cpp
@@ -123,12 +123,23 @@
 {
     const auto history = historyOf(
         line("01.000", "event=job_seen job=j1") + line("02.500", "event=task_held_back job=j1 task=j1.0.0.0 guard=unused_cpu unused_cpu=9 headroom=3")
-        + line("07.500", "event=task_held_back job=j1 task=j1.0.0.0 guard=headroom unused_cpu=4 headroom=8")
+        + line("07.500", "event=task_held_back job=j1 task=j1.0.0.0 guard=headroom unused_cpu=4 headroom=8 reserved_worker=\"\"")
         + line("08.000", "event=task_assigned job=j1 task=j1.0.0.0 run=1 worker=w1") + line("09.000", "event=run_ended job=j1 task=j1.0.0.0 run=1 how=done"));
     ASSERT_FALSE(history.criticalPath().empty());
     EXPECT_EQ(history.criticalPath().front().m_activity, "wait for a worker, held back by headroom");
 }
 
+// Guards against an operator who is not told where a large task will start.
+TEST(JobHistoryTest, AWaitNamesTheWorkerWhoseRoomIsReserved)
+{
+    const auto history = historyOf(line("01.000", "event=job_seen job=j1")
+                                   + line("02.500", "event=task_held_back job=j1 task=j1.0.0.0 guard=room room=9 reserved_worker=w7 reserved_in_ms=420")
+                                   + line("03.000", "event=task_assigned job=j1 task=j1.0.0.0 run=1 worker=w7")
+                                   + line("04.000", "event=run_ended job=j1 task=j1.0.0.0 run=1 how=done"));
+    ASSERT_FALSE(history.criticalPath().empty());
+    EXPECT_EQ(history.criticalPath().front().m_activity, "wait for a worker, held back by room, room on w7 expected 420 ms later");
+}
+
 // Guards against a report that fails while the job still runs or while lines are missing.
 TEST(JobHistoryTest, AnUnfinishedJobIsReportedWithoutACriticalPath)
 {
