--- a/include/burdockspur/fleet/fleetjob.hpp
+++ b/include/burdockspur/fleet/fleetjob.hpp
@@ -7,6 +7,7 @@
 #include "burdockspur/fleet/headroomtrend.hpp"
 #include "burdockspur/fleet/jobbacklog.hpp"
 #include "burdockspur/fleet/jobprogress.hpp"
+#include "burdockspur/fleet/lookahead/reservedroom.hpp"
 #include "burdockspur/fleet/placementrefusal.hpp"
 #include "burdockspur/fleet/stragglers/stepdurations.hpp"
 
@@ -38,6 +39,7 @@
     std::vector<HeadroomSample> m_headrooms; ///< latest sample of each worker
     HeadroomTrend m_trend; ///< trend of the samples of all workers
     PlacementRefusal m_refusal; ///< latest search that found no worker for a task of the job
+    std::optional<ReservedRoom> m_reservedRoom; ///< room that is kept for a waiting step of the job
     TimePoint m_heldLoggedAt; ///< see HeldTaskLog
     FailureAttribution m_failedRuns;
     FailureAttribution m_slowRuns;
@@ -150,7 +152,7 @@
         return m_hasStarted;
     }
 
-    /// @brief When the job was accepted, as far as the clocks of the hosts allow to tell.
+    /// @brief When a host accepted the job, by this owner's clock.
     [[nodiscard]] auto acceptedAt() const noexcept -> TimePoint
     {
         return m_acceptedAt;
--- a/include/burdockspur/fleet/fleetmetrics.hpp
+++ b/include/burdockspur/fleet/fleetmetrics.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/fleet/evacuation/zoneevacuation.hpp"
 #include "burdockspur/fleet/fleetanswer.hpp"
+#include "burdockspur/fleet/lookahead/startwait.hpp"
 #include "burdockspur/fleet/stragglers/copycounters.hpp"
 #include "burdockspur/link/clientcounts.hpp"
 #include "burdockspur/operations/metrics.hpp"
@@ -11,6 +12,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string_view>
 
 namespace prometheus
@@ -22,6 +24,8 @@
 
 namespace Burdockspur
 {
+class LookAheadPlacement;
+
 /// @brief The metrics of one host. All functions are thread-safe.
 class FleetMetrics
 {
@@ -70,6 +74,12 @@
     /// @param counters since the start of the process
     auto recordCopies(const CopyCounters &counters) -> void;
 
+    /// @brief Records the room that is kept for large work after a round.
+    auto recordReservedRoom(const LookAheadPlacement &lookAhead) -> void;
+
+    /// @brief Records how long jobs have waited for their first run.
+    auto recordStartWaits(std::span<const StartWait> waits) -> void;
+
 private:
     static constexpr std::size_t orderCount = 4;
     static constexpr std::size_t outcomeCount = static_cast<std::size_t>(OrderOutcome::NoAnswer) + 1;
@@ -96,5 +106,12 @@
     prometheus::Counter &m_copiesWon;
     prometheus::Counter &m_copyWaste;
     CopyCounters m_recordedCopies; ///< what the counters of copies already contain
+    prometheus::Gauge &m_reservations;
+    prometheus::Gauge &m_reservedCpu;
+    prometheus::Gauge &m_reservedMemory;
+    prometheus::Gauge &m_reservationsMade;
+    prometheus::Gauge &m_reservationsMoved;
+    prometheus::Gauge &m_reservationsExpired;
+    std::array<prometheus::Histogram *, jobSizeNames.size()> m_startWaits{}; ///< by JobSize
 };
 }
--- a/include/burdockspur/fleet/fleetsettings.hpp
+++ b/include/burdockspur/fleet/fleetsettings.hpp
@@ -42,6 +42,7 @@
     Milliseconds m_ownerTimeout{1'600};
     std::uint64_t m_rowBytes = 65'536;
     Milliseconds m_evacuate{0}; ///< 0 for no bound
+    bool m_looksAhead = false; ///< see LookAheadLimits
 };
 
 /// @brief Names, types and ranges of the settings in the file.
--- a/src/fleet/fleetmetrics.cpp
+++ b/src/fleet/fleetmetrics.cpp
@@ -1,5 +1,7 @@
 #include "burdockspur/fleet/fleetmetrics.hpp"
 
+#include "burdockspur/fleet/lookahead/lookaheadplacement.hpp"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -38,8 +40,18 @@
     , m_copiesStarted(metrics.counter("burdockspur_copies_started_total", "Copies of stragglers that were assigned"))
     , m_copiesWon(metrics.counter("burdockspur_copies_won_total", "Copies that have succeeded before the original run"))
     , m_copyWaste(metrics.counter("burdockspur_copy_waste_core_seconds_total", "Work of runs that were stopped because of a copy"))
+    , m_reservations(metrics.gauge("burdockspur_room_reservations", "Steps that room is kept for"))
+    , m_reservedCpu(metrics.gauge("burdockspur_reserved_cores", "Processors that are kept for large steps"))
+    , m_reservedMemory(metrics.gauge("burdockspur_reserved_memory_mb", "Memory that is kept for large steps"))
+    , m_reservationsMade(metrics.gauge("burdockspur_room_reservations_made", "Reservations of room since the start of the process"))
+    , m_reservationsMoved(metrics.gauge("burdockspur_room_reservations_moved", "Reserved rooms that were given up because they were late or lost"))
+    , m_reservationsExpired(metrics.gauge("burdockspur_room_reservations_expired", "Reservations of room that ended unused"))
 {
     recordStore(true);
+    for (std::size_t size = 0; size < jobSizeNames.size(); ++size) {
+        m_startWaits[size] = &metrics.durationHistogram(
+            "burdockspur_start_wait_seconds", "Time from the acceptance of a job to its first run", {{"size", std::string(jobSizeNames[size])}});
+    }
 }
 
 auto FleetMetrics::recordCall(std::string_view kind, int status, Duration took) -> void
@@ -122,4 +134,24 @@
     m_copyWaste.Increment(counters.m_wastedCoreSeconds - m_recordedCopies.m_wastedCoreSeconds);
     m_recordedCopies = counters;
 }
+
+auto FleetMetrics::recordReservedRoom(const LookAheadPlacement &lookAhead) -> void
+{
+    constexpr double millisPerCore = 1'000;
+    const auto room = lookAhead.reservedRoom();
+    const auto counters = lookAhead.counters();
+    m_reservations.Set(static_cast<double>(lookAhead.reservationCount()));
+    m_reservedCpu.Set(static_cast<double>(room.m_cpuMillis) / millisPerCore);
+    m_reservedMemory.Set(static_cast<double>(room.m_memoryMb));
+    m_reservationsMade.Set(static_cast<double>(counters.m_reserved));
+    m_reservationsMoved.Set(static_cast<double>(counters.m_moved));
+    m_reservationsExpired.Set(static_cast<double>(counters.m_expired));
+}
+
+auto FleetMetrics::recordStartWaits(std::span<const StartWait> waits) -> void
+{
+    for (const auto &wait : waits) {
+        m_startWaits[static_cast<std::size_t>(wait.m_size)]->Observe(seconds(wait.m_wait));
+    }
+}
 }
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -66,7 +66,7 @@
     static constexpr SettingRange bytes{1'024, 1e8};
     static constexpr SettingRange seconds{1, 86'400};
     static constexpr SettingRange percent{1, 80};
-    static constexpr std::array<SettingsField<S>, 24> table{{
+    static constexpr std::array<SettingsField<S>, 25> table{{
         {"host.name", &S::m_hostName, Text, Required, name, "", "Name of this entry host"},
         {"host.zone", &S::m_zone, Text, Required, name, "", "Availability zone"},
         {"host.cpu_share", &S::m_cpuShare, Number, Optional, SettingRange{0, 1e3}, "", "Share of each processor that the host may use; 0 if not known"},
@@ -127,6 +127,13 @@
          SettingRange{0, 3'600'000},
          "ms",
          "Time from the operator's request to close a zone after which nothing may start there; 0 for no bound"},
+        {"placement.look_ahead",
+         &S::m_looksAhead,
+         Boolean,
+         Optional,
+         {},
+         "",
+         "Whether placement reserves room for large work and lets smaller work fill the gaps"},
     }};
     return table;
 }
@@ -182,6 +189,7 @@
     FleetLimits limits;
     limits.m_maxZonesAge = settings.m_evacuate.count() == 0 ? Milliseconds{0} : settings.m_evacuate - startReserve;
     limits.m_rowBytes = static_cast<std::size_t>(settings.m_rowBytes);
+    limits.m_lookAhead.m_isOn = settings.m_looksAhead;
     limits.m_retention = std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(settings.m_retentionSeconds)) + lateRepeatTime;
     return limits;
 }
--- a/src/fleet/stragglers/fleetschedulercopies.cpp
+++ b/src/fleet/stragglers/fleetschedulercopies.cpp
@@ -5,6 +5,7 @@
 #include "burdockspur/operations/log.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace Burdockspur
 {
@@ -192,7 +193,15 @@
     const auto &id = original.m_task;
     auto *const task = job.findTask(id);
     const WaitingTask waiting{&job, id.m_occurrence, id.m_step, id.m_index, task, now, &job.stepOf(id), &policyOf(job), PlacementTurn::Ranked, &original};
-    auto search = beginSearch(waiting, pools, now);
+    // A copy ranks behind all work that room is kept for.
+    const RoomClaim claim{.m_job = id.m_job,
+                          .m_occurrence = id.m_occurrence,
+                          .m_step = id.m_step,
+                          .m_demand = waiting.m_step->m_demand,
+                          .m_priority = std::numeric_limits<std::uint32_t>::max(),
+                          .m_lateness = std::numeric_limits<std::uint8_t>::max(),
+                          .m_endsBy = now + worth.m_copyTakes};
+    auto search = beginSearch(waiting, claim, pools, now);
     const auto choice = chooseWorker(search, waiting, pools, now);
     if (choice.m_worker == nullptr) {
         return false;
