--- a/tests/roomreservationstest.cpp
+++ b/tests/roomreservationstest.cpp
@@ -5,6 +5,7 @@
 #include "burdockspur/fleet/lookahead/declareddurations.hpp"
 #include "burdockspur/fleet/lookahead/demandshapes.hpp"
 #include "burdockspur/fleet/lookahead/roomclaim.hpp"
+#include "burdockspur/fleet/evacuation/zoneevacuation.hpp"
 #include "burdockspur/fleet/poolcapacities.hpp"
 #include "burdockspur/fleet/taskkinds.hpp"
 
@@ -79,7 +80,7 @@
     /// @brief One round in which nothing is placed.
     auto round() -> void
     {
-        m_pools = std::make_unique<PoolCapacities>(m_limits, m_now);
+        m_pools = std::make_unique<PoolCapacities>(m_limits, m_evacuation, m_now);
         for (auto &[id, worker] : m_workers) {
             worker.m_lastReportAt = m_now;
             if (id != m_lost) {
@@ -118,6 +119,7 @@
 
     TimePoint m_now = TimePoint{} + std::chrono::hours(1);
     FleetLimits m_limits;
+    ZoneEvacuation m_evacuation{Milliseconds{0}};
     LookAheadLimits m_lookAhead{.m_isOn = true, .m_maxReservedShare = 0.5};
     DeclaredDurations m_durations;
     DemandShapes m_shapes{1.5};
