Count the answers that were cut off in a metric

burdockspur_answers_limited_total counts calls to the store and to workers that failed because incomplete answers held too much, so that every new limit has a metric. The linter's finding in memorybudget.cpp is mended.

--- a/include/burdockspur/fleet/fleetmetrics.hpp
+++ b/include/burdockspur/fleet/fleetmetrics.hpp
@@ -54,6 +54,9 @@
     /// @brief Records what the clients hold and what was closed or refused; to be called from one thread.
     auto recordClients(const ClientCounts &counts) -> void;
 
+    /// @brief Records a call to the store or a worker that failed because incomplete answers hold too much.
+    auto recordLimitedAnswer() -> void;
+
 private:
     static constexpr std::size_t orderCount = 4;
     static constexpr std::size_t outcomeCount = static_cast<std::size_t>(OrderOutcome::NoAnswer) + 1;
@@ -71,6 +74,7 @@
     prometheus::Gauge &m_longestIdle;
     prometheus::Gauge &m_clientBytes;
     prometheus::Gauge &m_clientConnections;
+    prometheus::Counter &m_limitedAnswers;
     ClientCounts m_clientCounts; ///< as of the last recordClients()
 };
 }
--- a/include/burdockspur/fleet/fleetstoreduty.hpp
+++ b/include/burdockspur/fleet/fleetstoreduty.hpp
@@ -23,6 +23,7 @@
 {
 class ArchiveCalls;
 class FleetCodec;
+class FleetMetrics;
 class FleetPlatform;
 class HttpClient;
 class JobStore;
@@ -42,7 +43,8 @@
     /// @param platform must outlive the duty
     /// @param incarnation distinguishes restarts of this host
     /// @param rings must outlive the duty
-    FleetStoreDuty(const FleetSettings &settings, const FleetPlatform &platform, std::string_view incarnation, FleetRings &rings);
+    /// @param metrics must outlive the duty
+    FleetStoreDuty(const FleetSettings &settings, const FleetPlatform &platform, std::string_view incarnation, FleetRings &rings, FleetMetrics &metrics);
     ~FleetStoreDuty() override;
 
 protected:
@@ -95,6 +97,7 @@
     const FleetPlatform &m_platform;
     std::string m_incarnation;
     FleetRings &m_rings;
+    FleetMetrics &m_metrics;
     OwnershipClaim m_claim;
     OwnershipCandidate m_candidate;
     HandOver m_handOver;
--- a/include/burdockspur/fleet/workercallduty.hpp
+++ b/include/burdockspur/fleet/workercallduty.hpp
@@ -9,6 +9,7 @@
 
 namespace Burdockspur
 {
+class FleetMetrics;
 class FleetPlatform;
 class RunWorkerPort;
 template<typename T>
@@ -21,7 +22,8 @@
     /// @param limits limits of what the workers' answers may hold; the numbers of connections are the duty's own
     /// @param platform must outlive the duty
     /// @param rings must outlive the duty
-    WorkerCallDuty(const HttpClientLimits &limits, const FleetPlatform &platform, FleetRings &rings);
+    /// @param metrics must outlive the duty
+    WorkerCallDuty(const HttpClientLimits &limits, const FleetPlatform &platform, FleetRings &rings, FleetMetrics &metrics);
     ~WorkerCallDuty() override;
 
 protected:
@@ -34,6 +36,7 @@
     HttpClientLimits m_limits;
     const FleetPlatform &m_platform;
     FleetRings &m_rings;
+    FleetMetrics &m_metrics;
     std::unique_ptr<RingOutbox<FleetInput>> m_toScheduler;
     std::unique_ptr<HttpClient> m_client;
     std::unique_ptr<RunWorkerPort> m_port;
--- a/include/burdockspur/link/httpclient.hpp
+++ b/include/burdockspur/link/httpclient.hpp
@@ -93,6 +93,9 @@
     /// @param peer the process, and how it identifies itself
     auto call(const HttpEndpoint &endpoint, HttpRequest &&request, Duration timeout, Callback callback, HttpPeer &&peer) -> void;
 
+    /// @brief Sets a function that is called when a call fails because incomplete responses hold too much.
+    auto onResponseLimited(std::function<void()> notify) -> void;
+
     /// @brief Number of calls without a reply.
     [[nodiscard]] auto openCalls() const noexcept -> std::size_t;
 
--- a/src/fleet/fleethost.cpp
+++ b/src/fleet/fleethost.cpp
@@ -26,8 +26,8 @@
 {
     const auto incarnation = makeIncarnation();
     m_scheduler = std::make_unique<FleetDuty>(fleetLimitsOf(settings), m_rings, *m_fleetMetrics);
-    m_workers = std::make_unique<WorkerCallDuty>(answerLimitsOf(settings), platform, m_rings);
-    m_store = std::make_unique<FleetStoreDuty>(settings, platform, incarnation, m_rings);
+    m_workers = std::make_unique<WorkerCallDuty>(answerLimitsOf(settings), platform, m_rings, *m_fleetMetrics);
+    m_store = std::make_unique<FleetStoreDuty>(settings, platform, incarnation, m_rings, *m_fleetMetrics);
     m_api = std::make_unique<ApiDuty>(settings, platform, m_rings, m_metrics, *m_fleetMetrics, [this] {
         m_drained.signal();
     });
--- a/src/fleet/fleetmetrics.cpp
+++ b/src/fleet/fleetmetrics.cpp
@@ -31,6 +31,7 @@
     , m_longestIdle(metrics.gauge("burdockspur_longest_idle_seconds", "Longest time for which a job with a waiting task has no run"))
     , m_clientBytes(metrics.gauge("burdockspur_client_bytes", "Memory held by the clients of all ports"))
     , m_clientConnections(metrics.gauge("burdockspur_client_connections", "Open connections of the clients of all ports"))
+    , m_limitedAnswers(metrics.counter("burdockspur_answers_limited_total", "Calls that failed because incomplete answers held too much memory"))
 {
 }
 
@@ -68,6 +69,11 @@
     m_longestIdle.Set(seconds(longestIdle));
 }
 
+auto FleetMetrics::recordLimitedAnswer() -> void
+{
+    m_limitedAnswers.Increment();
+}
+
 auto FleetMetrics::recordClients(const ClientCounts &counts) -> void
 {
     struct Row {
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/fleet/archivecalls.hpp"
+#include "burdockspur/fleet/fleetmetrics.hpp"
 #include "burdockspur/fleet/jobstore.hpp"
 #include "burdockspur/fleet/tablefollower.hpp"
 #include "burdockspur/host/ringoutbox.hpp"
@@ -47,12 +48,14 @@
 
 }
 
-FleetStoreDuty::FleetStoreDuty(const FleetSettings &settings, const FleetPlatform &platform, std::string_view incarnation, FleetRings &rings)
+FleetStoreDuty::FleetStoreDuty(
+    const FleetSettings &settings, const FleetPlatform &platform, std::string_view incarnation, FleetRings &rings, FleetMetrics &metrics)
     : EventLoopDuty("store")
     , m_settings(settings)
     , m_platform(platform)
     , m_incarnation(incarnation)
     , m_rings(rings)
+    , m_metrics(metrics)
     , m_claim(settings.m_hostName, incarnation, settings.m_ownerTimeout, hostCapacityOf(settings))
     , m_candidate(settings.m_hostName, incarnation, hostCapacityOf(settings))
     , m_handOver(settings.m_hostName, hostCapacityOf(settings))
@@ -83,6 +86,11 @@
     HttpClientLimits ownerLimits = limits;
     ownerLimits.m_maxConnectionsPerEndpoint = ownerConnections;
     m_ownerClient = std::make_unique<HttpClient>(ownerLimits);
+    for (auto *const client : {m_client.get(), m_ownerClient.get()}) {
+        client->onResponseLimited([this] {
+            m_metrics.recordLimitedAnswer();
+        });
+    }
     m_ownerStore = m_platform.makeStore(*m_ownerClient, parseEndpoint(m_settings.m_storeEndpoint).value_or(HttpEndpoint{}), m_settings.m_storeTimeout);
     m_commits = std::make_unique<OwnerCommit>(*m_ownerStore,
                                               OwnerCommit::Listener{.m_answered =
--- a/src/fleet/workercallduty.cpp
+++ b/src/fleet/workercallduty.cpp
@@ -1,5 +1,6 @@
 #include "burdockspur/fleet/workercallduty.hpp"
 
+#include "burdockspur/fleet/fleetmetrics.hpp"
 #include "burdockspur/host/ringoutbox.hpp"
 #include "burdockspur/link/httpclient.hpp"
 #include "burdockspur/operations/log.hpp"
@@ -23,11 +24,12 @@
 constexpr Milliseconds idleTimeout{15'000};
 }
 
-WorkerCallDuty::WorkerCallDuty(const HttpClientLimits &limits, const FleetPlatform &platform, FleetRings &rings)
+WorkerCallDuty::WorkerCallDuty(const HttpClientLimits &limits, const FleetPlatform &platform, FleetRings &rings, FleetMetrics &metrics)
     : EventLoopDuty("workers", waitInterval)
     , m_limits(limits)
     , m_platform(platform)
     , m_rings(rings)
+    , m_metrics(metrics)
 {
 }
 
@@ -47,6 +49,9 @@
     limits.m_connectTimeout = connectTimeout;
     limits.m_idleTimeout = idleTimeout;
     m_client = std::make_unique<HttpClient>(limits);
+    m_client->onResponseLimited([this] {
+        m_metrics.recordLimitedAnswer();
+    });
     m_port = m_platform.makeWorkerPort(*m_client);
     watch(m_rings.m_workers.wakeDescriptor(), [this] {
         sendOrders();
--- a/src/link/httpclient.cpp
+++ b/src/link/httpclient.cpp
@@ -409,6 +409,9 @@
             }
             if (noteHeld(*connection, connection->m_input.capacity() + connection->m_parser.heldBytes())) {
                 logLimited(connection->m_pool);
+                if (m_responseLimited) {
+                    m_responseLimited();
+                }
                 fail(connection, ErrorCode::AnswerCorrupt, "incomplete responses hold too much memory");
                 return;
             }
@@ -671,6 +674,7 @@
     std::size_t m_openCalls = 0;
     std::size_t m_heldBytes = 0; ///< allocated for incomplete responses
     LogThrottle m_throttle;
+    std::function<void()> m_responseLimited;
     int m_deferDepth = 0; ///< above 0, callbacks are called in a later iteration of the event loop
     bool m_isInsideConnect = false; ///< true during connectToHost(), which may report an error synchronously
     QObject m_context;
@@ -694,6 +698,11 @@
     m_d->call(endpoint, request, timeout, std::move(callback), std::move(peer));
 }
 
+auto HttpClient::onResponseLimited(std::function<void()> notify) -> void
+{
+    m_d->m_responseLimited = std::move(notify);
+}
+
 auto HttpClient::openCalls() const noexcept -> std::size_t
 {
     return m_d->m_openCalls;
--- a/src/link/memorybudget.cpp
+++ b/src/link/memorybudget.cpp
@@ -42,9 +42,13 @@
     m_held -= use.m_bytes;
     m_heldByLarge -= isLarge(use) ? use.m_bytes : 0;
     m_underWay -= use.m_bytesUnderWay;
-    const auto bytes = m_bytesByAddress.find(address);
-    if (bytes != m_bytesByAddress.end() && (bytes->second -= use.m_bytes) == 0) {
-        m_bytesByAddress.erase(bytes);
+    const auto ofAddress = m_bytesByAddress.find(address);
+    if (ofAddress == m_bytesByAddress.end()) {
+        return;
+    }
+    ofAddress->second -= use.m_bytes;
+    if (ofAddress->second == 0) {
+        m_bytesByAddress.erase(ofAddress);
     }
 }
 
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -611,6 +611,10 @@
 {
     m_limits.m_maxHeldBytes = std::size_t{4} * 1024 * 1024;
     restartClient();
+    std::size_t limited = 0;
+    m_client->onResponseLimited([&limited] {
+        ++limited;
+    });
     std::vector<std::unique_ptr<RawServer>> servers;
     for (std::size_t i = 0; i < 12; ++i) {
         servers.push_back(std::make_unique<RawServer>());
@@ -619,6 +623,7 @@
         servers.back()->peer(0).send("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + largeText(999'999));
     }
     waitForReplies(8);
+    EXPECT_GE(limited, 8U);
     for (const auto &reply : m_replies) {
         ASSERT_FALSE(reply);
         EXPECT_EQ(reply.error().m_error.m_code, ErrorCode::AnswerCorrupt);
