--- a/include/burdockspur/fleet/fleetrings.hpp
+++ b/include/burdockspur/fleet/fleetrings.hpp
@@ -3,10 +3,12 @@
 #include "burdockspur/contract/fleetconfiguration.hpp"
 #include "burdockspur/core/boundedring.hpp"
 #include "burdockspur/fleet/apicall.hpp"
+#include "burdockspur/fleet/evacuation/closedzones.hpp"
 #include "burdockspur/fleet/fleetanswer.hpp"
 #include "burdockspur/fleet/fleetcommand.hpp"
 #include "burdockspur/fleet/fleetscheduler.hpp"
 #include "burdockspur/fleet/formerowner.hpp"
+#include "burdockspur/fleet/refusals/storecondition.hpp"
 #include "burdockspur/fleet/waitingjobs.hpp"
 
 #include <cstdint>
@@ -54,8 +56,13 @@
 struct StoreDrained {
 };
 
+/// @brief The store has begun or ceased to answer this host.
+struct StoreConditionChanged {
+    StoreReport m_report;
+};
+
 /// @brief A message to the duty that serves the callers.
-using ApiInput = std::variant<ConfigurationConfirmed, PendingCounts, StoreReply, DrainStarted, StoreDrained>;
+using ApiInput = std::variant<ConfigurationConfirmed, PendingCounts, StoreReply, StoreConditionChanged, DrainStarted, StoreDrained>;
 
 /// @brief This host has become the owner, and reads the jobs now.
 struct OwnershipClaimed {
@@ -101,6 +108,11 @@
     std::vector<std::string> m_removed; ///< ids of removed workers
 };
 
+/// @brief The zones that the operator has closed, as this host knows them now.
+struct ZonesConfirmed {
+    ClosedZones m_zones;
+};
+
 /// @brief A message to the scheduler's duty.
 using FleetInput = std::variant<OwnershipClaimed,
                                 OwnershipTaken,
@@ -110,6 +122,7 @@
                                 InterferencePairsStored,
                                 WorkersChanged,
                                 ConfigurationConfirmed,
+                                ZonesConfirmed,
                                 CommitAnswer,
                                 ReportAnswer,
                                 StartAnswer,
--- a/include/burdockspur/fleet/fleetstoreduty.hpp
+++ b/include/burdockspur/fleet/fleetstoreduty.hpp
@@ -8,6 +8,7 @@
 #include "burdockspur/fleet/ownercommit.hpp"
 #include "burdockspur/fleet/ownershipcandidate.hpp"
 #include "burdockspur/fleet/ownershipclaim.hpp"
+#include "burdockspur/fleet/refusals/storereachability.hpp"
 #include "burdockspur/operations/logthrottle.hpp"
 #include "burdockspur/port/changestore.hpp"
 
@@ -27,8 +28,10 @@
 class FleetPlatform;
 class HttpClient;
 class JobStore;
+class ObservedStore;
 class PollTimer;
 class TableFollower;
+class ZoneRequestReader;
 template<typename T>
 class RingOutbox;
 
@@ -60,8 +63,17 @@
     auto on(DrainStarted &&drain) -> void;
     auto later(Milliseconds pause, std::function<void()> call) -> void;
 
-    // Configuration
+    // Outages of the store
+    auto makeStores() -> void;
+    auto applyStoreCondition() -> void;
+    auto probeStore() -> void;
+
+    // Configuration and requests of the operator
     auto applyConfiguration(const RowPage &page, TimePoint confirmedAt) -> void;
+    /// @param isList true if the page has all rows of the table
+    auto applyZoneRequests(const RowPage &page, bool isList, TimePoint confirmedAt) -> void;
+    /// @brief Reads the requests of the operator beside the feed when the feed has not confirmed them for long although commits are stored.
+    auto confirmZones() -> void;
 
     // Ownership
     auto pollOwner() -> void;
@@ -103,11 +115,16 @@
     HandOver m_handOver;
     std::unique_ptr<RingOutbox<ApiInput>> m_toApi;
     std::unique_ptr<RingOutbox<FleetInput>> m_toScheduler;
+    StoreReachability m_reachability; ///< judged by the calls through all views of the store
     std::unique_ptr<HttpClient> m_client;
-    std::unique_ptr<ChangeStore> m_store;
+    std::unique_ptr<ChangeStore> m_platformStore;
+    std::unique_ptr<ObservedStore> m_store;
+    std::unique_ptr<ObservedStore> m_callerStore; ///< view for the calls of callers, who are refused during an outage
     std::unique_ptr<HttpClient> m_ownerClient; ///< separate connections for the owner's row
-    std::unique_ptr<ChangeStore> m_ownerStore;
+    std::unique_ptr<ChangeStore> m_ownerPlatformStore;
+    std::unique_ptr<ObservedStore> m_ownerStore;
     std::unique_ptr<FleetCodec> m_codec;
+    std::unique_ptr<ZoneRequestReader> m_zoneRequests;
     std::unique_ptr<JobStore> m_jobStore;
     std::unique_ptr<OwnerCommit> m_commits;
     std::unique_ptr<ArchiveCalls> m_archive; ///< moves and removes the rows of ended jobs
@@ -124,9 +141,11 @@
     bool m_isOwnerCallInFlight = false; ///< a read of the owner's row or a claim is in flight
     bool m_hasLoadedJobs = false; ///< the scheduler has received the jobs of this ownership
     bool m_isDraining = false;
+    bool m_isProbing = false; ///< a probe of the store is under way or due
     std::optional<OwnershipRelease> m_release; ///< written as soon as no commit is in flight
     bool m_isAwaitingHandOver = false; ///< the owner's row is polled at the short interval
     bool m_isReleased = false; ///< the release for a planned stop was started
+    TimePoint m_zonesReadAt; ///< when confirmZones() has last read the requests
     std::vector<FleetStoreInput> m_inputs;
     LogThrottle m_configurationLog;
     LogThrottle m_jobLog;
--- a/include/burdockspur/fleet/taskrun.hpp
+++ b/include/burdockspur/fleet/taskrun.hpp
@@ -40,6 +40,7 @@
     std::uint32_t m_priority = 0; ///< of the job's queue when the run was assigned or restored; 0 comes first
     bool m_isServing = false;
     bool m_isFilling = false;
+    bool m_isCopy = false; ///< runs beside the original run of its task, whose place it has not taken
     bool m_isYielding = false; ///< filling task that was placed in spite of the guards; uses only processors that other runs leave
     int m_paceLimit = fullPacePercent; ///< highest pace in percent; below 100 only for a yielding run
     Milliseconds m_tailTarget{0};
@@ -58,6 +59,8 @@
     std::string m_checkpoint; ///< latest known checkpoint; empty for none
     int m_pace = fullPacePercent; ///< latest pace in percent that the worker has accepted, or unknownPace
     bool m_paceInFlight = false;
+    /// False once something other than its own work may have changed its duration: a pace, a checkpoint that it started from, a former owner.
+    bool m_isUndisturbed = true;
     bool m_isStopRequested = false;
     bool m_stopInFlight = false;
     TimePoint m_stopSentAt;
--- a/src/fleet/fleetmetrics.cpp
+++ b/src/fleet/fleetmetrics.cpp
@@ -22,17 +22,25 @@
 FleetMetrics::FleetMetrics(Metrics &metrics)
     : m_metrics(metrics)
     , m_callSeconds(metrics.durationHistogram("burdockspur_call_seconds", "Time from a caller's request to its answer"))
+    , m_retryAfterSeconds(metrics.durationHistogram("burdockspur_call_retry_after_seconds", "Time after which a refused caller was told to come back"))
     , m_roundSeconds(metrics.durationHistogram("burdockspur_round_seconds", "Time of one round of scheduling decisions"))
+    , m_storeAnswering(metrics.gauge("burdockspur_store_answering", "1 while the store answers this host"))
     , m_owner(metrics.gauge("burdockspur_owner", "1 while this host schedules the fleet"))
     , m_jobs(metrics.gauge("burdockspur_jobs", "Jobs in the memory of the owner"))
     , m_workers(metrics.gauge("burdockspur_workers", "Workers in the memory of the owner"))
     , m_waiting(metrics.gauge("burdockspur_waiting_tasks", "Tasks that wait for capacity"))
     , m_idleJobs(metrics.gauge("burdockspur_idle_jobs", "Jobs with a waiting task that had no run for more than a second"))
     , m_longestIdle(metrics.gauge("burdockspur_longest_idle_seconds", "Longest time for which a job with a waiting task has no run"))
+    , m_closedZones(metrics.gauge("burdockspur_closed_zones", "Zones that the operator has closed, as this host knows"))
+    , m_closedZoneRuns(metrics.gauge("burdockspur_closed_zone_runs", "Runs on the workers of closed zones in the memory of the owner"))
     , m_clientBytes(metrics.gauge("burdockspur_client_bytes", "Memory held by the clients of all ports"))
     , m_clientConnections(metrics.gauge("burdockspur_client_connections", "Open connections of the clients of all ports"))
     , m_limitedAnswers(metrics.counter("burdockspur_answers_limited_total", "Calls that failed because incomplete answers held too much memory"))
+    , m_copiesStarted(metrics.counter("burdockspur_copies_started_total", "Copies of stragglers that were assigned"))
+    , m_copiesWon(metrics.counter("burdockspur_copies_won_total", "Copies that have succeeded before the original run"))
+    , m_copyWaste(metrics.counter("burdockspur_copy_waste_core_seconds_total", "Work of runs that were stopped because of a copy"))
 {
+    recordStore(true);
 }
 
 auto FleetMetrics::recordCall(std::string_view kind, int status, Duration took) -> void
@@ -41,6 +49,16 @@
     m_callSeconds.Observe(seconds(took));
 }
 
+auto FleetMetrics::recordRetryAdvice(int seconds) -> void
+{
+    m_retryAfterSeconds.Observe(static_cast<double>(seconds));
+}
+
+auto FleetMetrics::recordStore(bool isAnswering) -> void
+{
+    m_storeAnswering.Set(isAnswering ? 1 : 0);
+}
+
 auto FleetMetrics::recordOrder(Order order, OrderOutcome outcome) -> void
 {
     auto &known = m_orders[static_cast<std::size_t>(order)][static_cast<std::size_t>(outcome)];
@@ -74,6 +92,12 @@
     m_limitedAnswers.Increment();
 }
 
+auto FleetMetrics::recordClosedZones(const ZoneEvacuation::Counts &counts) -> void
+{
+    m_closedZones.Set(static_cast<double>(counts.m_zones));
+    m_closedZoneRuns.Set(static_cast<double>(counts.m_runs));
+}
+
 auto FleetMetrics::recordClients(const ClientCounts &counts) -> void
 {
     struct Row {
@@ -96,4 +120,12 @@
     }
     m_clientCounts = counts;
 }
+
+auto FleetMetrics::recordCopies(const CopyCounters &counters) -> void
+{
+    m_copiesStarted.Increment(static_cast<double>(counters.m_started - m_recordedCopies.m_started));
+    m_copiesWon.Increment(static_cast<double>(counters.m_won - m_recordedCopies.m_won));
+    m_copyWaste.Increment(counters.m_wastedCoreSeconds - m_recordedCopies.m_wastedCoreSeconds);
+    m_recordedCopies = counters;
+}
 }
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -88,8 +88,8 @@
     } else if (now + backlog.m_criticalPath > job.deadline()) {
         rank.m_lateness = 1;
     }
-    const auto mean = m_meanWorkByQueue.find(policy.m_name);
-    const double work = mean == m_meanWorkByQueue.end() || mean->second <= 0 ? 1.0 : job.totalWork() / mean->second;
+    const double mean = m_queueWork.mean(policy.m_name).value_or(0);
+    const double work = mean <= 0 ? 1.0 : job.totalWork() / mean;
     const double weight = std::min(maxWeight, baseWeight + (1.0 - baseWeight) * work);
     rank.m_cost = backlog.m_coreSeconds / weight;
     return rank;
@@ -191,7 +191,8 @@
                              task.m_waitingSince,
                              &contract,
                              group.m_job->backlog().m_policy,
-                             group.m_rank.m_turn});
+                             group.m_rank.m_turn,
+                             nullptr});
         }
     }
     return tasks;
@@ -236,11 +237,11 @@
 {
     ++m_placementCounters.m_rounds;
     updateBacklogs(now);
-    PoolCapacities pools(m_limits, now);
+    PoolCapacities pools(m_limits, m_evacuation, now);
     double capacity = 1.0;
     for (auto &[id, worker] : m_workers) {
         pools.add(worker);
-        capacity += static_cast<double>(worker.m_record.m_capacity.m_cpuMillis);
+        capacity += m_evacuation.isClosed(worker) ? 0.0 : static_cast<double>(worker.m_record.m_capacity.m_cpuMillis);
     }
     std::vector<PlacementGroup> groups;
     for (auto *const job : m_changes.m_waiting) {
@@ -289,6 +290,10 @@
     }
     // Updates the counts of tasks that still wait.
     updateBacklogs(now);
+    if (isComplete) {
+        yieldCopies();
+        placeCopies(pools, now);
+    }
     m_paceController.recordBacklog(static_cast<double>(m_waitingFillCpu) / capacity, now);
 }
 
@@ -329,7 +334,7 @@
         }
         const auto choice = chooseWorker(*search, task, pools, now);
         if (choice.m_worker != nullptr) {
-            assign(task, choice, task.m_progress->m_run + 1, now);
+            assign(task, choice, task.m_progress->nextRun(), now);
             examine(*search, pools.update(*choice.m_worker), task, now);
             if (isOfIdleJob) {
                 --m_idleStartsLeft;
@@ -558,19 +563,25 @@
     auto &worker = *choice.m_worker;
     const auto id = waiting.id();
     auto &task = *waiting.m_progress;
-    task.m_phase = TaskPhase::Assigned;
-    task.m_run = run;
-    task.m_worker = worker.m_record.m_id;
-    task.m_incarnation = worker.m_record.m_incarnation;
+    if (waiting.m_original != nullptr) {
+        task.assignCopy(run, worker.m_record.m_id, worker.m_record.m_incarnation);
+    } else {
+        task.m_phase = TaskPhase::Assigned;
+        task.m_run = run;
+        task.m_worker = worker.m_record.m_id;
+        task.m_incarnation = worker.m_record.m_incarnation;
+    }
     TaskRun entry;
     entry.m_job = waiting.m_job;
     entry.m_task = id;
     entry.m_run = run;
     entry.m_assignedAt = now;
     entry.m_priority = waiting.m_policy->m_priority;
-    entry.m_checkpoint = task.m_checkpoint;
+    entry.m_checkpoint = waiting.m_original != nullptr ? waiting.m_original->m_checkpoint : task.m_checkpoint;
     entry.initFromStep(*waiting.m_step, m_paceController.model());
+    entry.m_isCopy = waiting.m_original != nullptr;
     entry.m_isYielding = choice.m_guard.has_value();
+    entry.m_isUndisturbed = entry.m_checkpoint.empty() && !entry.m_isYielding;
     worker.addRun(std::move(entry));
     worker.updatePaceLimits(m_limits);
     worker.m_health.recordAssignment(now);
@@ -583,7 +594,7 @@
              {{"job", id.m_job},
               {"task", id.text()},
               {"run", run},
-              {"worker", task.m_worker},
+              {"worker", worker.m_record.m_id},
               {"in_spite_of", choice.m_guard ? placementGuardNames[static_cast<std::size_t>(*choice.m_guard)] : std::string_view()},
               {"free_cpu", worker.freeResources().m_cpuMillis},
               {"free_mem", worker.freeResources().m_memoryMb},
@@ -594,7 +605,8 @@
 auto FleetScheduler::sendStart(FleetWorker &worker, TaskRun &run, TimePoint now) -> void
 {
     const auto lease = mayRenewLease(worker, now) ? worker.m_workerLease.extendLease(m_limits.m_lease, now) : std::nullopt;
-    const bool mayStart = !run.m_isStopRequested && worker.m_isListed && !worker.m_record.m_drainRemaining && !isFinal(run.m_job->progress().m_phase);
+    const bool mayStart = !run.m_isStopRequested && worker.m_isListed && !worker.m_record.m_drainRemaining && !isFinal(run.m_job->progress().m_phase)
+        && m_evacuation.mayStart(worker, now);
     if (run.m_stage == RunStage::Unsent && (!lease || !mayStart)) {
         requeueRun(worker, run, !lease ? "no_lease" : "no_longer_wanted");
         return;
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -2,8 +2,10 @@
 
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/fleet/archivecalls.hpp"
+#include "burdockspur/fleet/evacuation/zonerequestreader.hpp"
 #include "burdockspur/fleet/fleetmetrics.hpp"
 #include "burdockspur/fleet/jobstore.hpp"
+#include "burdockspur/fleet/refusals/observedstore.hpp"
 #include "burdockspur/fleet/tablefollower.hpp"
 #include "burdockspur/host/ringoutbox.hpp"
 #include "burdockspur/impl/polltimer.hpp"
@@ -30,12 +32,16 @@
 constexpr Milliseconds ownerPollInterval{400};
 /// Time between two polls of the owner's row by a host to which the ownership may be handed over at any moment.
 constexpr Milliseconds handOverPollInterval{100};
+/// Time between two probes of a store that does not answer; callers wait for the end of an outage on average half as long.
+constexpr Milliseconds probeInterval{200};
 /// Connections to the store: three calls that wait for changes, the reads of a takeover, and calls for callers.
 constexpr std::size_t storeConnections = 12;
 /// Connections for the owner's row, whose heartbeats must not wait behind other calls: one for a commit, one for a read, and one for
 /// a call that is not answered.
 constexpr std::size_t ownerConnections = 3;
 constexpr Milliseconds connectTimeout{1'000};
+/// Age of the last confirmation of the closed zones at which they are read beside the feed. While the feed works, each of its waits confirms them.
+constexpr Milliseconds lateZonesAge{1'500};
 /// Pause before another attempt to read all jobs again.
 constexpr Milliseconds reloadPause{200};
 
@@ -72,30 +78,20 @@
     m_alive = std::make_shared<bool>(true);
     m_toApi = std::make_unique<RingOutbox<ApiInput>>(m_rings.m_api, warnRingFull("gate"));
     m_toScheduler = std::make_unique<RingOutbox<FleetInput>>(m_rings.m_scheduler, warnRingFull("scheduler"));
-    HttpClientLimits limits = answerLimitsOf(m_settings);
-    limits.m_maxConnectionsPerEndpoint = storeConnections;
-    limits.m_connectTimeout = connectTimeout;
-    m_client = std::make_unique<HttpClient>(limits);
-    // The settings were validated, so the endpoint can be parsed.
-    m_store = m_platform.makeStore(*m_client, parseEndpoint(m_settings.m_storeEndpoint).value_or(HttpEndpoint{}), m_settings.m_storeTimeout);
+    makeStores();
     m_codec = m_platform.makeCodec();
-    m_jobStore = std::make_unique<JobStore>(*m_store);
+    m_zoneRequests = std::make_unique<ZoneRequestReader>(*m_codec);
+    m_jobStore = std::make_unique<JobStore>(*m_callerStore);
     const auto wait = [this](Milliseconds pause, std::function<void()> call) {
         later(pause, std::move(call));
     };
-    HttpClientLimits ownerLimits = limits;
-    ownerLimits.m_maxConnectionsPerEndpoint = ownerConnections;
-    m_ownerClient = std::make_unique<HttpClient>(ownerLimits);
-    for (auto *const client : {m_client.get(), m_ownerClient.get()}) {
-        client->onResponseLimited([this] {
-            m_metrics.recordLimitedAnswer();
-        });
-    }
-    m_ownerStore = m_platform.makeStore(*m_ownerClient, parseEndpoint(m_settings.m_storeEndpoint).value_or(HttpEndpoint{}), m_settings.m_storeTimeout);
     m_commits = std::make_unique<OwnerCommit>(*m_ownerStore,
                                               OwnerCommit::Listener{.m_answered =
                                                                         [this](const CommitAnswer &answer) {
                                                                             m_toScheduler->push(answer);
+                                                                            if (answer.m_isStored) {
+                                                                                confirmZones();
+                                                                            }
                                                                             commitPending();
                                                                             releaseWhenIdle();
                                                                         },
@@ -111,13 +107,17 @@
                                                                               m_toScheduler->push(JobsArchived{m_commits->row().m_epoch, std::move(ids)});
                                                                           },
                                                                       .m_runLater = wait});
-    const auto takePage = [this](const RowPage &page, TimePoint confirmedAt) {
-        applyConfiguration(page, confirmedAt);
+    const auto takePage = [this](bool isList) {
+        return [this, isList](const RowPage &page, TimePoint confirmedAt) {
+            applyZoneRequests(page, isList, confirmedAt);
+            applyConfiguration(page, confirmedAt);
+        };
     };
-    m_configurationRows = std::make_unique<TableFollower>(*m_store,
-                                                          m_codec->configurationTable(),
-                                                          TableFollowerOptions{.m_wait = configurationWait},
-                                                          TableFollower::Listener{.m_listed = takePage, .m_changed = takePage, .m_runLater = wait});
+    m_configurationRows =
+        std::make_unique<TableFollower>(*m_store,
+                                        m_codec->configurationTable(),
+                                        TableFollowerOptions{.m_wait = configurationWait},
+                                        TableFollower::Listener{.m_listed = takePage(true), .m_changed = takePage(false), .m_runLater = wait});
     m_ownerTimer = std::make_unique<PollTimer>(ownerPollInterval, hashOf(m_incarnation), [this] {
         pollOwner();
     });
@@ -128,6 +128,73 @@
     m_ownerTimer->startNow();
 }
 
+auto FleetStoreDuty::makeStores() -> void
+{
+    HttpClientLimits limits = answerLimitsOf(m_settings);
+    limits.m_maxConnectionsPerEndpoint = storeConnections;
+    limits.m_connectTimeout = connectTimeout;
+    m_client = std::make_unique<HttpClient>(limits);
+    limits.m_maxConnectionsPerEndpoint = ownerConnections;
+    m_ownerClient = std::make_unique<HttpClient>(limits);
+    for (auto *const client : {m_client.get(), m_ownerClient.get()}) {
+        client->onResponseLimited([this] {
+            m_metrics.recordLimitedAnswer();
+        });
+    }
+    // The settings were validated, so the endpoint can be parsed.
+    const auto endpoint = parseEndpoint(m_settings.m_storeEndpoint).value_or(HttpEndpoint{});
+    m_platformStore = m_platform.makeStore(*m_client, endpoint, m_settings.m_storeTimeout);
+    m_ownerPlatformStore = m_platform.makeStore(*m_ownerClient, endpoint, m_settings.m_storeTimeout);
+    const auto viewOf = [this](ChangeStore &store, ObservedStore::DuringOutage duringOutage) {
+        return std::make_unique<ObservedStore>(store,
+                                               m_reachability,
+                                               duringOutage,
+                                               ObservedStore::Listener{.m_changed =
+                                                                           [this] {
+                                                                               applyStoreCondition();
+                                                                           },
+                                                                       .m_runLater =
+                                                                           [this](Milliseconds pause, std::function<void()> call) {
+                                                                               later(pause, std::move(call));
+                                                                           }});
+    };
+    m_store = viewOf(*m_platformStore, ObservedStore::DuringOutage::Call);
+    m_callerStore = viewOf(*m_platformStore, ObservedStore::DuringOutage::Refuse);
+    m_ownerStore = viewOf(*m_ownerPlatformStore, ObservedStore::DuringOutage::Call);
+}
+
+auto FleetStoreDuty::applyStoreCondition() -> void
+{
+    const auto &report = m_reachability.report();
+    logEvent(report.m_condition == StoreCondition::Answering ? LogLevel::Info : LogLevel::Warning,
+             "store_condition",
+             {{"condition", conditionName(report.m_condition)},
+              {"since_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - report.m_since).count()},
+              {"last_outage_ms", std::chrono::duration_cast<Milliseconds>(report.m_lastOutage).count()}});
+    m_toApi->push(StoreConditionChanged{report});
+    for (auto *const store : {m_store.get(), m_callerStore.get(), m_ownerStore.get()}) {
+        store->applyCondition();
+    }
+    if (report.m_condition == StoreCondition::Answering && m_jobRows) {
+        m_jobRows->probe();
+    }
+}
+
+auto FleetStoreDuty::probeStore() -> void
+{
+    // Calls of their own, because those under way may hang until their time-out; refused calls are repeated soon anyway.
+    if (m_reachability.isInDoubt(Clock::now())) {
+        if (m_reachability.condition() != StoreCondition::Refusing) {
+            m_configurationRows->probe();
+        }
+        later(probeInterval, [this] {
+            probeStore();
+        });
+    } else {
+        m_isProbing = false;
+    }
+}
+
 auto FleetStoreDuty::tearDown() -> void
 {
     *m_alive = false;
@@ -140,9 +207,13 @@
     m_commits.reset();
     m_jobStore.reset();
     m_ownerStore.reset();
-    m_ownerClient.reset();
+    m_callerStore.reset();
     m_store.reset();
+    m_ownerPlatformStore.reset();
+    m_ownerClient.reset();
+    m_platformStore.reset();
     m_client.reset();
+    m_zoneRequests.reset();
     m_codec.reset();
     m_toScheduler.reset();
     m_toApi.reset();
@@ -283,9 +354,42 @@
     }
 }
 
+auto FleetStoreDuty::applyZoneRequests(const RowPage &page, bool isList, TimePoint confirmedAt) -> void
+{
+    const auto now = Clock::now();
+    const bool hasChanged = isList ? m_zoneRequests->takeList(page, confirmedAt, now) : m_zoneRequests->takeChanges(page, confirmedAt, now);
+    // A host that becomes the owner learns the confirmation with the ownership.
+    const bool needsConfirmation = m_settings.m_evacuate.count() > 0 && m_commits->isOwner();
+    if (hasChanged || needsConfirmation) {
+        m_toScheduler->push(ZonesConfirmed{m_zoneRequests->zones()});
+    }
+}
+
+auto FleetStoreDuty::confirmZones() -> void
+{
+    const auto now = Clock::now();
+    const bool isLate = now - m_zoneRequests->zones().confirmedAt() >= lateZonesAge;
+    // The call before has ended by then, so one is in flight at most.
+    const bool mayRead = now - m_zonesReadAt >= m_settings.m_storeTimeout;
+    if (m_settings.m_evacuate.count() == 0 || !isLate || !mayRead) {
+        return;
+    }
+    m_zonesReadAt = now;
+    // On the connections of the owner's row, which have just carried a commit.
+    m_ownerStore->list(m_codec->configurationTable(), {}, {}, 0, [this, sentAt = now](Result<RowPage> &&page) {
+        if (page && !page->m_hasMore) {
+            applyZoneRequests(*page, true, sentAt);
+        }
+    });
+}
+
 auto FleetStoreDuty::pollOwner() -> void
 {
     m_ownerTimer->startNext();
+    if (!m_isProbing) {
+        m_isProbing = true;
+        probeStore();
+    }
     if (m_commits->isOwner()) {
         // The owner need not read the row: each of its commits checks the version, and the counts in the row are its own.
         const auto &row = m_commits->row();
@@ -424,6 +528,7 @@
     m_release.reset();
     m_hasLoadedJobs = false;
     m_jobsAsOf = Clock::now();
+    m_toScheduler->push(ZonesConfirmed{m_zoneRequests->zones()});
     m_toScheduler->push(OwnershipClaimed{row.m_epoch, claimedAt, attempt.m_former});
     // Before the jobs, because the reports that follow them are compared with the model.
     m_store->read(modelKey, [this, epoch = row.m_epoch](Result<std::vector<TableRow>> &&rows) {
