--- a/include/burdockspur/fleet/fleetmetrics.hpp
+++ b/include/burdockspur/fleet/fleetmetrics.hpp
@@ -70,6 +70,9 @@
     /// @brief Records what the clients hold and what was closed or refused; to be called from one thread.
     auto recordClients(const ClientCounts &counts) -> void;
 
+    /// @brief Records a call to the store or a worker that failed because incomplete answers hold too much.
+    auto recordLimitedAnswer() -> void;
+
     /// @brief Records the counters of the copies of stragglers; only one thread calls this.
     /// @param counters since the start of the process
     auto recordCopies(const CopyCounters &counters) -> void;
@@ -101,6 +104,7 @@
     prometheus::Gauge &m_closedZoneRuns;
     prometheus::Gauge &m_clientBytes;
     prometheus::Gauge &m_clientConnections;
+    prometheus::Counter &m_limitedAnswers;
     ClientCounts m_clientCounts; ///< as of the last recordClients()
     prometheus::Counter &m_copiesStarted;
     prometheus::Counter &m_copiesWon;
--- a/src/fleet/fleetmetrics.cpp
+++ b/src/fleet/fleetmetrics.cpp
@@ -37,6 +37,7 @@
     , m_closedZoneRuns(metrics.gauge("burdockspur_closed_zone_runs", "Runs on the workers of closed zones in the memory of the owner"))
     , m_clientBytes(metrics.gauge("burdockspur_client_bytes", "Memory held by the clients of all ports"))
     , m_clientConnections(metrics.gauge("burdockspur_client_connections", "Open connections of the clients of all ports"))
+    , m_limitedAnswers(metrics.counter("burdockspur_answers_limited_total", "Calls that failed because incomplete answers held too much memory"))
     , m_copiesStarted(metrics.counter("burdockspur_copies_started_total", "Copies of stragglers that were assigned"))
     , m_copiesWon(metrics.counter("burdockspur_copies_won_total", "Copies that have succeeded before the original run"))
     , m_copyWaste(metrics.counter("burdockspur_copy_waste_core_seconds_total", "Work of runs that were stopped because of a copy"))
@@ -98,6 +99,11 @@
     m_longestIdle.Set(seconds(longestIdle));
 }
 
+auto FleetMetrics::recordLimitedAnswer() -> void
+{
+    m_limitedAnswers.Increment();
+}
+
 auto FleetMetrics::recordClosedZones(const ZoneEvacuation::Counts &counts) -> void
 {
     m_closedZones.Set(static_cast<double>(counts.m_zones));
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -3,6 +3,7 @@
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/fleet/archivecalls.hpp"
 #include "burdockspur/fleet/evacuation/zonerequestreader.hpp"
+#include "burdockspur/fleet/fleetmetrics.hpp"
 #include "burdockspur/fleet/jobstore.hpp"
 #include "burdockspur/fleet/refusals/observedstore.hpp"
 #include "burdockspur/fleet/tablefollower.hpp"
@@ -53,12 +54,14 @@
 
 }
 
-FleetStoreDuty::FleetStoreDuty(const FleetSettings &settings, const FleetPlatform &platform, std::string_view incarnation, FleetRings &rings)
+FleetStoreDuty::FleetStoreDuty(
+    const FleetSettings &settings, const FleetPlatform &platform, std::string_view incarnation, FleetRings &rings, FleetMetrics &metrics)
     : EventLoopDuty("store")
     , m_settings(settings)
     , m_platform(platform)
     , m_incarnation(incarnation)
     , m_rings(rings)
+    , m_metrics(metrics)
     , m_claim(settings.m_hostName, incarnation, settings.m_ownerTimeout, hostCapacityOf(settings))
     , m_candidate(settings.m_hostName, incarnation, hostCapacityOf(settings))
     , m_handOver(settings.m_hostName, hostCapacityOf(settings))
@@ -133,6 +136,11 @@
     m_client = std::make_unique<HttpClient>(limits);
     limits.m_maxConnectionsPerEndpoint = ownerConnections;
     m_ownerClient = std::make_unique<HttpClient>(limits);
+    for (auto *const client : {m_client.get(), m_ownerClient.get()}) {
+        client->onResponseLimited([this] {
+            m_metrics.recordLimitedAnswer();
+        });
+    }
     // The settings were validated, so the endpoint can be parsed.
     const auto endpoint = parseEndpoint(m_settings.m_storeEndpoint).value_or(HttpEndpoint{});
     m_platformStore = m_platform.makeStore(*m_client, endpoint, m_settings.m_storeTimeout);
