--- a/tests/roomreservationstest.cpp
+++ b/tests/roomreservationstest.cpp
@@ -1,11 +1,11 @@
 #include "burdockspur/fleet/lookahead/roomreservations.hpp"
+#include "burdockspur/fleet/evacuation/zoneevacuation.hpp"
 #include "burdockspur/fleet/fleetjob.hpp"
 #include "burdockspur/fleet/fleetlimits.hpp"
 #include "burdockspur/fleet/fleetworker.hpp"
 #include "burdockspur/fleet/lookahead/declareddurations.hpp"
 #include "burdockspur/fleet/lookahead/demandshapes.hpp"
 #include "burdockspur/fleet/lookahead/roomclaim.hpp"
-#include "burdockspur/fleet/evacuation/zoneevacuation.hpp"
 #include "burdockspur/fleet/poolcapacities.hpp"
 #include "burdockspur/fleet/taskkinds.hpp"
 
