--- a/include/burdockspur/fleet/fleetstoreduty.hpp
+++ b/include/burdockspur/fleet/fleetstoreduty.hpp
@@ -66,6 +66,8 @@
     // Outages of the store
     auto makeStores() -> void;
     auto applyStoreCondition() -> void;
+    /// @brief Judges the open calls to the store.
+    auto checkStore() -> void;
     auto probeStore() -> void;
 
     // Configuration and requests of the operator
@@ -141,6 +143,7 @@
     bool m_isOwnerCallInFlight = false; ///< a read of the owner's row or a claim is in flight
     bool m_hasLoadedJobs = false; ///< the scheduler has received the jobs of this ownership
     bool m_isDraining = false;
+    TimePoint m_storeCheckDue = TimePoint::max(); ///< a later check shows that this host itself has paused
     bool m_isProbing = false; ///< a probe of the store is under way or due
     std::optional<OwnershipRelease> m_release; ///< written as soon as no commit is in flight
     bool m_isAwaitingHandOver = false; ///< the owner's row is polled at the short interval
--- a/include/burdockspur/fleet/refusals/observedstore.hpp
+++ b/include/burdockspur/fleet/refusals/observedstore.hpp
@@ -12,7 +12,8 @@
 {
 /// @brief Passes calls to a store, reports them to StoreReachability, and ends calls that an outage has made futile.
 ///
-/// A call that is ended early has the result of a call without an answer: a transaction that was sent may still take effect.
+/// A call that is ended early has the result of a call without an answer: a transaction that was sent may still take effect. The owner of the
+/// views calls StoreReachability::check() from time to time; a timer for each call would wake the host several times a second.
 class ObservedStore final : public ChangeStore
 {
 public:
@@ -63,7 +64,6 @@
     [[nodiscard]] auto observe(std::function<void(Reply &&)> callback, Milliseconds wait) -> std::function<void(Reply &&)>;
 
     auto endCalls(TimePoint sentBefore, std::string_view reason) -> void;
-    auto checkLater(Milliseconds wait) -> void;
 
     ChangeStore &m_store;
     StoreReachability &m_reachability;
--- a/src/fleet/fleetstoreduty.cpp
+++ b/src/fleet/fleetstoreduty.cpp
@@ -30,6 +30,8 @@
 constexpr Milliseconds workersPause{400};
 /// Time between two polls of the owner's row.
 constexpr Milliseconds ownerPollInterval{400};
+/// Longest time between two polls of the owner's row, with their jitter.
+constexpr Milliseconds longestPollInterval = ownerPollInterval * 11 / 10;
 /// Time between two polls of the owner's row by a host to which the ownership may be handed over at any moment.
 constexpr Milliseconds handOverPollInterval{100};
 /// Time between two probes of a store that does not answer; callers wait for the end of an outage on average half as long.
@@ -180,8 +182,18 @@
     }
 }
 
+auto FleetStoreDuty::checkStore() -> void
+{
+    const TimePoint now = Clock::now();
+    const TimePoint due = std::exchange(m_storeCheckDue, now + longestPollInterval);
+    if (m_reachability.check(due, now)) {
+        applyStoreCondition();
+    }
+}
+
 auto FleetStoreDuty::probeStore() -> void
 {
+    checkStore();
     // Calls of their own, because those under way may hang until their time-out; refused calls are repeated soon anyway.
     if (m_reachability.isInDoubt(Clock::now())) {
         if (m_reachability.condition() != StoreCondition::Refusing) {
--- a/src/fleet/refusals/observedstore.cpp
+++ b/src/fleet/refusals/observedstore.cpp
@@ -103,7 +103,6 @@
     m_open.emplace(number, OpenCall{now, [shared](std::string_view reason) {
                                         (*shared)(unansweredReply<Reply>(true, reason));
                                     }});
-    checkLater(wait + StoreReachability::overdueAfter);
     return [this, alive = m_alive, number, shared](Reply &&reply) {
         if (!*alive) {
             return;
@@ -121,19 +120,6 @@
     };
 }
 
-auto ObservedStore::checkLater(Milliseconds wait) -> void
-{
-    m_listener.m_runLater(wait, [this, alive = m_alive, due = Clock::now() + wait] {
-        if (!*alive) {
-            return;
-        }
-        const TimePoint now = Clock::now();
-        if (m_reachability.check(due, now)) {
-            m_listener.m_changed();
-        }
-    });
-}
-
 auto ObservedStore::commit(const Transaction &transaction, CommitCallback callback) -> void
 {
     if (!refuse(callback)) {
