--- a/include/burdockspur/fleet/refusals/observedstore.hpp
+++ b/include/burdockspur/fleet/refusals/observedstore.hpp
@@ -12,8 +12,8 @@
 {
 /// @brief Passes calls to a store, reports them to StoreReachability, and ends calls that an outage has made futile.
 ///
-/// A call that is ended early has the result of a call without an answer: a transaction that was sent may still take effect. The owner of the
-/// views calls StoreReachability::check() from time to time; a timer for each call would wake the host several times a second.
+/// A call that is ended early has the result of a call without an answer: a transaction that was sent may still take effect. The
+/// holder of the views has to call StoreReachability::check() regularly; a timer for each call would wake the host several times a second.
 class ObservedStore final : public ChangeStore
 {
 public:
--- a/include/burdockspur/fleet/stragglers/stragglerwatch.hpp
+++ b/include/burdockspur/fleet/stragglers/stragglerwatch.hpp
@@ -23,7 +23,7 @@
 
 /// @brief Watches the runs of steps that allow copies: which of them are worth one, and which copies run.
 ///
-/// Knows nothing of other steps, so it has nothing to decide where no job asks for copies.
+/// Runs of other steps are never added, so nothing is decided where no job asks for copies.
 class StragglerWatch
 {
 public:
--- a/src/link/httpserver.cpp
+++ b/src/link/httpserver.cpp
@@ -218,7 +218,7 @@
         return {m_number, connection.m_id};
     }
 
-    /// Tells the budget what the connection holds; closes it when the budget says so.
+    /// Updates the budget with what the connection holds. The budget may choose this connection, which is closed then.
     auto account(const ConnectionPointer &connection) -> void
     {
         if (!connection->m_socket) {
