--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -128,6 +128,10 @@
     store=$(address_of platform)
     {
         printf '[host]\nname = "host-%s"\nzone = "%s"\nregion = "north"\n' "$number" "$(zone_of "$number")"
+        # A version without this setting has no bound that it could lower.
+        if [ -n "${machine_memory_mb:-}" ] && [[ $("$build/daemons/burdockspur-$program" --print_defaults) == *memory_mb* ]]; then
+            printf 'memory_mb = %s\n' "$machine_memory_mb"
+        fi
         printf '[log]\nlevel = "%s"\n' "${BURDOCKSPUR_LOG_LEVEL:-info}"
         printf '[admin]\naddress = "%s"\nport = 0\n' "$own"
         printf '[table]\naddress = "%s"\nport = %s\n' "$store" "$platform_port"
