Bound what the callers of burdockspur-entry hold by the memory of its machine

Callers saw a daemon that ran out of memory: 300 bodies without their last byte or chunk took it to 124 to 275 MB where the machine has 80, and 900 of them with default settings to 334 MB where it has 160.

Cause: callers.max_held_bytes was 268,435,456 by default, whatever the machine has. The answers of workers and of the store had the same default, once for each HttpClient.

Change: MachineMemory gives the parts of a machine's memory that peers may hold, for all processes. burdockspur-entry gets host.memory_mb (0, which counts as 160, the smallest machine); callers hold a third of it unless callers.max_held_bytes says otherwise, incomplete answers of one client 12%. A single body at the limit, 1 MB, fits many times.

--- a/include/burdockspur/fleet/fleetsettings.hpp
+++ b/include/burdockspur/fleet/fleetsettings.hpp
@@ -3,6 +3,7 @@
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/fleet/fleetlimits.hpp"
 #include "burdockspur/fleet/hostcapacity.hpp"
+#include "burdockspur/link/machinememory.hpp"
 #include "burdockspur/operations/settingstable.hpp"
 
 #include <cstddef>
@@ -25,8 +26,8 @@
     double m_linkMbps = 0; ///< 0 when not known
     std::uint64_t m_memoryMb = 0; ///< 0 when not known
     std::uint64_t m_maxFds = 0; ///< 0 when not known
-    std::uint64_t m_clientMemoryPercent = 33;
-    std::uint64_t m_answerMemoryPercent = 12;
+    std::uint64_t m_clientMemoryPercent = MachineMemory::clientPercent;
+    std::uint64_t m_answerMemoryPercent = MachineMemory::answerPercent;
     std::uint64_t m_maxClientConnections = 1'024;
     std::string m_logLevel = "info";
     std::uint64_t m_logLines = 2'000; ///< maximum per second; hosts with 66 workers wrote up to 1,138 on a day of high load
--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -107,6 +107,7 @@
 class LeastLoadedPicker;
 class LogThrottle;
 class LookAheadPlacement;
+class MachineMemory;
 class MemoryBudget;
 class Metrics;
 class ObjectStore;
--- a/include/burdockspur/host/entrysettings.hpp
+++ b/include/burdockspur/host/entrysettings.hpp
@@ -12,11 +12,19 @@
 
 namespace Burdockspur
 {
+struct HttpClientLimits;
+
 /// @brief Settings of burdockspur-entry.
 struct EntrySettings : RouterLimits, HttpLimits, CallerLimits {
+    EntrySettings()
+    {
+        m_maxHeldBytes = 0;
+    }
+
     std::string m_hostName;
     std::string m_zone;
     std::string m_region;
+    std::uint64_t m_memoryMb = 0; ///< 0 when not known
     std::string m_logLevel = "info";
     std::string m_callersAddress = "127.0.0.1";
     std::uint16_t m_callersPort = 8080;
@@ -34,6 +42,12 @@
     Milliseconds m_connectTimeout{1'000};
 };
 
+/// @brief Limits of the callers' connections; HttpLimits::m_maxHeldBytes follows from the memory of the machine unless it is set.
+[[nodiscard]] auto callerLimitsOf(const EntrySettings &settings) noexcept -> HttpLimits;
+
+/// @brief Limits of the connections to workers.
+[[nodiscard]] auto workerLimitsOf(const EntrySettings &settings) noexcept -> HttpClientLimits;
+
 /// @brief Settings of the file with their types, ranges and descriptions.
 [[nodiscard]] auto entrySettingsTable() -> SettingsTable<EntrySettings>;
 
--- a/include/burdockspur/link/httplimits.hpp
+++ b/include/burdockspur/link/httplimits.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "burdockspur/core/clock.hpp"
+#include "burdockspur/link/machinememory.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -12,7 +13,7 @@
     std::size_t m_maxConnections = 1024;
     std::uint32_t m_maxHeaderBytes = 16 * 1024; ///< request line and all fields of one request
     std::uint64_t m_maxBodyBytes = std::uint64_t{1024} * 1024;
-    std::size_t m_maxHeldBytes = std::size_t{256} * 1024 * 1024; ///< held by all connections of a server that has a budget of its own
+    std::size_t m_maxHeldBytes = MachineMemory().share(MachineMemory::clientPercent); ///< held by all connections of a server that has a budget of its own
     std::size_t m_maxRejected = 64; ///< connections above the limit that may stay open to read an error response; further ones are closed at once
     std::size_t m_maxPipelined = 16; ///< unanswered requests of one connection; at this number, reading pauses
     Milliseconds m_requestTimeout{10'000}; ///< from the first byte of a request to the last
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -5,6 +5,7 @@
 #include "burdockspur/link/endpointtext.hpp"
 #include "burdockspur/link/httpclient.hpp"
 #include "burdockspur/link/httplimits.hpp"
+#include "burdockspur/link/machinememory.hpp"
 #include "burdockspur/operations/log.hpp"
 
 #include <algorithm>
@@ -18,10 +19,8 @@
 constexpr Milliseconds startReserve{1'000};
 /// Shorter bounds would stop all starts whenever one answer of the store is late.
 constexpr Milliseconds minEvacuate{3'000};
-/// Memory and descriptors of the smallest hosts, for a host whose settings do not tell them.
-constexpr std::uint64_t assumedMemoryMb = 160;
+/// Descriptors of the smallest hosts, for a host whose settings do not tell them.
 constexpr std::uint64_t assumedFds = 4'100;
-constexpr std::size_t bytesPerMb = std::size_t{1024} * 1024;
 /// A server keeps at least this many connections, also on a host with few descriptors.
 constexpr std::size_t fewestConnections = 8;
 
@@ -32,15 +31,6 @@
 /// Connections above the limit of a server that may read an error, as a part of the limit.
 constexpr std::size_t rejectedPart = 16;
 
-/// Part of the clients' memory that only ordinary connections use.
-constexpr std::size_t keptPart = 8;
-
-[[nodiscard]] auto memoryBytesOf(const FleetSettings &settings, std::uint64_t percent) noexcept -> std::size_t
-{
-    constexpr std::uint64_t wholePercent = 100;
-    return (settings.m_memoryMb == 0 ? assumedMemoryMb : settings.m_memoryMb) * bytesPerMb * percent / wholePercent;
-}
-
 [[nodiscard]] auto connectionsOf(const FleetSettings &settings, std::size_t part) noexcept -> std::size_t
 {
     const std::size_t descriptors = settings.m_maxFds == 0 ? assumedFds : settings.m_maxFds;
@@ -196,10 +186,7 @@
 
 auto clientLimitsOf(const FleetSettings &settings) noexcept -> ClientLimits
 {
-    ClientLimits limits;
-    limits.m_totalBytes = memoryBytesOf(settings, settings.m_clientMemoryPercent);
-    limits.m_keptBytes = limits.m_totalBytes / keptPart;
-    return limits;
+    return MachineMemory::clientLimits(MachineMemory(settings.m_memoryMb).share(settings.m_clientMemoryPercent));
 }
 
 auto callerLimitsOf(const FleetSettings &settings) noexcept -> HttpLimits
@@ -225,7 +212,7 @@
 auto answerLimitsOf(const FleetSettings &settings) noexcept -> HttpClientLimits
 {
     HttpClientLimits limits;
-    limits.m_maxHeldBytes = memoryBytesOf(settings, settings.m_answerMemoryPercent);
+    limits.m_maxHeldBytes = MachineMemory(settings.m_memoryMb).share(settings.m_answerMemoryPercent);
     limits.m_maxBodyBytes = std::min<std::uint64_t>(limits.m_maxBodyBytes, limits.m_maxHeldBytes);
     return limits;
 }
--- a/src/host/entrydaemon.cpp
+++ b/src/host/entrydaemon.cpp
@@ -30,7 +30,7 @@
     options.m_bootNumber = bootNumber;
     options.m_address = settings.m_callersAddress;
     options.m_port = settings.m_callersPort;
-    options.m_httpLimits = settings;
+    options.m_httpLimits = callerLimitsOf(settings);
     options.m_callerLimits = settings;
     options.m_drainedDescriptor = drainedDescriptor;
     return options;
@@ -48,14 +48,6 @@
     return options;
 }
 
-[[nodiscard]] auto workerLimits(const EntrySettings &settings) -> HttpClientLimits
-{
-    HttpClientLimits limits;
-    limits.m_maxConnectionsPerEndpoint = settings.m_connectionsPerWorker;
-    limits.m_connectTimeout = settings.m_connectTimeout;
-    return limits;
-}
-
 /// @brief Waits for space in a ring and pushes an entry; the reading duty empties the ring within milliseconds.
 template<typename Entry, typename T>
 auto pushWhenFree(BoundedRing<T> &ring) -> void
@@ -77,7 +69,7 @@
     });
     m_router = std::make_unique<RouterDuty>(
         settings, settings.m_zone, KeyMapIdentity{settings.m_hostName, hexOf(random.next64())}, random.next64(), m_rings, m_entryMetrics, m_status);
-    m_targets = std::make_unique<TargetDuty>(workerLimits(settings), m_rings, m_entryMetrics);
+    m_targets = std::make_unique<TargetDuty>(workerLimitsOf(settings), m_rings, m_entryMetrics);
     m_links = std::make_unique<SchedulerLinkDuty>(settings.m_hostName, random.next64(), m_rings, m_entryMetrics, m_status);
     m_platform = std::make_unique<PlatformDuty>(platformOptions(settings, random.next64()), m_rings, m_entryMetrics, m_status);
     m_callers = std::make_unique<CallerDuty>(callerOptions(settings, random.next64(), m_drained.descriptor()), m_rings, m_entryMetrics, m_status);
--- a/src/host/entrysettings.cpp
+++ b/src/host/entrysettings.cpp
@@ -1,10 +1,36 @@
 #include "burdockspur/host/entrysettings.hpp"
 
+#include "burdockspur/link/httpclient.hpp"
+#include "burdockspur/link/machinememory.hpp"
 #include "burdockspur/operations/log.hpp"
+
 #include <array>
 
 namespace Burdockspur
 {
+namespace
+{
+constexpr std::size_t fewestHeldBytes = 1'000'000;
+}
+
+auto callerLimitsOf(const EntrySettings &settings) noexcept -> HttpLimits
+{
+    HttpLimits limits = settings;
+    if (limits.m_maxHeldBytes == 0) {
+        limits.m_maxHeldBytes = MachineMemory(settings.m_memoryMb).share(MachineMemory::clientPercent);
+    }
+    return limits;
+}
+
+auto workerLimitsOf(const EntrySettings &settings) noexcept -> HttpClientLimits
+{
+    HttpClientLimits limits;
+    limits.m_maxConnectionsPerEndpoint = settings.m_connectionsPerWorker;
+    limits.m_connectTimeout = settings.m_connectTimeout;
+    limits.m_maxHeldBytes = MachineMemory(settings.m_memoryMb).share(MachineMemory::answerPercent);
+    return limits;
+}
+
 auto entrySettingsTable() -> SettingsTable<EntrySettings>
 {
     using enum SettingKind;
@@ -17,10 +43,11 @@
     static constexpr SettingRange count{1, 1'000'000};
     static constexpr SettingRange percent{0, 100};
     static constexpr SettingRange bytes{1'024, 1e9};
-    static constexpr std::array<SettingsField<S>, 47> table{{
+    static constexpr std::array<SettingsField<S>, 48> table{{
         {"host.name", &S::m_hostName, Text, Required, name, "", "Name of this entry host in the host list"},
         {"host.zone", &S::m_zone, Text, Required, name, "", "Availability zone; workers in it are preferred"},
         {"host.region", &S::m_region, Text, Required, name, "", "Region"},
+        {"host.memory_mb", &S::m_memoryMb, Integer, Optional, SettingRange{0, 1e7}, "MB", "Memory of the machine; 0 if not known, which counts as 160"},
         {"log.level", &S::m_logLevel, Text, Optional, name, "", "debug, info, warning or error"},
         {"callers.address", &S::m_callersAddress, IpAddress, Optional, {}, "", "Address for callers and operators"},
         {"callers.port", &S::m_callersPort, Integer, Optional, anyPort, "", "Port for callers and operators; 0 picks a free one"},
@@ -31,9 +58,9 @@
          &S::m_maxHeldBytes,
          Integer,
          Optional,
-         SettingRange{1e6, 1e12},
+         SettingRange{0, 1e12},
          "bytes",
-         "Memory that all callers may hold together; beyond it, connections are closed"},
+         "Memory that all callers may hold together; beyond it, connections are closed; 0 for a third of host.memory_mb"},
         {"callers.max_pipelined", &S::m_maxPipelined, Integer, Optional, count, "requests", "Unanswered requests of one connection"},
         {"callers.request_timeout_ms", &HttpLimits::m_requestTimeout, DurationMs, Optional, period, "ms", "Timeout to receive a request that has begun"},
         {"callers.idle_timeout_ms", &S::m_idleTimeout, DurationMs, Optional, period, "ms", "Timeout of a connection without a request"},
@@ -77,12 +104,17 @@
 
 auto entrySettingsChecks() noexcept -> std::span<const SettingsCheck<EntrySettings>>
 {
-    static constexpr std::array<SettingsCheck<EntrySettings>, 2> checks{{
+    static constexpr std::array<SettingsCheck<EntrySettings>, 3> checks{{
         {"log.level",
          [](const EntrySettings &settings) {
              return isLogLevel(settings.m_logLevel);
          },
          "debug, info, warning or error"},
+        {"callers.max_held_bytes",
+         [](const EntrySettings &settings) {
+             return settings.m_maxHeldBytes == 0 || settings.m_maxHeldBytes >= fewestHeldBytes;
+         },
+         "0, or at least 1000000"},
         {"callers.default_deadline_ms",
          [](const EntrySettings &settings) {
              return settings.m_defaultDeadline <= settings.m_maxDeadline;
