Serve ordinary callers on a port that a crowd without requests fills

Callers saw 503 for every job while 1,500 clients that stop inside a body connected again as soon as they were closed; readiness checks missed beside 100 such clients, so that the balancer takes the host out, and the operator's requests beside 60.

Cause: a full port refused whoever came next while all its connections were younger than a second. The fastest to connect again own such a port. QTcpServer also accepts in a loop until its queue is empty, which a fast crowd keeps from ending.

Change: PortAdmission, a value without I/O and clock, lets a new connection take the place of the one that has waited longest for its first complete request. A full port accepts at most clients.max_turnover connections a second, so that an incomplete one stays for 250 ms or more and the crowd does not take the processor; the others wait in the queue of the kernel. When all connections are in use, a new one is refused at once. It replaces MemoryBudget::idlest(), which searched all connections for each new one.

--- a/include/burdockspur/fleet/fleetsettings.hpp
+++ b/include/burdockspur/fleet/fleetsettings.hpp
@@ -29,6 +29,7 @@
     std::uint64_t m_clientMemoryPercent = MachineMemory::clientPercent;
     std::uint64_t m_answerMemoryPercent = MachineMemory::answerPercent;
     std::uint64_t m_maxClientConnections = 1'024;
+    std::uint64_t m_maxClientTurnover = 500;
     std::string m_logLevel = "info";
     std::uint64_t m_logLines = 2'000; ///< maximum per second; hosts with 66 workers wrote up to 1,138 on a day of high load
     std::string m_callersEndpoint; ///< ADDRESS:PORT
--- a/include/burdockspur/link/clientguard.hpp
+++ b/include/burdockspur/link/clientguard.hpp
@@ -5,6 +5,7 @@
 #include "burdockspur/link/clientkey.hpp"
 #include "burdockspur/link/clientlimits.hpp"
 #include "burdockspur/link/clientuse.hpp"
+#include "burdockspur/link/portlimits.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -13,8 +14,8 @@
 
 namespace Burdockspur
 {
-/// @brief Keeps the clients of several servers within one budget: closes the connections that MemoryBudget chooses, and gives freed memory
-/// back to the system.
+/// @brief Keeps the clients of several servers within one budget and each server within its connections: closes the connections that
+/// MemoryBudget and PortAdmission choose, and gives freed memory back to the system.
 ///
 /// Belongs to the thread of an EventLoopDuty, like the servers that share it.
 class ClientGuard
@@ -32,7 +33,7 @@
 
     /// @brief Adds a server.
     /// @returns its number for ClientKey
-    [[nodiscard]] auto addServer(CloseConnection closeConnection) -> std::uint32_t;
+    [[nodiscard]] auto addServer(const PortLimits &limits, CloseConnection closeConnection) -> std::uint32_t;
 
     /// @brief Removes a server that has closed its connections.
     auto removeServer(std::uint32_t server) -> void;
@@ -55,10 +56,16 @@
     /// @returns false when it must be refused; nothing of it may have run
     [[nodiscard]] auto admit(ClientKey key, std::size_t bytes) -> bool;
 
-    /// @brief Closes an idle connection of a full server in favour of a new one.
+    /// @brief Makes room for a new connection of a server; closes another one of it when the server is full.
     /// @returns false when the new connection must be refused
     [[nodiscard]] auto makeRoom(std::uint32_t server, std::uint64_t address, TimePoint now) -> bool;
 
+    /// @brief True when a server has as many connections as it may.
+    [[nodiscard]] auto isFull(std::uint32_t server) const -> bool;
+
+    /// @brief Earliest time at which a server may accept its next connection; see PortAdmission.
+    [[nodiscard]] auto nextAcceptAt(std::uint32_t server, TimePoint now) const -> TimePoint;
+
     /// @brief Current use and counts.
     [[nodiscard]] auto counts() const noexcept -> ClientCounts;
 
--- a/include/burdockspur/link/memorybudget.hpp
+++ b/include/burdockspur/link/memorybudget.hpp
@@ -8,14 +8,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 #include <unordered_map>
-#include <utility>
 
 namespace Burdockspur
 {
-/// @brief Decides which connection is closed when clients hold more memory or connections than they may.
+/// @brief Decides which connection is closed when clients hold more memory than they may.
 ///
 /// Counts what the connections of all servers of a thread hold; has no I/O and no clock. When memory is short, connections that hold more
 /// than an ordinary one go first, those of the address that holds the most before all others, among these the ones that made no progress
@@ -61,13 +59,6 @@
     /// @brief True if there is room for a request; one beyond an ordinary connection cannot use the kept part.
     [[nodiscard]] auto hasRoom(std::size_t bytes) const noexcept -> bool;
 
-    /// @brief Connection whose descriptor a new one may take when a server has as many as it may.
-    /// @param server the server that is full
-    /// @param address address of the new connection
-    /// @param now current time
-    /// @returns one without an unanswered request that made no progress for some time; at once one of an address with more connections
-    [[nodiscard]] auto idlest(std::uint32_t server, std::uint64_t address, TimePoint now) const -> std::optional<ClientKey>;
-
     /// @brief Bytes held, with requests under way.
     [[nodiscard]] auto heldBytes() const noexcept -> std::size_t
     {
@@ -105,7 +96,6 @@
     ClientLimits m_limits;
     std::unordered_map<ClientKey, Client, KeyHash> m_clients;
     std::unordered_map<std::uint64_t, std::size_t> m_bytesByAddress;
-    std::map<std::pair<std::uint32_t, std::uint64_t>, std::size_t> m_connectionsByAddress; ///< by server and address
     std::size_t m_held = 0; ///< by connections
     std::size_t m_heldByLarge = 0; ///< part of m_held of connections beyond an ordinary one
     std::size_t m_underWay = 0; ///< by requests that were handed in
--- /dev/null
+++ b/include/burdockspur/link/portlimits.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace Burdockspur
+{
+/// @brief Limits of the connections of one server.
+struct PortLimits {
+    std::size_t m_maxConnections = 1024;
+    std::uint32_t m_maxTurnover = 500; ///< new connections per second that a full server accepts; the others wait
+};
+}
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -56,7 +56,7 @@
     static constexpr SettingRange bytes{1'024, 1e8};
     static constexpr SettingRange seconds{1, 86'400};
     static constexpr SettingRange percent{1, 80};
-    static constexpr std::array<SettingsField<S>, 25> table{{
+    static constexpr std::array<SettingsField<S>, 26> table{{
         {"host.name", &S::m_hostName, Text, Required, name, "", "Name of this entry host"},
         {"host.zone", &S::m_zone, Text, Required, name, "", "Availability zone"},
         {"host.cpu_share", &S::m_cpuShare, Number, Optional, SettingRange{0, 1e3}, "", "Share of each processor that the host may use; 0 if not known"},
@@ -87,6 +87,13 @@
          SettingRange{16, 1e6},
          "connections",
          "Maximum number of open connections of callers; at most a quarter of host.max_fds"},
+        {"clients.max_turnover",
+         &S::m_maxClientTurnover,
+         Integer,
+         Optional,
+         SettingRange{1, 1e6},
+         "connections/s",
+         "New connections that a full port accepts, each in place of another one; the others wait"},
         {"answers.memory_percent",
          &S::m_answerMemoryPercent,
          Integer,
@@ -196,6 +203,7 @@
     limits.m_maxHeaderBytes = FleetConfiguration{}.m_maxHeaderBytes;
     limits.m_requestTimeout = FleetConfiguration{}.m_headerTimeout;
     limits.m_idleTimeout = FleetConfiguration{}.m_idleTimeout;
+    limits.m_maxTurnover = static_cast<std::uint32_t>(settings.m_maxClientTurnover);
     return withConnections(limits, std::min<std::size_t>(settings.m_maxClientConnections, connectionsOf(settings, callersPart)));
 }
 
--- a/src/host/entrysettings.cpp
+++ b/src/host/entrysettings.cpp
@@ -43,7 +43,7 @@
     static constexpr SettingRange count{1, 1'000'000};
     static constexpr SettingRange percent{0, 100};
     static constexpr SettingRange bytes{1'024, 1e9};
-    static constexpr std::array<SettingsField<S>, 48> table{{
+    static constexpr std::array<SettingsField<S>, 49> table{{
         {"host.name", &S::m_hostName, Text, Required, name, "", "Name of this entry host in the host list"},
         {"host.zone", &S::m_zone, Text, Required, name, "", "Availability zone; workers in it are preferred"},
         {"host.region", &S::m_region, Text, Required, name, "", "Region"},
@@ -61,6 +61,13 @@
          SettingRange{0, 1e12},
          "bytes",
          "Memory that all callers may hold together; beyond it, connections are closed; 0 for a third of host.memory_mb"},
+        {"callers.max_turnover",
+         &HttpLimits::m_maxTurnover,
+         Integer,
+         Optional,
+         count,
+         "connections/s",
+         "New connections that a full port accepts, each in place of another one; the others wait"},
         {"callers.max_pipelined", &S::m_maxPipelined, Integer, Optional, count, "requests", "Unanswered requests of one connection"},
         {"callers.request_timeout_ms", &HttpLimits::m_requestTimeout, DurationMs, Optional, period, "ms", "Timeout to receive a request that has begun"},
         {"callers.idle_timeout_ms", &S::m_idleTimeout, DurationMs, Optional, period, "ms", "Timeout of a connection without a request"},
--- a/src/link/clientguard.cpp
+++ b/src/link/clientguard.cpp
@@ -1,6 +1,7 @@
 #include "burdockspur/link/clientguard.hpp"
 
 #include "burdockspur/link/memorybudget.hpp"
+#include "burdockspur/link/portadmission.hpp"
 #include "burdockspur/operations/log.hpp"
 #include "burdockspur/operations/logthrottle.hpp"
 
@@ -47,12 +48,25 @@
         });
     }
 
+    struct Server {
+        PortAdmission m_admission;
+        CloseConnection m_closeConnection;
+    };
+
     auto closeClient(ClientKey key) -> void
     {
         if (const auto server = m_servers.find(key.m_server); server != m_servers.end()) {
-            server->second(key.m_connection);
+            server->second.m_closeConnection(key.m_connection);
         }
+        remove(key);
+    }
+
+    auto remove(ClientKey key) -> void
+    {
         m_budget.close(key);
+        if (const auto server = m_servers.find(key.m_server); server != m_servers.end()) {
+            server->second.m_admission.close(key.m_connection);
+        }
     }
 
     /// Writes at most one line a second.
@@ -91,7 +105,7 @@
 
     ClientLimits m_limits;
     MemoryBudget m_budget;
-    std::unordered_map<std::uint32_t, CloseConnection> m_servers;
+    std::unordered_map<std::uint32_t, Server> m_servers;
     std::uint32_t m_lastServer = 0;
     ClientCounts m_counts;
     LogThrottle m_throttle;
@@ -106,9 +120,9 @@
 
 ClientGuard::~ClientGuard() = default;
 
-auto ClientGuard::addServer(CloseConnection closeConnection) -> std::uint32_t
+auto ClientGuard::addServer(const PortLimits &limits, CloseConnection closeConnection) -> std::uint32_t
 {
-    m_d->m_servers.emplace(++m_d->m_lastServer, std::move(closeConnection));
+    m_d->m_servers.emplace(++m_d->m_lastServer, Private::Server{PortAdmission(limits), std::move(closeConnection)});
     return m_d->m_lastServer;
 }
 
@@ -120,11 +134,13 @@
 auto ClientGuard::open(ClientKey key, std::uint64_t address, TimePoint now) -> void
 {
     m_d->m_budget.open(key, address, now);
+    m_d->m_servers.at(key.m_server).m_admission.open(key.m_connection, address, now);
 }
 
 auto ClientGuard::update(ClientKey key, const ClientUse &use) -> void
 {
     m_d->m_budget.update(key, use);
+    m_d->m_servers.at(key.m_server).m_admission.update(key.m_connection, use.m_stage, use.m_servedAt);
     while (const auto victim = m_d->m_budget.victim()) {
         m_d->closeForMemory(*victim);
     }
@@ -133,7 +149,7 @@
 
 auto ClientGuard::close(ClientKey key) -> void
 {
-    m_d->m_budget.close(key);
+    m_d->remove(key);
     m_d->noteHeld();
 }
 
@@ -158,16 +174,27 @@
 
 auto ClientGuard::makeRoom(std::uint32_t server, std::uint64_t address, TimePoint now) -> bool
 {
-    const auto idlest = m_d->m_budget.idlest(server, address, now);
-    if (idlest) {
-        ++m_d->m_counts.m_closedForDescriptor;
-        m_d->log("connections");
-        m_d->closeClient(*idlest);
+    PortAdmission &admission = m_d->m_servers.at(server).m_admission;
+    if (!admission.isFull()) {
         return true;
     }
-    ++m_d->m_counts.m_refusedConnections;
+    const auto leaving = admission.displace(address, now);
+    ++(leaving ? m_d->m_counts.m_closedForDescriptor : m_d->m_counts.m_refusedConnections);
     m_d->log("connections");
-    return false;
+    if (leaving) {
+        m_d->closeClient({server, *leaving});
+    }
+    return leaving.has_value();
+}
+
+auto ClientGuard::isFull(std::uint32_t server) const -> bool
+{
+    return m_d->m_servers.at(server).m_admission.isFull();
+}
+
+auto ClientGuard::nextAcceptAt(std::uint32_t server, TimePoint now) const -> TimePoint
+{
+    return m_d->m_servers.at(server).m_admission.nextAcceptAt(now);
 }
 
 auto ClientGuard::counts() const noexcept -> ClientCounts
--- a/src/link/httpserver.cpp
+++ b/src/link/httpserver.cpp
@@ -5,9 +5,11 @@
 #include "burdockspur/impl/httptext.hpp"
 #include "burdockspur/impl/inputbuffer.hpp"
 #include "burdockspur/impl/listener.hpp"
+#include "burdockspur/impl/receiveprogress.hpp"
 #include "burdockspur/impl/requestparser.hpp"
 #include "burdockspur/impl/retiredsockets.hpp"
 #include "burdockspur/link/clientguard.hpp"
+#include "burdockspur/link/machinememory.hpp"
 #include "burdockspur/operations/log.hpp"
 
 #include <QHostAddress>
@@ -49,9 +51,6 @@
 /// Copies of a request between the handler and the answer: decoded, encoded for the next process, and in the buffer of that connection.
 constexpr std::size_t copiesUnderWay = 3;
 
-/// Bytes of a request that count as progress of its connection; single bytes do not.
-constexpr std::size_t progressBytes = std::size_t{4} * 1024;
-
 /// Value of Retry-After when this server has no room.
 constexpr std::string_view retryAfterSeconds = "1";
 
@@ -119,8 +118,8 @@
     std::deque<PendingResponse> m_pendingResponses;
     std::size_t m_bytesUnderWay = 0; ///< of the pending responses without a response
     std::size_t m_responseBytes = 0; ///< of the pending responses with one
-    std::size_t m_bytesSinceProgress = 0; ///< bytes of the request since m_progressAt
-    TimePoint m_progressAt; ///< see ClientUse
+    ReceiveProgress m_progress;
+    TimePoint m_servedAt; ///< see ClientUse
     bool m_hasCompletedRequest = false;
     std::uint64_t m_firstSequence = 1; ///< sequence number of the first pending response
     std::uint64_t m_bytesQueued = 0; ///< bytes passed to the socket since it was opened
@@ -147,10 +146,11 @@
     Private(const HttpLimits &limits, Handler handler, std::shared_ptr<ClientGuard> guard)
         : m_limits(limits)
         , m_handler(std::move(handler))
-        , m_guard(guard ? std::move(guard) : std::make_shared<ClientGuard>(ownLimits(limits)))
-        , m_number(m_guard->addServer([this](std::uint64_t id) {
-            withConnection(id, &Private::close);
-        }))
+        , m_guard(guard ? std::move(guard) : std::make_shared<ClientGuard>(MachineMemory::clientLimits(limits.m_maxHeldBytes)))
+        , m_number(m_guard->addServer({limits.m_maxConnections, limits.m_maxTurnover},
+                                      [this](std::uint64_t id) {
+                                          withConnection(id, &Private::close);
+                                      }))
         , m_deadlineTimer([this](TimePoint now) {
             return processDeadlines(now);
         })
@@ -161,8 +161,7 @@
         m_listener.setListenBacklogSize(listenBacklog);
         QObject::connect(&m_listener, &QTcpServer::acceptError, &m_context, [this] {
             logEvent(LogLevel::Error, "http_accept_failed", {{"message", m_listener.errorString().toStdString()}});
-            m_acceptRetryAt = Clock::now() + acceptRetryDelay;
-            m_deadlineTimer.arm(m_acceptRetryAt);
+            m_listener.pauseUntil(Clock::now() + acceptRetryDelay);
         });
     }
 
@@ -182,16 +181,6 @@
     auto operator=(const Private &) -> Private & = delete;
     auto operator=(Private &&) -> Private & = delete;
 
-    /// Budget of a server that shares none.
-    [[nodiscard]] static auto ownLimits(const HttpLimits &limits) -> ClientLimits
-    {
-        constexpr std::size_t keptShare = 8;
-        ClientLimits own;
-        own.m_totalBytes = limits.m_maxHeldBytes;
-        own.m_keptBytes = limits.m_maxHeldBytes / keptShare;
-        return own;
-    }
-
     auto accept(std::unique_ptr<QTcpSocket> socket) -> void
     {
         const std::uint64_t address = qHash(socket->peerAddress());
@@ -200,13 +189,22 @@
         socket->setReadBufferSize(readAheadBytes);
         const auto connection = std::make_shared<Connection>(m_nextConnection++, m_limits);
         connection->m_socket = std::move(socket);
-        const bool isFull = m_connections.size() - m_rejected >= m_limits.m_maxConnections;
-        if (isFull && !m_guard->makeRoom(m_number, address, now)) {
+        const bool isFull = m_guard->isFull(m_number);
+        if (m_guard->makeRoom(m_number, address, now)) {
+            m_wasOverloaded = m_wasOverloaded && isFull;
+            open(connection, address, now);
+        } else {
             reject(connection);
-            return;
         }
-        m_wasOverloaded = m_wasOverloaded && isFull;
-        connection->m_progressAt = now;
+        if (const TimePoint next = m_guard->nextAcceptAt(m_number, now); next > now) {
+            m_listener.pauseUntil(next);
+        }
+    }
+
+    auto open(const ConnectionPointer &connection, std::uint64_t address, TimePoint now) -> void
+    {
+        connection->m_progress.restart(now);
+        connection->m_servedAt = now;
         registerConnection(connection);
         m_guard->open(keyOf(*connection), address, now);
         updateDeadlines(*connection);
@@ -229,20 +227,25 @@
         use.m_bytes = connectionBytes + connection->m_input.capacity() + connection->m_parser.heldBytes() + connection->m_responseBytes
             + static_cast<std::size_t>(unread);
         use.m_bytesUnderWay = connection->m_bytesUnderWay;
-        use.m_progressAt = connection->m_progressAt;
-        use.m_hasUnanswered = connection->m_bytesUnderWay > 0;
-        use.m_hasCompletedRequest = connection->m_hasCompletedRequest;
+        use.m_progressAt = connection->m_progress.at();
+        use.m_stage = stageOf(*connection);
+        use.m_servedAt = connection->m_servedAt;
         m_guard->update(keyOf(*connection), use);
     }
 
-    /// Notes received bytes of a request; enough of them count as progress.
-    static auto noteProgress(Connection &connection, std::size_t bytes) -> void
+    [[nodiscard]] static auto stageOf(const Connection &connection) -> ClientStage
     {
-        connection.m_bytesSinceProgress += bytes;
-        if (connection.m_bytesSinceProgress >= progressBytes) {
-            connection.m_bytesSinceProgress = 0;
-            connection.m_progressAt = Clock::now();
+        if (connection.m_bytesUnderWay > 0) {
+            return ClientStage::Busy;
         }
+        return connection.m_hasCompletedRequest ? ClientStage::Idle : ClientStage::Incomplete;
+    }
+
+    /// Notes that a request became complete, or that the client read of an answer.
+    static auto noteServed(Connection &connection) -> void
+    {
+        connection.m_servedAt = Clock::now();
+        connection.m_progress.restart(connection.m_servedAt);
     }
 
     auto registerConnection(const ConnectionPointer &connection) -> void
@@ -343,7 +346,7 @@
     [[nodiscard]] static auto fillInput(Connection &connection, std::size_t limit) -> std::size_t
     {
         const std::size_t count = connection.m_input.fill(*connection.m_socket, limit);
-        noteProgress(connection, count);
+        connection.m_progress.add(count, Clock::now());
         return count;
     }
 
@@ -359,7 +362,7 @@
         connection->m_continueSent = false;
         connection->m_requestDeadline = TimePoint::max();
         connection->m_hasCompletedRequest = true;
-        connection->m_progressAt = Clock::now();
+        noteServed(*connection);
         pending.m_bytes = copiesUnderWay * heldBytes(request);
         if (!m_guard->admit(keyOf(*connection), pending.m_bytes)) {
             // The handler has not seen the request, so the refusal can state that it had no effect.
@@ -504,7 +507,7 @@
         }
         finishWriting(*connection);
         updateDeadlines(*connection);
-        connection->m_progressAt = Clock::now();
+        noteServed(*connection);
         account(connection);
         if (connection->m_socket && canReadRequest(*connection)) {
             scheduleResume(connection);
@@ -579,11 +582,7 @@
         for (const auto &connection : expired) {
             handleExpired(connection, now);
         }
-        if (m_acceptRetryAt <= now) {
-            m_acceptRetryAt = TimePoint::max();
-            m_listener.resumeAccepting();
-        }
-        TimePoint next = m_acceptRetryAt;
+        TimePoint next = TimePoint::max();
         for (const auto &[id, connection] : m_connections) {
             next = std::min(next, connection->deadline());
         }
@@ -631,6 +630,9 @@
         m_rejected -= connection->m_isRejected ? 1 : 0;
         m_guard->close(keyOf(*connection));
         m_connections.erase(connection->m_id);
+        if (m_listener.isPaused() && !m_guard->isFull(m_number)) {
+            m_listener.resume();
+        }
     }
 
     /// Notes the answer to a request whose connection is closed.
@@ -646,7 +648,6 @@
     {
         m_isDraining = true;
         m_listener.close();
-        m_acceptRetryAt = TimePoint::max();
         for (const auto &[id, connection] : m_connections) {
             connection->m_idleDeadline = TimePoint::max();
             updateDeadlines(*connection);
@@ -663,7 +664,6 @@
     std::uint64_t m_nextConnection = 1;
     std::size_t m_rejected = 0; ///< open connections above the connection limit
     std::size_t m_openExchanges = 0;
-    TimePoint m_acceptRetryAt = TimePoint::max();
     bool m_isDraining = false;
     bool m_wasOverloaded = false; ///< the limit was reached, and logged, since the last accepted connection
     QObject m_context;
--- a/src/link/memorybudget.cpp
+++ b/src/link/memorybudget.cpp
@@ -6,14 +6,6 @@
 
 namespace Burdockspur
 {
-namespace
-{
-/// Time without progress after which a connection that has sent no complete request may lose its descriptor to a new one.
-constexpr Milliseconds unusedPatience{1'000};
-/// The same for a connection that has; an ordinary caller keeps it for its next request.
-constexpr Milliseconds usedPatience{5'000};
-}
-
 MemoryBudget::MemoryBudget(const ClientLimits &limits) noexcept
     : m_limits(limits)
 {
@@ -24,9 +16,7 @@
     Client client;
     client.m_address = address;
     client.m_use.m_progressAt = now;
-    if (m_clients.emplace(key, client).second) {
-        ++m_connectionsByAddress[{key.m_server, address}];
-    }
+    m_clients.emplace(key, client);
 }
 
 auto MemoryBudget::add(std::uint64_t address, const ClientUse &use) -> void
@@ -69,15 +59,10 @@
     if (found == m_clients.end()) {
         return;
     }
-    const std::uint64_t address = found->second.m_address;
     ClientUse freed = found->second.m_use;
     freed.m_bytesUnderWay = 0;
-    subtract(address, freed);
+    subtract(found->second.m_address, freed);
     m_clients.erase(found);
-    const auto count = m_connectionsByAddress.find({key.m_server, address});
-    if (--count->second == 0) {
-        m_connectionsByAddress.erase(count);
-    }
 }
 
 auto MemoryBudget::settle(std::size_t bytes) noexcept -> void
@@ -112,7 +97,8 @@
         const auto &[key, client] = entry;
         const auto bytes = m_bytesByAddress.find(client.m_address);
         const std::size_t ofAddress = bytes == m_bytesByAddress.end() ? 0 : bytes->second;
-        return std::tuple(~ofAddress, client.m_address, client.m_use.m_hasUnanswered, client.m_use.m_progressAt, ~key.m_connection, key.m_server);
+        const bool isBusy = client.m_use.m_stage == ClientStage::Busy;
+        return std::tuple(~ofAddress, client.m_address, isBusy, client.m_use.m_progressAt, ~key.m_connection, key.m_server);
     };
     std::optional<ClientKey> first;
     std::optional<decltype(rank(*m_clients.begin()))> firstRank;
@@ -129,33 +115,4 @@
     }
     return first;
 }
-
-auto MemoryBudget::idlest(std::uint32_t server, std::uint64_t address, TimePoint now) const -> std::optional<ClientKey>
-{
-    const auto countOf = [this, server](std::uint64_t ofAddress) {
-        const auto found = m_connectionsByAddress.find({server, ofAddress});
-        return found == m_connectionsByAddress.end() ? std::size_t{0} : found->second;
-    };
-    const std::size_t own = countOf(address);
-    std::optional<ClientKey> first;
-    std::optional<std::tuple<std::size_t, bool, TimePoint, std::uint64_t>> firstRank;
-    for (const auto &[key, client] : m_clients) {
-        const ClientUse &use = client.m_use;
-        if (key.m_server != server || use.m_hasUnanswered) {
-            continue;
-        }
-        const std::size_t ofAddress = countOf(client.m_address);
-        const Milliseconds patience = use.m_hasCompletedRequest ? usedPatience : unusedPatience;
-        // An address that has more connections than the new one's has no claim to them.
-        if (ofAddress <= own + 1 && now - use.m_progressAt < patience) {
-            continue;
-        }
-        const std::tuple ofEntry(~ofAddress, use.m_hasCompletedRequest, use.m_progressAt, ~key.m_connection);
-        if (!firstRank || ofEntry < *firstRank) {
-            first = key;
-            firstRank = ofEntry;
-        }
-    }
-    return first;
-}
 }
