Let readers that do not read give way at a full port

The operator saw 503 at the metrics port for 4 to 6 s beside 50 clients that asked for /metrics and read no answer.

Cause: a connection with a complete request was kept for 5 s of idleness, also when its client read nothing of an answer that waited.

--- a/src/link/httpserver.cpp
+++ b/src/link/httpserver.cpp
@@ -238,7 +238,11 @@
         if (connection.m_bytesUnderWay > 0) {
             return ClientStage::Busy;
         }
-        return connection.m_hasCompletedRequest ? ClientStage::Idle : ClientStage::Incomplete;
+        if (!connection.m_hasCompletedRequest) {
+            return ClientStage::Incomplete;
+        }
+        const bool isUnread = connection.m_closesAfterWrite || connection.m_socket->bytesToWrite() > 0;
+        return isUnread ? ClientStage::Unread : ClientStage::Idle;
     }
 
     /// Notes that a request became complete, or that the client read of an answer.
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -779,3 +779,21 @@
     }
     EXPECT_EQ(m_guard->counts().m_refusedConnections, 0U);
 }
+
+// Guards against clients that read no answer and keep others out of a port with few connections, such as that of the metrics.
+TEST_F(HttpServerTest, ReadersThatDoNotReadGiveWay)
+{
+    m_limits.m_maxConnections = 4;
+    start([this](ExchangeId id, HttpRequest &&request) {
+        m_server->respond(id, jsonResponse(200, request.m_target == "/large" ? largeText(10'000'000) : "alive"));
+    });
+    std::vector<std::unique_ptr<RawPeer>> crowd;
+    for (int i = 0; i < 4; ++i) {
+        crowd.push_back(std::make_unique<RawPeer>(m_port, 1));
+        crowd.back()->send("GET /large HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
+    waitUntil([&] {
+        return m_server->openConnections() == 4 && m_server->openExchanges() == 0;
+    });
+    EXPECT_TRUE(responseTo("GET /small HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").ends_with("\r\n\r\nalive"));
+}
