Bound what the links of burdockspur-scheduler hold, and let new links in beside a crowd

Entry daemons' scheduler grew from 26 to 88 MB with 900 clients whose frames lack their last byte, and kept 83 MB after they were gone; while they were there every further link was closed at once, also one of an entry daemon.

Cause: a FrameServer had a limit of 64 links of 1 MB of input, up to twice that allocated, and 8 MB of output each, with no common bound; memory that was freed stayed with the allocator; whoever came first kept the links.

Change: FrameServer has a ClientGuard, as the HTTP servers have: links are counted at what they have allocated, those without progress go first when memory is short (a third of the new host.memory_mb), freed memory is given back, and a full server lets a new link take the place of one that has never completed a frame.

FrameLinkTest.LinksWithoutAFrameGiveWayToNewOnes and IncompleteFramesStayWithinTheBudget are new. LinksBeyondTheLimitAreClosed first lets the link in use complete a frame, because one without a frame now gives way.

--- a/include/burdockspur/impl/framelink.hpp
+++ b/include/burdockspur/impl/framelink.hpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/core/clock.hpp"
 #include "burdockspur/impl/inputbuffer.hpp"
+#include "burdockspur/impl/receiveprogress.hpp"
 #include "burdockspur/link/framelimits.hpp"
 
 #include <cstdint>
@@ -14,6 +15,7 @@
 
 namespace Burdockspur
 {
+struct ClientUse;
 struct PeerMessage;
 
 /// @brief One framed connection of a FrameServer or FrameClient: sends and parses frames, and closes when silent.
@@ -24,6 +26,7 @@
     struct Callbacks {
         std::function<void(PeerMessage &&)> m_onMessage;
         std::function<void()> m_onClosed; ///< may be called from within send(); must not destroy the link
+        std::function<void()> m_onUseChanged = [] {}; ///< called when use() may have changed; may call close(), must not destroy the link
     };
 
     /// @param limits must outlive the link
@@ -49,11 +52,17 @@
     /// @brief Time at which processDeadlines() must be called next; TimePoint::max() once closed.
     [[nodiscard]] auto deadline() const noexcept -> TimePoint;
 
+    /// @brief What an open link holds; it counts as Idle once a frame was complete.
+    [[nodiscard]] auto use() const -> ClientUse;
+
+    /// @brief Closes the link; without effect when it is closed.
+    /// @param reason for the log
+    auto close(std::string_view reason) -> void;
+
 private:
     auto readAvailable() -> void;
     auto parseFrame() -> bool;
     auto rejectFrame(std::string_view reason, std::uint32_t length) -> void;
-    auto close(std::string_view reason) -> void;
 
     const FrameLimits &m_limits;
     std::string m_peer;
@@ -62,6 +71,9 @@
     InputBuffer m_input;
     TimePoint m_lastSent;
     TimePoint m_lastReceived;
+    TimePoint m_frameAt; ///< time of the last complete frame; of the opening before the first
+    ReceiveProgress m_progress;
+    bool m_hasCompletedFrame = false;
     bool m_isOpen = true;
 };
 }
--- a/include/burdockspur/shard/schedulersettings.hpp
+++ b/include/burdockspur/shard/schedulersettings.hpp
@@ -9,11 +9,14 @@
 
 namespace Burdockspur
 {
+struct FrameLimits;
+
 /// @brief Settings of `burdockspur-scheduler`.
 struct SchedulerSettings : ShardSettings {
     std::string m_host;
     std::string m_zone;
     std::string m_region;
+    std::uint64_t m_memoryMb = 0; ///< 0 when not known
     std::string m_logLevel = "info";
     std::string m_frameAddress = "127.0.0.1";
     std::uint16_t m_framePort = 0;
@@ -30,6 +33,9 @@
     Milliseconds m_drain{15'000}; ///< longest drain; afterwards other schedulers take over shards that were not released
 };
 
+/// @brief Limits of the links of entry daemons, which follow from the memory of the machine.
+[[nodiscard]] auto linkLimitsOf(const SchedulerSettings &settings) noexcept -> FrameLimits;
+
 /// @brief Fields of the scheduler's settings file.
 [[nodiscard]] auto schedulerFields() noexcept -> SettingsTable<SchedulerSettings>;
 
--- a/src/link/framelink.cpp
+++ b/src/link/framelink.cpp
@@ -1,5 +1,6 @@
 #include "burdockspur/impl/framelink.hpp"
 
+#include "burdockspur/link/clientuse.hpp"
 #include "burdockspur/link/framecodec.hpp"
 #include "burdockspur/link/peermessage.hpp"
 #include "burdockspur/operations/log.hpp"
@@ -18,6 +19,9 @@
 /// Bytes that a link may buffer beyond the frame being parsed.
 constexpr std::size_t readAheadBytes = std::size_t{64} * 1024;
 
+/// Memory of a link beside its input and what it sends: objects of the socket, and the first block of each of its two buffers.
+constexpr std::size_t linkBytes = std::size_t{24} * 1024;
+
 /// Reads the little-endian length prefix of a frame.
 [[nodiscard]] auto lengthOf(std::string_view bytes) noexcept -> std::uint32_t
 {
@@ -37,7 +41,9 @@
     , m_callbacks(std::move(callbacks))
     , m_lastSent(Clock::now())
     , m_lastReceived(m_lastSent)
+    , m_frameAt(m_lastSent)
 {
+    m_progress.restart(m_lastSent);
     m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     m_socket->setReadBufferSize(readAheadBytes);
     QObject::connect(m_socket.get(), &QTcpSocket::readyRead, m_socket.get(), [this] {
@@ -74,6 +80,9 @@
     m_socket->write(frame.data(), static_cast<qint64>(frame.size()));
     // Without flush(), Qt would send only in the next iteration of the event loop.
     m_socket->flush();
+    if (m_isOpen) {
+        m_callbacks.m_onUseChanged();
+    }
     return m_isOpen;
 }
 
@@ -101,11 +110,29 @@
     return m_isOpen ? std::min(m_lastSent + m_limits.m_heartbeatInterval, m_lastReceived + m_limits.m_silenceTimeout) : TimePoint::max();
 }
 
+auto FrameLink::use() const -> ClientUse
+{
+    ClientUse use;
+    use.m_bytes = linkBytes + m_input.capacity() + static_cast<std::size_t>(m_socket->bytesAvailable() + m_socket->bytesToWrite());
+    use.m_progressAt = m_progress.at();
+    use.m_stage = m_hasCompletedFrame ? ClientStage::Idle : ClientStage::Incomplete;
+    use.m_servedAt = m_frameAt;
+    return use;
+}
+
 auto FrameLink::readAvailable() -> void
 {
-    while (m_isOpen && m_input.fill(*m_socket, m_limits.m_maxFrameBytes + lengthBytes + readAheadBytes) > 0) {
+    while (m_isOpen) {
+        const std::size_t count = m_input.fill(*m_socket, m_limits.m_maxFrameBytes + lengthBytes + readAheadBytes);
+        if (count == 0) {
+            return;
+        }
         m_lastReceived = Clock::now();
+        m_progress.add(count, m_lastReceived);
         while (m_isOpen && parseFrame()) {}
+        if (m_isOpen) {
+            m_callbacks.m_onUseChanged();
+        }
     }
 }
 
@@ -130,6 +157,9 @@
         rejectFrame(message.error().m_message, length);
         return false;
     }
+    m_hasCompletedFrame = true;
+    m_frameAt = m_lastReceived;
+    m_progress.restart(m_frameAt);
     m_callbacks.m_onMessage(std::move(*message));
     return true;
 }
--- a/src/link/frameserver.cpp
+++ b/src/link/frameserver.cpp
@@ -3,6 +3,8 @@
 #include "burdockspur/impl/deadlinetimer.hpp"
 #include "burdockspur/impl/framelink.hpp"
 #include "burdockspur/impl/listener.hpp"
+#include "burdockspur/link/clientguard.hpp"
+#include "burdockspur/link/machinememory.hpp"
 #include "burdockspur/link/peermessage.hpp"
 #include "burdockspur/operations/log.hpp"
 
@@ -28,6 +30,11 @@
         : m_limits(limits)
         , m_handler(std::move(handler))
         , m_stateHandler(std::move(stateHandler))
+        , m_guard(MachineMemory::clientLimits(limits.m_maxHeldBytes))
+        , m_number(m_guard.addServer({limits.m_maxLinks, PortLimits{}.m_maxTurnover},
+                                     [this](LinkId id) {
+                                         closeForGuard(id);
+                                     }))
         , m_deadlineTimer([this](TimePoint now) {
             return processDeadlines(now);
         })
@@ -37,17 +44,26 @@
     {
         QObject::connect(&m_listener, &QTcpServer::acceptError, &m_context, [this] {
             logEvent(LogLevel::Error, "frame_accept_failed", {{"message", m_listener.errorString().toStdString()}});
-            m_acceptRetryAt = Clock::now() + acceptRetryDelay;
-            m_deadlineTimer.arm(m_acceptRetryAt);
+            m_listener.pauseUntil(Clock::now() + acceptRetryDelay);
         });
     }
 
     auto accept(std::unique_ptr<QTcpSocket> socket) -> void
     {
-        if (m_openLinks >= m_limits.m_maxLinks) {
+        const TimePoint now = Clock::now();
+        const std::uint64_t address = qHash(socket->peerAddress());
+        if (m_guard.makeRoom(m_number, address, now)) {
+            open(std::move(socket), address, now);
+        } else {
             logEvent(LogLevel::Warning, "frame_links_exhausted", {{"limit", m_limits.m_maxLinks}});
-            return;
         }
+        if (const TimePoint next = m_guard.nextAcceptAt(m_number, now); next > now) {
+            m_listener.pauseUntil(next);
+        }
+    }
+
+    auto open(std::unique_ptr<QTcpSocket> socket, std::uint64_t address, TimePoint now) -> void
+    {
         const LinkId id = m_nextLink++;
         const std::string peer = socket->peerAddress().toString().toStdString() + ":" + std::to_string(socket->peerPort());
         auto link = std::make_unique<FrameLink>(m_limits,
@@ -60,17 +76,42 @@
                                                                      .m_onClosed =
                                                                          [this, id] {
                                                                              handleClosed(id);
+                                                                         },
+                                                                     .m_onUseChanged =
+                                                                         [this, id] {
+                                                                             account(id);
                                                                          }});
         ++m_openLinks;
         m_deadlineTimer.arm(link->deadline());
         m_links.emplace(id, std::move(link));
+        m_guard.open({m_number, id}, address, now);
+        account(id);
         logEvent(LogLevel::Info, "frame_link_opened", {{"peer", peer}, {"link", id}});
         m_stateHandler(id, true);
     }
 
+    /// Updates the budget with what a link holds. The budget may choose this link, which is closed then.
+    auto account(LinkId id) -> void
+    {
+        if (const auto found = m_links.find(id); found != m_links.end() && found->second->isOpen()) {
+            m_guard.update({m_number, id}, found->second->use());
+        }
+    }
+
+    auto closeForGuard(LinkId id) -> void
+    {
+        if (const auto found = m_links.find(id); found != m_links.end()) {
+            found->second->close("holds what others need");
+        }
+    }
+
     auto handleClosed(LinkId id) -> void
     {
         --m_openLinks;
+        m_guard.close({m_number, id});
+        if (m_listener.isPaused() && !m_guard.isFull(m_number)) {
+            m_listener.resume();
+        }
         // The link calls this function from within its own functions, so it is destroyed later.
         QMetaObject::invokeMethod(
             &m_context,
@@ -89,11 +130,7 @@
 
     [[nodiscard]] auto processDeadlines(TimePoint now) -> TimePoint
     {
-        if (m_acceptRetryAt <= now) {
-            m_acceptRetryAt = TimePoint::max();
-            m_listener.resumeAccepting();
-        }
-        TimePoint next = m_acceptRetryAt;
+        TimePoint next = TimePoint::max();
         for (const auto &[id, link] : m_links) {
             link->processDeadlines(now, m_configVersion);
             next = std::min(next, link->deadline());
@@ -104,11 +141,12 @@
     FrameLimits m_limits;
     Handler m_handler;
     StateHandler m_stateHandler;
+    ClientGuard m_guard;
+    std::uint32_t m_number; ///< number of this server in m_guard
     std::unordered_map<LinkId, std::unique_ptr<FrameLink>> m_links;
     LinkId m_nextLink = 1;
     std::size_t m_openLinks = 0;
     std::uint64_t m_configVersion = 0;
-    TimePoint m_acceptRetryAt = TimePoint::max();
     QObject m_context;
     DeadlineTimer m_deadlineTimer;
     Listener m_listener;
--- a/src/shard/entrylinkduty.cpp
+++ b/src/shard/entrylinkduty.cpp
@@ -1,5 +1,6 @@
 #include "burdockspur/shard/entrylinkduty.hpp"
 
+#include "burdockspur/link/framelimits.hpp"
 #include "burdockspur/operations/log.hpp"
 
 #include <algorithm>
@@ -28,7 +29,7 @@
 auto EntryLinkDuty::setUp() -> void
 {
     m_server = std::make_unique<FrameServer>(
-        FrameLimits(),
+        linkLimitsOf(m_settings),
         [this](LinkId link, PeerMessage &&message) {
             receive(link, std::move(message));
         },
--- a/src/shard/schedulersettings.cpp
+++ b/src/shard/schedulersettings.cpp
@@ -1,6 +1,9 @@
 #include "burdockspur/shard/schedulersettings.hpp"
 
+#include "burdockspur/link/framelimits.hpp"
+#include "burdockspur/link/machinememory.hpp"
 #include "burdockspur/operations/log.hpp"
+
 #include <array>
 
 namespace Burdockspur
@@ -20,10 +23,11 @@
 constexpr SettingRange servicePort{1, 65'535};
 constexpr SettingRange time{50, 600'000};
 
-constexpr std::array<Field, 26> fields{{
+constexpr std::array<Field, 27> fields{{
     {"host.name", &S::m_host, text, required, name, "", "Name of this entry host in the host list"},
     {"host.zone", &S::m_zone, text, required, name, "", "Availability zone of this host"},
     {"host.region", &S::m_region, text, required, name, "", "Region of this host"},
+    {"host.memory_mb", &S::m_memoryMb, integer, optional, {0, 1e7}, "MB", "Memory of the machine; 0 if not known, which counts as 160"},
     {"log.level", &S::m_logLevel, text, optional, name, "", "debug, info, warning or error"},
     {"frames.address", &S::m_frameAddress, address, optional, {}, "", "Address for entry daemons"},
     {"frames.port", &S::m_framePort, integer, optional, port, "", "Port for entry daemons; 0 picks a free one"},
@@ -56,6 +60,13 @@
 }};
 }
 
+auto linkLimitsOf(const SchedulerSettings &settings) noexcept -> FrameLimits
+{
+    FrameLimits limits;
+    limits.m_maxHeldBytes = MachineMemory(settings.m_memoryMb).share(MachineMemory::clientPercent);
+    return limits;
+}
+
 auto schedulerFields() noexcept -> SettingsTable<SchedulerSettings>
 {
     return fields;
--- a/tests/framelinktest.cpp
+++ b/tests/framelinktest.cpp
@@ -298,13 +298,65 @@
     m_limits.m_maxLinks = 1;
     startServer();
     startClient(m_port);
-    waitForServerStates(1);
+    waitForClientStates(1);
+    EXPECT_TRUE(m_client->send(query("in-use", 1)));
+    EXPECT_EQ(firstServerMessage().m_message.m_correlation, 1U);
     RawPeer beyond(m_port);
     beyond.waitForClose();
     EXPECT_EQ(m_server->openLinks(), 1U);
     EXPECT_EQ(m_serverStates.size(), 1U);
 }
 
+// Guards against peers that never complete a frame and keep those of the system out.
+TEST_F(FrameLinkTest, LinksWithoutAFrameGiveWayToNewOnes)
+{
+    m_limits.m_maxLinks = 2;
+    startServer();
+    std::vector<std::unique_ptr<RawPeer>> crowd;
+    for (int i = 0; i < 2; ++i) {
+        crowd.push_back(std::make_unique<RawPeer>(m_port));
+        crowd.back()->send(encodeFrame(query("incomplete", 1)).substr(0, 10));
+    }
+    waitForServerStates(2);
+    startClient(m_port);
+    waitForClientStates(1);
+    EXPECT_TRUE(m_client->send(query("ordinary", 2)));
+    EXPECT_EQ(firstServerMessage().m_message.m_correlation, 2U);
+    EXPECT_EQ(m_server->openLinks(), 2U);
+    crowd.front()->waitForClose();
+}
+
+// Guards against a process whose memory grows with the incomplete frames of many links, and against an ordinary link that is closed for them.
+TEST_F(FrameLinkTest, IncompleteFramesStayWithinTheBudget)
+{
+    m_limits.m_maxHeldBytes = 4'000'000;
+    startServer();
+    startClient(m_port);
+    waitForClientStates(1);
+    EXPECT_TRUE(m_client->send(query("before", 1)));
+    EXPECT_EQ(firstServerMessage().m_message.m_correlation, 1U);
+    std::string part("\0\0\x08\0", 4);
+    part += largeText(512UL * 1024UL - 1);
+    std::vector<std::unique_ptr<RawPeer>> crowd;
+    for (int i = 0; i < 20; ++i) {
+        crowd.push_back(std::make_unique<RawPeer>(m_port));
+        crowd.back()->send(part);
+    }
+    waitUntil([&] {
+        return std::ranges::count_if(crowd, [](const auto &peer) {
+                   return peer->isClosed();
+               })
+            >= 12;
+    });
+    EXPECT_TRUE(m_client->isOpen());
+    EXPECT_TRUE(m_client->send(query("after", 2)));
+    waitUntil([&] {
+        return std::ranges::any_of(m_serverMessages, [](const Received &received) {
+            return received.m_message.m_correlation == 2;
+        });
+    });
+}
+
 // Guards against a handler that is called after its link has closed, and against a crash when a peer leaves
 // while the server sends.
 TEST_F(FrameLinkTest, PeerMayLeaveWhileTheServerSends)
