Close small incomplete connections before a complete request is refused for memory

Callers saw 503 "clients hold too much memory" for 3 of 8 ordinary jobs, one a second, beside 1,500 clients that hold 100 bytes of a body each, on a machine of 80 MB.

Cause: a complete request could only displace connections beyond an ordinary one (96 kB). 1,024 small ones with their sockets and buffers, about 27 kB each, fill the budget of such a machine, and none of them counts as large.

Change: when no large connection is left, those without a complete request make room, the one without progress for the longest time first. Nothing is closed for a request that cannot fit because requests under way hold the memory.

--- a/include/burdockspur/link/memorybudget.hpp
+++ b/include/burdockspur/link/memorybudget.hpp
@@ -50,10 +50,10 @@
     /// @returns nothing when it is not, or when only requests under way hold memory
     [[nodiscard]] auto victim() const -> std::optional<ClientKey>;
 
-    /// @brief Connection to close so that there is room for a request.
+    /// @brief Connection to close so that there is room for a request: one beyond an ordinary one, then one without a complete request.
     /// @param bytes that it takes
     /// @param by connection that takes them, which is never chosen
-    /// @returns nothing when there is room, or when no connection beyond an ordinary one is left
+    /// @returns nothing when there is room, or when closing connections cannot make any
     [[nodiscard]] auto victimFor(std::size_t bytes, ClientKey by) const -> std::optional<ClientKey>;
 
     /// @brief True if there is room for a request; one beyond an ordinary connection cannot use the kept part.
@@ -89,9 +89,23 @@
         return use.m_bytes > m_limits.m_ordinaryBytes;
     }
 
+    [[nodiscard]] static auto isIncomplete(const ClientUse &use) noexcept -> bool
+    {
+        return use.m_stage == ClientStage::Incomplete;
+    }
+
+    /// Connections among which one is chosen.
+    using Filter = std::function<bool(const ClientUse &use)>;
+
+    /// @brief Bytes that must stay free beside a request.
+    [[nodiscard]] auto keptFor(std::size_t bytes) const noexcept -> std::size_t
+    {
+        return bytes > m_limits.m_ordinaryBytes ? m_limits.m_keptBytes : 0;
+    }
+
     auto add(std::uint64_t address, const ClientUse &use) -> void;
     auto subtract(std::uint64_t address, const ClientUse &use) -> void;
-    [[nodiscard]] auto choose(bool onlyLarge, std::optional<ClientKey> except) const -> std::optional<ClientKey>;
+    [[nodiscard]] auto choose(const Filter &mayLeave, std::optional<ClientKey> except) const -> std::optional<ClientKey>;
 
     ClientLimits m_limits;
     std::unordered_map<ClientKey, Client, KeyHash> m_clients;
--- a/src/link/memorybudget.cpp
+++ b/src/link/memorybudget.cpp
@@ -72,25 +72,35 @@
 
 auto MemoryBudget::hasRoom(std::size_t bytes) const noexcept -> bool
 {
-    const std::size_t kept = bytes > m_limits.m_ordinaryBytes ? m_limits.m_keptBytes : 0;
-    return heldBytes() + bytes + kept <= m_limits.m_totalBytes;
+    return heldBytes() + bytes + keptFor(bytes) <= m_limits.m_totalBytes;
 }
 
 auto MemoryBudget::victim() const -> std::optional<ClientKey>
 {
+    const Filter large = [this](const ClientUse &use) {
+        return isLarge(use);
+    };
     if (!hasRoom(0)) {
-        const auto large = choose(true, std::nullopt);
-        return large ? large : choose(false, std::nullopt);
+        const auto first = choose(large, std::nullopt);
+        return first ? first : choose([](const ClientUse &) { return true; }, std::nullopt);
     }
-    return m_heldByLarge > m_limits.m_totalBytes - m_limits.m_keptBytes ? choose(true, std::nullopt) : std::nullopt;
+    return m_heldByLarge > m_limits.m_totalBytes - m_limits.m_keptBytes ? choose(large, std::nullopt) : std::nullopt;
 }
 
 auto MemoryBudget::victimFor(std::size_t bytes, ClientKey by) const -> std::optional<ClientKey>
 {
-    return hasRoom(bytes) ? std::nullopt : choose(true, by);
+    if (hasRoom(bytes) || m_underWay + bytes + keptFor(bytes) > m_limits.m_totalBytes) {
+        return std::nullopt;
+    }
+    const auto large = choose(
+        [this](const ClientUse &use) {
+            return isLarge(use);
+        },
+        by);
+    return large ? large : choose(&MemoryBudget::isIncomplete, by);
 }
 
-auto MemoryBudget::choose(bool onlyLarge, std::optional<ClientKey> except) const -> std::optional<ClientKey>
+auto MemoryBudget::choose(const Filter &mayLeave, std::optional<ClientKey> except) const -> std::optional<ClientKey>
 {
     /// Of two connections, the one with the smaller rank goes first.
     const auto rank = [this](const auto &entry) {
@@ -104,7 +114,7 @@
     std::optional<decltype(rank(*m_clients.begin()))> firstRank;
     for (const auto &entry : m_clients) {
         const auto &[key, client] = entry;
-        if (client.m_use.m_bytes == 0 || (onlyLarge && !isLarge(client.m_use)) || (except && *except == key)) {
+        if (client.m_use.m_bytes == 0 || !mayLeave(client.m_use) || (except && *except == key)) {
             continue;
         }
         const auto ofEntry = rank(entry);
--- a/tests/memorybudgettest.cpp
+++ b/tests/memorybudgettest.cpp
@@ -170,3 +170,34 @@
     EXPECT_EQ(m_budget.heldBytes(), 0U) << "a closed connection holds nothing";
     EXPECT_FALSE(m_budget.victim());
 }
+
+// Guards against a complete request of an ordinary caller that is refused while many small connections without one hold the memory.
+TEST_F(MemoryBudgetTest, SmallIncompleteConnectionsMakeRoomForACompleteRequest)
+{
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        add(i, small, Milliseconds(i));
+    }
+    ClientUse complete;
+    complete.m_bytes = small;
+    complete.m_progressAt = after(Milliseconds(0));
+    complete.m_stage = ClientStage::Idle;
+    m_budget.update(key(0), complete);
+    m_budget.update(key(1), complete);
+    EXPECT_EQ(m_budget.victimFor(small, key(0)), key(2)) << "a caller between two requests keeps its connection";
+    m_budget.close(key(2));
+    EXPECT_FALSE(m_budget.victimFor(small, key(0)));
+}
+
+// Guards against connections that are closed for a request that finds no room anyway.
+TEST_F(MemoryBudgetTest, ClosesNothingForARequestThatCannotFit)
+{
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        add(i, small, Milliseconds(i));
+    }
+    ClientUse busy;
+    busy.m_bytes = small;
+    busy.m_bytesUnderWay = 995;
+    busy.m_stage = ClientStage::Busy;
+    m_budget.update(key(0), busy);
+    EXPECT_FALSE(m_budget.victimFor(small, key(1)));
+}
