Bound how fast clients that are closed for memory connect again

The processor of a host went to a crowd: 1,500 clients with 100 bytes of a body each, on a machine of 80 MB, were closed for memory and connected again 20,000 times a second; the process took 0.99 of a core.

Cause: only connections closed in favour of new ones were bounded in number. A connection closed for memory came back at once, and the next one was closed for it.

Change: a connection closed for memory counts towards the turnover of the port that took the memory. Further connections then wait in the queue of the kernel, for at most 250 ms when many were closed at one moment.

--- a/include/burdockspur/link/portadmission.hpp
+++ b/include/burdockspur/link/portadmission.hpp
@@ -20,7 +20,8 @@
 ///
 /// Has no I/O and no clock. The first request of an ordinary caller is complete shortly after it has connected, that of a crowd never is. So
 /// the connections that have waited longest for their first request go first. New connections beyond PortLimits::m_maxTurnover wait in the
-/// queue of the kernel, which costs nothing and keeps their order.
+/// queue of the kernel, which costs nothing and keeps their order. So a crowd that connects again as soon as it is closed, for whatever reason, does not
+/// take the processor.
 ///
 /// @code
 /// PortAdmission admission(limits);
@@ -53,9 +54,12 @@
         return m_clients.size() >= m_limits.m_maxConnections;
     }
 
-    /// @brief Earliest time at which the next connection may be accepted.
+    /// @brief Earliest time at which the next connection may be accepted; now unless connections were closed or refused lately.
     [[nodiscard]] auto nextAcceptAt(TimePoint now) const noexcept -> TimePoint;
 
+    /// @brief Notes that a connection was closed for another reason than a new one, such as want of memory; counts towards the turnover.
+    auto noteClosed(TimePoint now) noexcept -> void;
+
     /// @brief Connection that a full server closes in favour of a new one; counts towards the turnover.
     /// @param address address of the new connection
     /// @returns nothing when the new connection must be refused
--- a/include/burdockspur/link/tokenbucket.hpp
+++ b/include/burdockspur/link/tokenbucket.hpp
@@ -30,6 +30,13 @@
         return true;
     }
 
+    /// @brief Takes a token also when there is none; the next ones then come later, by a limited time.
+    /// @param mostDelay longest time from now until a token can be taken again
+    constexpr auto forceTake(TimePoint now, Duration mostDelay) noexcept -> void
+    {
+        m_fullAt = std::min(std::max(m_fullAt, now) + m_interval, now + m_tolerance + mostDelay);
+    }
+
     /// @brief Earliest time at which a token can be taken.
     [[nodiscard]] constexpr auto nextAt(TimePoint now) const noexcept -> TimePoint
     {
--- a/src/link/clientguard.cpp
+++ b/src/link/clientguard.cpp
@@ -87,10 +87,14 @@
         }
     }
 
-    auto closeForMemory(ClientKey key) -> void
+    /// @param cause server whose client took the memory
+    auto closeForMemory(ClientKey key, std::uint32_t cause) -> void
     {
         ++m_counts.m_closedForMemory;
         log("memory");
+        if (const auto server = m_servers.find(cause); server != m_servers.end()) {
+            server->second.m_admission.noteClosed(Clock::now());
+        }
         closeClient(key);
     }
 
@@ -142,7 +146,7 @@
     m_d->m_budget.update(key, use);
     m_d->m_servers.at(key.m_server).m_admission.update(key.m_connection, use.m_stage, use.m_servedAt);
     while (const auto victim = m_d->m_budget.victim()) {
-        m_d->closeForMemory(*victim);
+        m_d->closeForMemory(*victim, key.m_server);
     }
     m_d->noteHeld();
 }
@@ -162,7 +166,7 @@
 auto ClientGuard::admit(ClientKey key, std::size_t bytes) -> bool
 {
     while (const auto victim = m_d->m_budget.victimFor(bytes, key)) {
-        m_d->closeForMemory(*victim);
+        m_d->closeForMemory(*victim, key.m_server);
     }
     if (m_d->m_budget.hasRoom(bytes)) {
         return true;
--- a/src/link/frameserver.cpp
+++ b/src/link/frameserver.cpp
@@ -109,7 +109,8 @@
     {
         --m_openLinks;
         m_guard.close({m_number, id});
-        if (m_listener.isPaused() && !m_guard.isFull(m_number)) {
+        const TimePoint now = Clock::now();
+        if (m_listener.isPaused() && m_guard.nextAcceptAt(m_number, now) <= now) {
             m_listener.resume();
         }
         // The link calls this function from within its own functions, so it is destroyed later.
--- a/src/link/httpserver.cpp
+++ b/src/link/httpserver.cpp
@@ -634,7 +634,13 @@
         m_rejected -= connection->m_isRejected ? 1 : 0;
         m_guard->close(keyOf(*connection));
         m_connections.erase(connection->m_id);
-        if (m_listener.isPaused() && !m_guard->isFull(m_number)) {
+        resumeAccepting();
+    }
+
+    auto resumeAccepting() -> void
+    {
+        const TimePoint now = Clock::now();
+        if (m_listener.isPaused() && m_guard->nextAcceptAt(m_number, now) <= now) {
             m_listener.resume();
         }
     }
--- a/src/link/portadmission.cpp
+++ b/src/link/portadmission.cpp
@@ -147,10 +147,12 @@
 
 auto PortAdmission::nextAcceptAt(TimePoint now) const noexcept -> TimePoint
 {
-    if (!isFull()) {
-        return now;
-    }
-    return (canDisplace() ? m_displacements : m_refusals).nextAt(now);
+    return (!isFull() || canDisplace() ? m_displacements : m_refusals).nextAt(now);
+}
+
+auto PortAdmission::noteClosed(TimePoint now) noexcept -> void
+{
+    m_displacements.forceTake(now, travelTime);
 }
 
 auto PortAdmission::displace(std::uint64_t address, TimePoint now) -> std::optional<std::uint64_t>
--- a/tests/portadmissiontest.cpp
+++ b/tests/portadmissiontest.cpp
@@ -242,7 +242,7 @@
 TEST_F(PortAdmissionTest, AFullPortAcceptsAtABoundedRate)
 {
     TimePoint now = after(Milliseconds(0));
-    EXPECT_EQ(m_admission.nextAcceptAt(now), now) << "there is room";
+    EXPECT_EQ(m_admission.nextAcceptAt(now), now) << "nothing was closed";
     for (std::uint64_t i = 1; i <= 4; ++i) {
         add(i, ClientStage::Incomplete, Milliseconds(0));
     }
@@ -259,6 +259,33 @@
     EXPECT_EQ(accepted, 40) << "each of the four stays for a quarter of a second";
 }
 
+// Guards against a crowd that is closed for want of memory on a port with room, and connects again as fast as it is closed.
+TEST_F(PortAdmissionTest, ClosingForMemoryCountsTowardsTheTurnover)
+{
+    const TimePoint start = after(Milliseconds(0));
+    TimePoint now = start;
+    int accepted = 0;
+    for (std::uint64_t next = 1; now < after(Milliseconds(2'500)); now += tick) {
+        while (m_admission.nextAcceptAt(now) <= now) {
+            m_admission.open(next, balancer, now);
+            m_admission.noteClosed(now);
+            m_admission.close(next++);
+            ++accepted;
+        }
+    }
+    EXPECT_EQ(accepted, 40) << "as many as a full port would accept";
+}
+
+// Guards against ordinary callers who wait long because many connections were closed at one moment.
+TEST_F(PortAdmissionTest, ManyClosedConnectionsDelayTheNextOneByABoundedTime)
+{
+    const TimePoint now = after(Milliseconds(0));
+    for (int i = 0; i < 1'000; ++i) {
+        m_admission.noteClosed(now);
+    }
+    EXPECT_EQ(m_admission.nextAcceptAt(now), now + Milliseconds(250));
+}
+
 // Guards against refusals that wait although it is known that nothing can give way.
 TEST_F(PortAdmissionTest, ConnectionsInUseAreNotWaitedFor)
 {
