--- a/include/burdockspur/link/frameserver.hpp
+++ b/include/burdockspur/link/frameserver.hpp
@@ -19,7 +19,8 @@
 /// @brief Accepts framed links from other processes of the system.
 ///
 /// Lives in the thread of an EventLoopDuty. The server itself sends heartbeats, closes silent links, and
-/// closes a link that receives a bad frame; other links stay open.
+/// closes a link that receives a bad frame; other links stay open. When its links hold too much memory, it closes those without progress.
+/// A full server accepts a new link in place of one that has never completed a frame (see PortAdmission).
 class FrameServer
 {
 public:
--- a/include/burdockspur/link/httpclient.hpp
+++ b/include/burdockspur/link/httpclient.hpp
@@ -51,7 +51,8 @@
     std::size_t m_maxConnectionsPerEndpoint = 8;
     std::size_t m_maxQueuedPerEndpoint = 1024; ///< calls that wait for a connection
     std::uint64_t m_maxBodyBytes = std::uint64_t{8} * 1024 * 1024;
-    std::size_t m_maxHeldBytes = MachineMemory().share(MachineMemory::answerPercent); ///< allocated for all incomplete responses; the call that exceeds it fails
+    std::size_t m_maxHeldBytes =
+        MachineMemory().share(MachineMemory::answerPercent); ///< allocated for all incomplete responses; the call that exceeds it fails
     Milliseconds m_connectTimeout{1'000};
     Milliseconds m_idleTimeout{15'000}; ///< shorter than the server's, so that the server rarely closes an idle connection first
 };
--- a/include/burdockspur/link/httplimits.hpp
+++ b/include/burdockspur/link/httplimits.hpp
@@ -12,7 +12,7 @@
 /// @brief Limits and timeouts that keep a caller from exhausting a server.
 struct HttpLimits {
     std::size_t m_maxConnections = 1024;
-    std::uint32_t m_maxTurnover = PortLimits{}.m_maxTurnover; ///< see PortLimits
+    std::uint32_t m_maxTurnover = PortLimits{}.m_maxTurnover; ///< new connections per second that a full server accepts; the others wait
     std::uint32_t m_maxHeaderBytes = 16 * 1024; ///< request line and all fields of one request
     std::uint64_t m_maxBodyBytes = std::uint64_t{1024} * 1024;
     std::size_t m_maxHeldBytes = MachineMemory().share(MachineMemory::clientPercent); ///< held by all connections of a server that has a budget of its own
--- a/include/burdockspur/link/httpserver.hpp
+++ b/include/burdockspur/link/httpserver.hpp
@@ -27,7 +27,8 @@
 /// Lives in the thread of an EventLoopDuty; all members must be called there. Responses may be passed at any
 /// time and in any order; each connection sends them in the order of its requests. The server itself answers
 /// malformed or oversized requests with a JSON error and a stable code. When clients hold too much memory, it closes connections or refuses
-/// complete requests with 503 before the handler gets them.
+/// complete requests with 503 before the handler gets them. A full server accepts a new connection in place of one that waits for less (see
+/// PortAdmission), and refuses it with 503 when all others are in use.
 ///
 /// @code
 /// HttpServer server(limits, [&](ExchangeId id, HttpRequest &&request) { server.respond(id, jsonResponse(200, "{}")); });
--- a/include/burdockspur/link/machinememory.hpp
+++ b/include/burdockspur/link/machinememory.hpp
@@ -29,7 +29,7 @@
     /// @returns bytes
     [[nodiscard]] constexpr auto share(std::uint64_t percent) const noexcept -> std::size_t
     {
-        constexpr std::uint64_t bytesPerMb = 1024U * 1024U;
+        constexpr std::uint64_t bytesPerMb = std::uint64_t{1024} * 1024;
         constexpr std::uint64_t whole = 100;
         return static_cast<std::size_t>(m_megabytes * bytesPerMb * percent / whole);
     }
--- a/src/link/frameserver.cpp
+++ b/src/link/frameserver.cpp
@@ -101,7 +101,7 @@
     auto closeForGuard(LinkId id) -> void
     {
         if (const auto found = m_links.find(id); found != m_links.end()) {
-            found->second->close("holds what others need");
+            found->second->close("memory or links are short");
         }
     }
 
--- a/src/link/memorybudget.cpp
+++ b/src/link/memorybudget.cpp
@@ -82,7 +82,12 @@
     };
     if (!hasRoom(0)) {
         const auto first = choose(large, std::nullopt);
-        return first ? first : choose([](const ClientUse &) { return true; }, std::nullopt);
+        return first ? first
+                     : choose(
+                           [](const ClientUse &) {
+                               return true;
+                           },
+                           std::nullopt);
     }
     return m_heldByLarge > m_limits.m_totalBytes - m_limits.m_keptBytes ? choose(large, std::nullopt) : std::nullopt;
 }
--- a/tests/framelinktest.cpp
+++ b/tests/framelinktest.cpp
@@ -343,9 +343,10 @@
         crowd.back()->send(part);
     }
     waitUntil([&] {
-        return std::ranges::count_if(crowd, [](const auto &peer) {
-                   return peer->isClosed();
-               })
+        return std::ranges::count_if(crowd,
+                                     [](const auto &peer) {
+                                         return peer->isClosed();
+                                     })
             >= 12;
     });
     EXPECT_TRUE(m_client->isOpen());
