Let the longest idle connection of a full port give way

The operator saw 503 at the admin ports of burdockspur-entry and burdockspur-scheduler beside 50 clients that had asked for the metrics and kept their connections.

Cause: a connection between two requests was kept for 5 s after each request. The metrics of these daemons fit into the buffers of the kernel, so clients that do not read look idle, and 50 of them, or any that send a request each 5 s, own a port of 32.

Change: on a full port the connection that has waited longest for its next request gives way after 250 ms; the turnover bounds how often. Its client connects again, where a new one was refused for as long as the others kept theirs. The frame port keeps idle links until their silence ends them, because entry daemons hold one each for good. Also reads the clock for the progress of a request, and for the pause of a listener, only when it is needed.

--- a/include/burdockspur/impl/receiveprogress.hpp
+++ b/include/burdockspur/impl/receiveprogress.hpp
@@ -17,12 +17,12 @@
         m_at = now;
     }
 
-    /// @brief Notes received bytes of a message.
-    auto add(std::size_t bytes, TimePoint now) noexcept -> void
+    /// @brief Notes received bytes of a message; reads the clock only when they are progress.
+    auto add(std::size_t bytes) noexcept -> void
     {
         m_bytes += bytes;
         if (m_bytes >= progressBytes) {
-            restart(now);
+            restart(Clock::now());
         }
     }
 
--- a/include/burdockspur/link/portadmission.hpp
+++ b/include/burdockspur/link/portadmission.hpp
@@ -75,7 +75,7 @@
     /// Connections of one address and stage, the one that has been in it for the longest time first.
     using Waiting = std::set<std::pair<TimePoint, std::uint64_t>>;
 
-    /// True when a connection gives way to any new one, whatever the time.
+    /// True unless all connections are in use.
     [[nodiscard]] auto canDisplace() const noexcept -> bool;
     [[nodiscard]] auto longest(ClientStage stage, Duration patience, std::size_t fewestOfAddress, TimePoint now) const -> std::optional<std::uint64_t>;
     [[nodiscard]] auto connectionsOf(std::uint64_t address) const -> std::size_t;
@@ -86,6 +86,7 @@
     TokenBucket m_displacements;
     TokenBucket m_refusals; ///< of new connections while all others are in use
     std::unordered_map<std::uint64_t, Client> m_clients;
+    std::size_t m_inUse = 0; ///< connections with an unanswered request
     std::map<std::uint64_t, std::size_t> m_connectionsByAddress;
     std::array<std::map<std::uint64_t, Waiting>, clientStages> m_waiting; ///< by stage and address
 };
--- a/src/link/framelink.cpp
+++ b/src/link/framelink.cpp
@@ -128,7 +128,7 @@
             return;
         }
         m_lastReceived = Clock::now();
-        m_progress.add(count, m_lastReceived);
+        m_progress.add(count);
         while (m_isOpen && parseFrame()) {}
         if (m_isOpen) {
             m_callbacks.m_onUseChanged();
--- a/src/link/frameserver.cpp
+++ b/src/link/frameserver.cpp
@@ -31,7 +31,7 @@
         , m_handler(std::move(handler))
         , m_stateHandler(std::move(stateHandler))
         , m_guard(MachineMemory::clientLimits(limits.m_maxHeldBytes))
-        , m_number(m_guard.addServer({limits.m_maxLinks, PortLimits{}.m_maxTurnover},
+        , m_number(m_guard.addServer({.m_maxConnections = limits.m_maxLinks, .m_shortestIdle = limits.m_silenceTimeout},
                                      [this](LinkId id) {
                                          closeForGuard(id);
                                      }))
--- a/src/link/httpserver.cpp
+++ b/src/link/httpserver.cpp
@@ -147,7 +147,7 @@
         : m_limits(limits)
         , m_handler(std::move(handler))
         , m_guard(guard ? std::move(guard) : std::make_shared<ClientGuard>(MachineMemory::clientLimits(limits.m_maxHeldBytes)))
-        , m_number(m_guard->addServer({limits.m_maxConnections, limits.m_maxTurnover},
+        , m_number(m_guard->addServer({.m_maxConnections = limits.m_maxConnections, .m_maxTurnover = limits.m_maxTurnover},
                                       [this](std::uint64_t id) {
                                           withConnection(id, &Private::close);
                                       }))
@@ -350,7 +350,7 @@
     [[nodiscard]] static auto fillInput(Connection &connection, std::size_t limit) -> std::size_t
     {
         const std::size_t count = connection.m_input.fill(*connection.m_socket, limit);
-        connection.m_progress.add(count, Clock::now());
+        connection.m_progress.add(count);
         return count;
     }
 
@@ -639,8 +639,10 @@
 
     auto resumeAccepting() -> void
     {
-        const TimePoint now = Clock::now();
-        if (m_listener.isPaused() && m_guard->nextAcceptAt(m_number, now) <= now) {
+        if (!m_listener.isPaused()) {
+            return;
+        }
+        if (const TimePoint now = Clock::now(); m_guard->nextAcceptAt(m_number, now) <= now) {
             m_listener.resume();
         }
     }
--- a/src/link/portadmission.cpp
+++ b/src/link/portadmission.cpp
@@ -10,24 +10,21 @@
 {
 /// Time in which the first request of an ordinary caller, or its next part of an answer, is on its way.
 constexpr Milliseconds travelTime{250};
-/// Time for which an ordinary caller keeps its connection for the next request.
-constexpr Milliseconds idlePatience{5'000};
-
 /// Connections of a stage that a new one may displace.
 struct Candidates {
     ClientStage m_stage;
-    Milliseconds m_patience; ///< shortest time in the stage
+    bool m_hasPatience; ///< only those that have been in the stage for its patience
     bool m_isOfCrowdedAddress; ///< only those of an address with more connections than the new one's
 };
 
 /// The first that are found go first. Requests that were handed in are never cut off.
 constexpr std::array<Candidates, 6> candidateOrder{{
-    {ClientStage::Incomplete, travelTime, false},
-    {ClientStage::Unread, travelTime, false},
-    {ClientStage::Idle, idlePatience, false},
-    {ClientStage::Unread, Milliseconds::zero(), false},
-    {ClientStage::Incomplete, Milliseconds::zero(), false},
-    {ClientStage::Idle, Milliseconds::zero(), true},
+    {ClientStage::Incomplete, true, false},
+    {ClientStage::Unread, true, false},
+    {ClientStage::Idle, true, false},
+    {ClientStage::Unread, false, false},
+    {ClientStage::Incomplete, false, false},
+    {ClientStage::Idle, false, true},
 }};
 
 /// Part of the connections that may be displaced, or refused, at once.
@@ -99,11 +96,13 @@
 
 auto PortAdmission::insert(std::uint64_t connection, const Client &client) -> void
 {
+    m_inUse += client.m_stage == ClientStage::Busy ? 1 : 0;
     m_waiting[static_cast<std::size_t>(client.m_stage)][client.m_address].emplace(client.m_since, connection);
 }
 
 auto PortAdmission::remove(std::uint64_t connection, const Client &client) -> void
 {
+    m_inUse -= client.m_stage == ClientStage::Busy ? 1 : 0;
     auto &byAddress = m_waiting[static_cast<std::size_t>(client.m_stage)];
     const auto found = byAddress.find(client.m_address);
     found->second.erase({client.m_since, connection});
@@ -139,10 +138,7 @@
 
 auto PortAdmission::canDisplace() const noexcept -> bool
 {
-    const auto isWaiting = [this](ClientStage stage) {
-        return !m_waiting[static_cast<std::size_t>(stage)].empty();
-    };
-    return isWaiting(ClientStage::Incomplete) || isWaiting(ClientStage::Unread);
+    return m_inUse < m_clients.size();
 }
 
 auto PortAdmission::nextAcceptAt(TimePoint now) const noexcept -> TimePoint
@@ -161,8 +157,9 @@
     // The new connection counts as one of its address already.
     const std::size_t crowded = connectionsOf(address) + 2;
     for (const auto &candidates : candidateOrder) {
+        const Duration patience = candidates.m_stage == ClientStage::Idle ? m_limits.m_shortestIdle : travelTime;
         const std::size_t fewest = candidates.m_isOfCrowdedAddress ? crowded : 0;
-        if (const auto connection = longest(candidates.m_stage, candidates.m_patience, fewest, now)) {
+        if (const auto connection = longest(candidates.m_stage, candidates.m_hasPatience ? patience : Duration::zero(), fewest, now)) {
             return connection;
         }
     }
