--- a/src/link/frameserver.cpp
+++ b/src/link/frameserver.cpp
@@ -31,6 +31,7 @@
         , m_handler(std::move(handler))
         , m_stateHandler(std::move(stateHandler))
         , m_guard(MachineMemory::clientLimits(limits.m_maxHeldBytes))
+        // Entry daemons keep their links for good; silence ends those that are not in use.
         , m_number(m_guard.addServer({.m_maxConnections = limits.m_maxLinks, .m_shortestIdle = limits.m_silenceTimeout},
                                      [this](LinkId id) {
                                          closeForGuard(id);
--- a/src/link/portadmission.cpp
+++ b/src/link/portadmission.cpp
@@ -10,6 +10,7 @@
 {
 /// Time in which the first request of an ordinary caller, or its next part of an answer, is on its way.
 constexpr Milliseconds travelTime{250};
+
 /// Connections of a stage that a new one may displace.
 struct Candidates {
     ClientStage m_stage;
--- a/tests/processes/crowdentryadmintest.sh
+++ b/tests/processes/crowdentryadmintest.sh
@@ -1,10 +1,4 @@
 #!/usr/bin/env bash
 # 50 clients at the admin port of burdockspur-entry that ask for the metrics and read no answer. Guards against an operator who is refused.
 set -euo pipefail
-cd "$(dirname "$0")/../.."
-source scripts/lib/deployment.sh
-deployment_begin "$1"
-machine_memory_mb=80
-deployment_start 1 2
-python3 tests/processes/crowddaemon.py unread_metrics "${pids[entry-1]}" "${entry_admins[1]#*:}" "${entries[1]}"
-check_running
+exec "$(dirname "$0")/crowddaemon.sh" "$1" entry unread_metrics entry_admins
