Review: drop the case of gangs, which review/10 shows

The case with the same cause is dropped, and the case of a restarted worker takes its number.

Moves review/14 to review/13; build-3.sh also checks that the host's program was built.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,7 +7,8 @@
 
 if sys.version_info < (3, 11):
     sys.exit("Python 3.11 or later is required")
-for path in ("standins-3/standins.py", "11/play.py", "12/play.py", "13/play.py", "14/play.py"):
+for path in ("standins-3/standins.py", "11/play.py", "12/play.py", "13/play.py"):
     with open(path, encoding="utf-8") as file:
         compile(file.read(), path, "exec")
 PYTHON
+test -x ../target/daemons/burdockspur-host || { echo "target/daemons/burdockspur-host is missing: run the build of deploy/system.toml" >&2; exit 1; }
