--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -6,9 +6,9 @@
 
 import asyncio
 import base64
+import itertools
 import json
 import os
-import random
 import re
 import signal
 import socket
@@ -535,19 +535,16 @@
 # --- Hosts --------------------------------------------------------------------------------------------
 
 
-given_ports = set()
+# Ports below those that the kernel gives to outgoing connections, which could take the port of a host between its lives. Scripts that run
+# beside each other begin at different ones.
+next_ports = itertools.count(12_000 + os.getpid() % 180 * 100)
 
 
 def free_port():
-    """A free port below those that the kernel gives to outgoing connections, which could take the port of a host between its lives."""
-    while True:
-        port = random.randrange(12_000, 30_000)
-        if port in given_ports:
-            continue
+    for port in next_ports:
         with socket.socket() as probe:
             try:
                 probe.bind((LOOPBACK, port))
-                given_ports.add(port)
                 return port
             except OSError:
                 pass
