Block the signals of the process before anything else in main()

What callers saw: each SIGHUP, which only says that the settings file has changed, ended burdockspur-host at once. SIGTERM ended it the same way, so that the drain never ran: open requests were cut, and the ownership was not released.

Cause: the kernel delivers a signal of the process to any thread that does not block it. configureLogging() starts the thread of LogWriter before SignalWatcher blocks the signals in the main thread, so that thread took them with the default action. Nothing but the order of two lines in main() kept the promise. The main thread took them too while it read the settings.

Ruled out: an exception or a broken invariant in the handling of SIGHUP (no log line, status -1), and threads of libraries (none has an unblocked signal).

Change: ProcessSignals blocks SIGTERM, SIGINT and SIGHUP and ignores SIGPIPE; it is the first object in main(). startProgram(), which reads the settings, and SignalWatcher take a reference to it, so that the wrong order does not compile. Duty::start() starts its thread with these signals blocked, whatever its starter blocks, so that no duty can take one. A signal stays pending until the watcher reads it.

Related paths: burdockspur-entry, burdockspur-scheduler and the stand-ins had the same order, without a thread that logs; they use ProcessSignals now. SIGPIPE was ignored only after the log writer had started. Programs start no other process that could inherit the mask. What stays: a signal before main() ends the process.

--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -1,3 +1,4 @@
+#include "burdockspur/core/processsignals.hpp"
 #include "burdockspur/host/entrydaemon.hpp"
 #include "burdockspur/host/entrysettings.hpp"
 #include "burdockspur/operations/log.hpp"
@@ -59,8 +60,9 @@
 
 auto main(int argc, char **argv) -> int
 {
+    const ProcessSignals signals;
     const auto settings = startProgram<EntrySettings>(
-        description, entrySettingsTable(), std::span(argv, static_cast<std::size_t>(argc)), std::cout, std::cerr, entrySettingsChecks());
+        signals, description, entrySettingsTable(), std::span(argv, static_cast<std::size_t>(argc)), std::cout, std::cerr, entrySettingsChecks());
     if (!settings) {
         return settings.error();
     }
@@ -70,7 +72,7 @@
     }
     const QCoreApplication application(argc, argv);
     EntryDaemon daemon(*settings);
-    const SignalWatcher watcher([&daemon](int) {
+    const SignalWatcher watcher(signals, [&daemon](int) {
         daemon.beginDrain();
     });
     const int code = serve(daemon, *settings);
--- a/daemons/host/main.cpp
+++ b/daemons/host/main.cpp
@@ -1,3 +1,4 @@
+#include "burdockspur/core/processsignals.hpp"
 #include "burdockspur/fleet/fleethost.hpp"
 #include "burdockspur/fleet/fleetsettings.hpp"
 #include "burdockspur/operations/log.hpp"
@@ -67,9 +68,10 @@
 
 auto main(int argc, char **argv) -> int
 {
+    const ProcessSignals signals;
     std::string flag;
     const auto arguments = argumentsWithSettings(std::span(argv, static_cast<std::size_t>(argc)), flag);
-    const auto settings = startProgram<FleetSettings>(description, fleetSettingsTable(), arguments, std::cout, std::cerr, fleetSettingsChecks());
+    const auto settings = startProgram<FleetSettings>(signals, description, fleetSettingsTable(), arguments, std::cout, std::cerr, fleetSettingsChecks());
     if (!settings) {
         return settings.error();
     }
@@ -83,6 +85,7 @@
     logEvent(LogLevel::Info, "started", {{"version", BURDOCKSPUR_VERSION}, {"zone", settings->m_zone}, {"callers", settings->m_callersEndpoint}});
     FleetHost host(*settings, platform);
     const SignalWatcher watcher(
+        signals,
         [&host](int) {
             host.beginDrain();
         },
--- a/daemons/scheduler/main.cpp
+++ b/daemons/scheduler/main.cpp
@@ -1,3 +1,4 @@
+#include "burdockspur/core/processsignals.hpp"
 #include "burdockspur/operations/log.hpp"
 #include "burdockspur/operations/programstart.hpp"
 #include "burdockspur/operations/signalwatcher.hpp"
@@ -32,8 +33,9 @@
 
 auto main(int argc, char **argv) -> int
 {
+    const ProcessSignals signals;
     const auto settings = startProgram<SchedulerSettings>(
-        description, schedulerFields(), std::span(argv, static_cast<std::size_t>(argc)), std::cout, std::cerr, schedulerChecks());
+        signals, description, schedulerFields(), std::span(argv, static_cast<std::size_t>(argc)), std::cout, std::cerr, schedulerChecks());
     if (!settings) {
         return settings.error();
     }
@@ -43,7 +45,7 @@
     }
     const QCoreApplication application(argc, argv);
     std::unique_ptr<SchedulerDaemon> daemon;
-    const SignalWatcher signals([&daemon](int) {
+    const SignalWatcher watcher(signals, [&daemon](int) {
         requestDrain(*daemon);
     });
     daemon = std::make_unique<SchedulerDaemon>(*settings);
--- a/include/burdockspur/burdockspur.hpp
+++ b/include/burdockspur/burdockspur.hpp
@@ -27,6 +27,7 @@
 #include "burdockspur/core/guards.hpp"
 #include "burdockspur/core/identifiers.hpp"
 #include "burdockspur/core/invariant.hpp"
+#include "burdockspur/core/processsignals.hpp"
 #include "burdockspur/core/randomsource.hpp"
 #include "burdockspur/core/wakedescriptor.hpp"
 #include "burdockspur/fleet/apicall.hpp"
--- a/include/burdockspur/core/duty.hpp
+++ b/include/burdockspur/core/duty.hpp
@@ -27,7 +27,7 @@
     auto operator=(const Duty &) -> Duty & = delete;
     auto operator=(Duty &&) -> Duty & = delete;
 
-    /// @brief Starts the thread; call once.
+    /// @brief Starts the thread, in which SIGTERM, SIGINT and SIGHUP are blocked; call once.
     auto start() -> void;
 
     /// @brief Makes the thread return and joins it; does nothing if it was not started.
--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -125,6 +125,7 @@
 class PoolCapacities;
 class PortAdmission;
 class ProcessorUse;
+class ProcessSignals;
 class ProgramOptions;
 class ProgressAssembly;
 class QueueWorkMeans;
--- a/include/burdockspur/operations/programstart.hpp
+++ b/include/burdockspur/operations/programstart.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "burdockspur/core/processsignals.hpp"
 #include "burdockspur/operations/programoptions.hpp"
 #include "burdockspur/operations/settingstable.hpp"
 
@@ -25,13 +26,15 @@
 /// @brief Parses the command line of a daemon and loads its settings.
 ///
 /// @code
-/// const auto settings = startProgram<EntrySettings>(description, entryFields, std::span(argv, argc), std::cout, std::cerr);
+/// const auto settings = startProgram<EntrySettings>(signals, description, entryFields, std::span(argv, argc), std::cout, std::cerr);
 /// if (!settings) { return settings.error(); }
 /// @endcode
+/// @param signals a signal that comes while the settings are read stays pending until SignalWatcher reads it
 /// @returns the settings, or the exit code: 0 after `--help`, `--version`, `--print_defaults` and a
 /// successful `--check`, 2 after a wrong flag or wrong settings
 template<typename Settings>
-[[nodiscard]] auto startProgram(const ProgramDescription &description,
+[[nodiscard]] auto startProgram(const ProcessSignals & /*signals*/,
+                                const ProgramDescription &description,
                                 SettingsTable<Settings> table,
                                 std::span<char *const> arguments,
                                 std::ostream &out,
--- a/include/burdockspur/operations/signalwatcher.hpp
+++ b/include/burdockspur/operations/signalwatcher.hpp
@@ -7,20 +7,23 @@
 
 namespace Burdockspur
 {
+class ProcessSignals;
+
 /// @brief Delivers SIGTERM, SIGINT and SIGHUP as calls in the event loop of its thread.
 ///
-/// Construct it in main() before any thread starts, because threads inherit the blocked signals. Only the first SIGTERM or
-/// SIGINT is delivered: a second one must not shorten a graceful shutdown. SIGPIPE is ignored.
+/// Signals that came since ProcessSignals was constructed are delivered too. Only the first SIGTERM or SIGINT is delivered: a
+/// second one must not shorten a graceful shutdown.
 ///
 /// @code
-/// SignalWatcher watcher([&](int signal) { daemon.beginDrain(); });
+/// SignalWatcher watcher(signals, [&](int signal) { daemon.beginDrain(); });
 /// @endcode
 class SignalWatcher
 {
 public:
+    /// @param signals the signals of the process, blocked since the start of main()
     /// @param handler called with the number of the first SIGTERM or SIGINT
     /// @param reload called at each SIGHUP; when empty, SIGHUP has no effect
-    explicit SignalWatcher(std::function<void(int)> handler, std::function<void()> reload = {});
+    explicit SignalWatcher(const ProcessSignals &signals, std::function<void(int)> handler, std::function<void()> reload = {});
     ~SignalWatcher();
     SignalWatcher(const SignalWatcher &) = delete;
     SignalWatcher(SignalWatcher &&) = delete;
--- a/src/operations/signalwatcher.cpp
+++ b/src/operations/signalwatcher.cpp
@@ -1,6 +1,7 @@
 #include "burdockspur/operations/signalwatcher.hpp"
 
 #include "burdockspur/core/invariant.hpp"
+#include "burdockspur/core/processsignals.hpp"
 
 #include <QSocketNotifier>
 
@@ -11,18 +12,12 @@
 
 namespace Burdockspur
 {
-SignalWatcher::SignalWatcher(std::function<void(int)> handler, std::function<void()> reload)
+SignalWatcher::SignalWatcher(const ProcessSignals & /*signals*/, std::function<void(int)> handler, std::function<void()> reload)
     : m_handler(std::move(handler))
     , m_reload(std::move(reload))
 {
-    static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGHUP);
-    ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    m_descriptor = ::signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
+    const auto blocked = ProcessSignals::blocked();
+    m_descriptor = ::signalfd(-1, &blocked, SFD_CLOEXEC | SFD_NONBLOCK);
     requireInvariant(m_descriptor >= 0, "signalfd_created", "signalfd failed");
     m_notifier = std::make_unique<QSocketNotifier>(m_descriptor, QSocketNotifier::Read);
     QObject::connect(m_notifier.get(), &QSocketNotifier::activated, m_notifier.get(), [this] {
--- a/standins/standinplatformmain.cpp
+++ b/standins/standinplatformmain.cpp
@@ -1,6 +1,8 @@
 #include "standins/platformduty.hpp"
 #include "standins/standinprogram.hpp"
 
+#include "burdockspur/core/processsignals.hpp"
+
 #include <QCoreApplication>
 
 #include <gflags/gflags.h>
@@ -40,6 +42,7 @@
 
 auto main(int argc, char **argv) -> int
 {
+    const ProcessSignals signals;
     if (const auto code = parseStandinFlags(description, std::span(argv, static_cast<std::size_t>(argc)))) {
         return *code;
     }
@@ -57,5 +60,5 @@
     const QCoreApplication application(argc, argv);
     ReadyRing ready(2);
     PlatformDuty duty(options, ready);
-    return runStandin(duty, ready);
+    return runStandin(signals, duty, ready);
 }
--- a/standins/standinprogram.cpp
+++ b/standins/standinprogram.cpp
@@ -1,5 +1,6 @@
 #include "standins/standinprogram.hpp"
 
+#include "burdockspur/core/processsignals.hpp"
 #include "burdockspur/operations/log.hpp"
 #include "burdockspur/operations/signalwatcher.hpp"
 
@@ -53,9 +54,9 @@
     return std::nullopt;
 }
 
-auto runStandin(Duty &duty, ReadyRing &ready) -> int
+auto runStandin(const ProcessSignals &signals, Duty &duty, ReadyRing &ready) -> int
 {
-    const SignalWatcher signals([](int) {
+    const SignalWatcher watcher(signals, [](int) {
         QCoreApplication::quit();
     });
     duty.start();
--- a/standins/standinprogram.hpp
+++ b/standins/standinprogram.hpp
@@ -8,6 +8,11 @@
 #include <optional>
 #include <span>
 
+namespace Burdockspur
+{
+class ProcessSignals;
+}
+
 namespace Burdockspur::Standins
 {
 /// @brief Parses the flags of a stand-in and answers `--help` and `--version`.
@@ -17,8 +22,9 @@
 [[nodiscard]] auto parseStandinFlags(const ProgramDescription &description, std::span<char *const> arguments) -> std::optional<int>;
 
 /// @brief Runs a duty until SIGTERM or SIGINT; requires a QCoreApplication.
+/// @param signals the signals of the process, blocked since the start of main()
 /// @param duty serves the ports
 /// @param ready filled by the duty; its lines are printed on standard output
 /// @returns the exit code: 0 after a signal, 1 when a port could not be opened
-[[nodiscard]] auto runStandin(Duty &duty, ReadyRing &ready) -> int;
+[[nodiscard]] auto runStandin(const ProcessSignals &signals, Duty &duty, ReadyRing &ready) -> int;
 }
--- a/standins/standinworkermain.cpp
+++ b/standins/standinworkermain.cpp
@@ -1,6 +1,8 @@
 #include "standins/standinprogram.hpp"
 #include "standins/workersduty.hpp"
 
+#include "burdockspur/core/processsignals.hpp"
+
 #include <QCoreApplication>
 
 #include <gflags/gflags.h>
@@ -69,6 +71,7 @@
 
 auto main(int argc, char **argv) -> int
 {
+    const ProcessSignals signals;
     if (const auto code = parseStandinFlags(description, std::span(argv, static_cast<std::size_t>(argc)))) {
         return *code;
     }
@@ -81,5 +84,5 @@
     const QCoreApplication application(argc, argv);
     ReadyRing ready(options.m_workers + 2);
     WorkersDuty duty(options, ready);
-    return runStandin(duty, ready);
+    return runStandin(signals, duty, ready);
 }
--- a/tests/processes/crowd.py
+++ b/tests/processes/crowd.py
@@ -425,7 +425,25 @@
         return int(self.status(name)) / 1024
 
 
-class Host(Watched):
+class Started(Watched):
+    """A burdockspur-host that was started with a settings file."""
+
+    def __init__(self, build, work, settings):
+        program = os.path.join(build, "daemons", "burdockspur-host")
+        self.log = os.path.join(work, "host.log")
+        with open(self.log, "wb") as log:
+            self.process = subprocess.Popen(
+                [program], env={**os.environ, "BURDOCKSPUR_BOOT": settings}, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
+        super().__init__(self.process.pid)
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+
+class Host(Started):
     """A running burdockspur-host with the machine of the test in its settings."""
 
     def __init__(self, build, work, max_fds, store, evil):
@@ -448,18 +466,13 @@
         settings = os.path.join(work, "settings.toml")
         with open(settings, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
-        self.log = os.path.join(work, "host.log")
-        with open(self.log, "wb") as log:
-            self.process = subprocess.Popen(
-                [program], env={**os.environ, "BURDOCKSPUR_BOOT": settings}, stdout=log, stderr=log, stdin=subprocess.DEVNULL
-            )
+        super().__init__(build, work, settings)
         while self.process.poll() is None:
             try:
                 socket.create_connection(("127.0.0.1", self.ports["metrics"])).close()
                 break
             except ConnectionRefusedError:
                 time.sleep(0.02)
-        super().__init__(self.process.pid)
 
     def ordinary_request(self, attempts=1):
         """One ordinary job, repeated while it is refused; returns the status and the body of the last answer."""
@@ -498,11 +511,6 @@
         connection.close()
         return answer.status
 
-    def end(self):
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
-
 
 def storm(host, port):
     """Opens and closes connections, and keeps 600 open; a third of them sends a part of a request."""
--- a/tests/programoptionstest.cpp
+++ b/tests/programoptionstest.cpp
@@ -57,10 +57,11 @@
     // Exit code of a daemon, or -1 when it would start.
     auto exitCodeOf(Texts texts) -> int
     {
-        const auto settings = startProgram<SampleSettings>(sampleDaemon, sampleFields, arguments(std::move(texts)), m_out, m_err);
+        const auto settings = startProgram<SampleSettings>(m_signals, sampleDaemon, sampleFields, arguments(std::move(texts)), m_out, m_err);
         return settings ? -1 : settings.error();
     }
 
+    ProcessSignals m_signals;
     gflags::FlagSaver m_saver;
     Texts m_texts;
     std::vector<char *> m_pointers;
