Keep a draining host until its callers' connections are closed

What callers saw: a request that a caller had begun to send on an open connection when the host ended its drain was cut off without an answer.

Cause: ApiDuty ended the drain 150 ms after a moment without open requests, whatever the connections did. HttpServer closes an idle connection 1 s after the beginning of its drain and answers with Connection: close until then, but the process did not wait for it.

Change: the drain ends once the ownership is released and the callers' connections are closed; the limit, 0.9 s before stop.grace_s, stays.

Measured: process_hostsignalstest now has senders that pause inside a request.

--- a/include/burdockspur/fleet/apiduty.hpp
+++ b/include/burdockspur/fleet/apiduty.hpp
@@ -76,7 +76,8 @@
     auto forward(ExchangeId exchange, ApiCall &&call, TimePoint receivedAt) -> void;
     auto refuse(const OpenCall &call, const Error &error) -> void;
     auto answer(const OpenCall &call, HttpResponse &&response, std::string_view reason, int retryAfter = 0) -> void;
-    auto closeWhenIdle() -> void;
+    /// @brief Ends the drain once the ownership is released and all connections of callers are closed; checks again until then.
+    auto endWhenDrained() -> void;
 
     [[nodiscard]] auto hasFreshConfiguration(TimePoint now) const -> bool;
     [[nodiscard]] auto isReady(TimePoint now) const -> bool;
@@ -105,7 +106,6 @@
     bool m_wasReady = false; ///< answer to the last readiness check
     bool m_isDraining = false;
     bool m_isStoreDrained = false;
-    bool m_isClosed = false; ///< no new requests of callers are accepted
     std::vector<ApiInput> m_inputs;
 };
 }
--- a/src/fleet/apiduty.cpp
+++ b/src/fleet/apiduty.cpp
@@ -32,8 +32,8 @@
 constexpr Milliseconds rotationExitTime{2'400};
 /// Part of the grace period, before the platform kills the process, that is reserved for the last answers.
 constexpr Milliseconds stopMargin{900};
-/// Time for the kernel to send the last answers.
-constexpr Milliseconds flushTime{150};
+/// Period between two checks, during a drain, whether all connections are closed.
+constexpr Milliseconds drainCheck{20};
 
 [[nodiscard]] auto kindOf(const ApiCall &call) noexcept -> std::string_view
 {
@@ -287,7 +287,6 @@
     } else {
         answer(call, m_codec->acceptedResponse(), "stored");
     }
-    closeWhenIdle();
 }
 
 auto ApiDuty::refuse(const OpenCall &call, const Error &error) -> void
@@ -325,8 +324,7 @@
     m_isDraining = true;
     QTimer::singleShot(rotationExitTime, m_timers.get(), [this] {
         m_callerServer->beginDrain();
-        m_isClosed = true;
-        closeWhenIdle();
+        endWhenDrained();
     });
     const auto grace = std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(m_settings.m_graceSeconds));
     QTimer::singleShot(std::max(rotationExitTime, grace - stopMargin), m_timers.get(), [this] {
@@ -337,15 +335,17 @@
 auto ApiDuty::on(StoreDrained && /*input*/) -> void
 {
     m_isStoreDrained = true;
-    closeWhenIdle();
 }
 
-auto ApiDuty::closeWhenIdle() -> void
+auto ApiDuty::endWhenDrained() -> void
 {
-    if (m_isClosed && m_isStoreDrained && m_callerServer->openExchanges() == 0) {
-        QTimer::singleShot(flushTime, m_timers.get(), [this] {
-            m_drained();
-        });
+    // A caller may go on sending on a connection until the server closes it, so a moment without open requests is not the end.
+    if (m_isStoreDrained && m_callerServer->openConnections() == 0) {
+        m_drained();
+        return;
     }
+    QTimer::singleShot(drainCheck, m_timers.get(), [this] {
+        endWhenDrained();
+    });
 }
 }
--- a/tests/processes/hostsignals.py
+++ b/tests/processes/hostsignals.py
@@ -108,7 +108,7 @@
 
 
 def senders_of(host):
-    return [Sender(host.ports["callers"], False) for number in range(SENDERS)]
+    return [Sender(host.ports["callers"], number % 4 == 3) for number in range(SENDERS)]
 
 
 def end_all(senders, name, failures):
