Repeat the order to drain while a duty's ring is full

What callers would see: a host that receives SIGTERM while one of its duties is behind ends at once. All open requests are cut off, and the ownership is held until its silence is noticed.

Cause: FleetHost::beginDrain() counted a full ring as a finished drain.

--- a/daemons/host/main.cpp
+++ b/daemons/host/main.cpp
@@ -8,6 +8,7 @@
 
 #include <QCoreApplication>
 #include <QSocketNotifier>
+#include <QTimer>
 
 #include <iostream>
 #include <span>
@@ -50,6 +51,17 @@
              {{"file", path}, {"valid", settings.has_value()}, {"reason", settings ? std::string() : settings.error().m_message}});
 }
 
+/// @brief Begins the drain, again and again while a duty cannot take the order.
+auto requestDrain(FleetHost &host) -> void
+{
+    constexpr int retryMs = 50;
+    if (!host.beginDrain()) {
+        QTimer::singleShot(retryMs, [&host] {
+            requestDrain(host);
+        });
+    }
+}
+
 /// @brief Runs the host until it has drained.
 [[nodiscard]] auto serve(FleetHost &host) -> int
 {
@@ -87,7 +99,7 @@
     const SignalWatcher watcher(
         signals,
         [&host](int) {
-            host.beginDrain();
+            requestDrain(host);
         },
         [&arguments] {
             checkChangedSettings(arguments);
--- a/include/burdockspur/burdockspur.hpp
+++ b/include/burdockspur/burdockspur.hpp
@@ -33,6 +33,7 @@
 #include "burdockspur/fleet/apicall.hpp"
 #include "burdockspur/fleet/apiduty.hpp"
 #include "burdockspur/fleet/archivecalls.hpp"
+#include "burdockspur/fleet/drainorder.hpp"
 #include "burdockspur/fleet/fillfit.hpp"
 #include "burdockspur/fleet/fillinterferencemodel.hpp"
 #include "burdockspur/fleet/fleetanswer.hpp"
--- a/include/burdockspur/fleet/fleethost.hpp
+++ b/include/burdockspur/fleet/fleethost.hpp
@@ -2,6 +2,7 @@
 
 #include "burdockspur/core/error.hpp"
 #include "burdockspur/core/wakedescriptor.hpp"
+#include "burdockspur/fleet/drainorder.hpp"
 #include "burdockspur/fleet/fleetrings.hpp"
 #include "burdockspur/fleet/fleetsettings.hpp"
 #include "burdockspur/operations/metrics.hpp"
@@ -41,7 +42,8 @@
     [[nodiscard]] auto start() -> Result<void>;
 
     /// @brief Begins a planned stop: leaves the rotation of the load balancer, releases the ownership and answers open calls.
-    auto beginDrain() -> void;
+    /// @returns false if the ring of a duty is full; the call must then be repeated
+    [[nodiscard]] auto beginDrain() -> bool;
 
     /// @brief File descriptor that becomes readable once the host has drained.
     [[nodiscard]] auto drainedDescriptor() const noexcept -> int
@@ -53,6 +55,7 @@
     Metrics m_metrics;
     FleetRings m_rings;
     WakeDescriptor m_drained;
+    DrainOrder m_drainOrder{m_rings.m_api, m_rings.m_store};
     std::unique_ptr<FleetMetrics> m_fleetMetrics;
     std::unique_ptr<FleetDuty> m_scheduler;
     std::unique_ptr<WorkerCallDuty> m_workers;
--- a/include/burdockspur/forward.hpp
+++ b/include/burdockspur/forward.hpp
@@ -54,6 +54,7 @@
 class DecayingQuantile;
 class DeclaredDurations;
 class DemandShapes;
+class DrainOrder;
 class DurationModel;
 class DurationSamples;
 class Duty;
--- a/src/fleet/fleethost.cpp
+++ b/src/fleet/fleethost.cpp
@@ -52,12 +52,10 @@
     return m_api->awaitPorts();
 }
 
-auto FleetHost::beginDrain() -> void
+auto FleetHost::beginDrain() -> bool
 {
-    const bool isQueued = m_rings.m_api.tryPush(DrainStarted{}) && m_rings.m_store.tryPush(DrainStarted{});
-    logEvent(LogLevel::Info, "drain_begun", {{"noted", isQueued}});
-    if (!isQueued) {
-        m_drained.signal();
-    }
+    const bool isBegun = m_drainOrder.send();
+    logEvent(LogLevel::Info, "drain_begun", {{"noted", isBegun}});
+    return isBegun;
 }
 }
