Place tasks on a worker only by the entry of the incarnation that answers

Cause: FleetScheduler::replaceIncarnation() kept the record of the former incarnation for the next one, and updateWorkers() overwrote the incarnation of every entry with the confirmed one. Nothing told any more which incarnation an entry describes.

Change: FleetWorker keeps the incarnation that orders address apart from the record, whose m_incarnation stays that of the entry. What the record says of labels, capacity, zone, pool and drain counts only while the two are equal (isDescribed(), isDraining()); they are compared for equality, because wall clocks jump. While an incarnation answers, an entry of another one is deferred, so that neither a late entry of a former life nor one of another writer replaces a description that holds; it is applied when the incarnation ends or does not answer.

Evidence: the events incarnation_replaced, worker_described and worker_entry_deferred are new.

Ruled out: reading the table at once after a restart (the entry is there before the worker answers, or is written within a heartbeat); stopping placement on each entry of another incarnation (another writer could then take a worker out of use).

Related paths, each read and with a test where it can differ: labels and rack, capacity, zone (closed zones), draining and its end, entries that come before the answer, late entries of a former life, takeovers with inherited runs, sendStart() of stored assignments, room for copies, capacity of the pools. Not affected: health, lease and ends begin anew with each incarnation; the model of interference and durations belong to images and jobs; the cold time is not used.

The simulation lacked kinds, and let a new owner read entries that were not written yet; both are mended.

--- a/include/burdockspur/contract/workerrecord.hpp
+++ b/include/burdockspur/contract/workerrecord.hpp
@@ -20,7 +20,7 @@
     std::string m_rack; ///< rack of the machine; empty if the registration names none
     std::vector<std::string> m_labels;
     Resources m_capacity;
-    std::uint64_t m_incarnation = 0; ///< identifies the start of the process; after a restart, all earlier runs have ended
+    std::uint64_t m_incarnation = 0; ///< start of the process that the registration describes; it says nothing about any other one
     std::optional<Milliseconds> m_drainRemaining; ///< minimum time until a draining worker leaves; not set for other workers
 };
 }
--- a/include/burdockspur/fleet/fleetworker.hpp
+++ b/include/burdockspur/fleet/fleetworker.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,7 +27,15 @@
     /// @param inheritedLeaseEnd see WorkerLease
     FleetWorker(WorkerRecord record, const FleetLimits &limits, TimePoint inheritedLeaseEnd);
 
-    WorkerRecord m_record;
+    /// A registration of another incarnation than the one that answers.
+    struct LaterEntry {
+        WorkerRecord m_record;
+        TimePoint m_receivedAt;
+    };
+
+    WorkerRecord m_record; ///< registration; what it says of the machine counts only if isDescribed()
+    std::optional<LaterEntry> m_laterEntry; ///< latest registration, while m_record describes the incarnation that answers
+    std::uint64_t m_incarnation; ///< incarnation that orders address; only the worker's own answers tell that it has ended
     bool m_isListed = false; ///< in the platform's list; an unlisted worker gets no new tasks
     bool m_hasReported = false; ///< has accepted an order of this owner, and therefore rejects those of earlier owners
     bool m_isIncarnationConfirmed = false; ///< the incarnation has answered this owner; until then it is taken from an entry or a stored task
@@ -46,6 +55,27 @@
     std::uint64_t m_processedEnd = 0; ///< sequence number of the last end that was processed
     std::uint64_t m_durableEnd = 0; ///< sequence number of the last end whose effects are stored
 
+    /// @brief True if the registration describes the incarnation that orders address.
+    ///
+    /// A restart may change the labels, the capacity, the zone and the pool of a worker, and ends a drain. What another incarnation has registered says
+    /// nothing about this one.
+    [[nodiscard]] auto isDescribed() const noexcept -> bool
+    {
+        return m_record.m_incarnation == m_incarnation;
+    }
+
+    /// @brief True if the incarnation is about to leave.
+    [[nodiscard]] auto isDraining() const noexcept -> bool
+    {
+        return isDescribed() && m_record.m_drainRemaining.has_value();
+    }
+
+    /// @brief Applies an entry of the platform's list; one of another incarnation is deferred while the addressed one answers.
+    auto applyEntry(const WorkerRecord &entry, TimePoint now) -> void;
+
+    /// @brief Applies the deferred entry, if any, because the addressed incarnation has ended or does not answer.
+    auto applyLaterEntry() -> void;
+
     /// @brief Records that the ends up to m_processedEnd were processed.
     /// @param change number of the last change of any job so far, see JobChanges
     auto recordProcessedEnds(std::uint64_t change) -> void;
@@ -130,6 +160,8 @@
     [[nodiscard]] auto acceptsTasks(const FleetLimits &limits, TimePoint now) const noexcept -> bool;
 
 private:
+    auto replaceRecord(const WorkerRecord &record, TimePoint receivedAt) -> void;
+
     /// @brief Sum that contains the declared processors of a run.
     [[nodiscard]] auto declaredCpuOf(const TaskRun &run) noexcept -> std::int64_t &;
 
--- a/src/fleet/evacuation/zoneevacuation.cpp
+++ b/src/fleet/evacuation/zoneevacuation.cpp
@@ -112,7 +112,7 @@
 
 auto ZoneEvacuation::isClosed(const FleetWorker &worker) const noexcept -> bool
 {
-    return m_zones.isClosed(worker.m_record.m_zone);
+    return worker.isDescribed() && m_zones.isClosed(worker.m_record.m_zone);
 }
 
 auto ZoneEvacuation::mayStart(const FleetWorker &worker, TimePoint now) const noexcept -> bool
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -173,10 +173,10 @@
         record.m_id = stored.m_worker;
         record.m_incarnation = stored.m_incarnation;
         auto &worker = m_workers.try_emplace(stored.m_worker, record, m_limits, inheritedLeaseEndOf(stored.m_worker)).first->second;
-        if (stored.m_incarnation != worker.m_record.m_incarnation) {
+        if (stored.m_incarnation != worker.m_incarnation) {
             // A worker that has answered this owner is in its latest incarnation. Before that, the latest incarnation among the stored tasks
             // counts; an incarnation that is known from the platform's list only does not end another one.
-            const bool isOver = worker.m_isIncarnationConfirmed || (!worker.m_runs.empty() && stored.m_incarnation < worker.m_record.m_incarnation);
+            const bool isOver = worker.m_isIncarnationConfirmed || (!worker.m_runs.empty() && stored.m_incarnation < worker.m_incarnation);
             if (isOver) {
                 endTask(job, stored.m_id, stored.m_run, RunEnd::LeaseLapsed, stored.m_checkpoint);
                 continue;
@@ -524,7 +524,7 @@
     const std::unordered_set<std::string> included(commit.m_jobs.begin(), commit.m_jobs.end());
     for (auto &[id, worker] : m_workers) {
         if (const auto end = worker.lastEndBefore(oldest); end > worker.m_durableEnd) {
-            commit.m_acks.push_back({id, worker.m_record.m_incarnation, end});
+            commit.m_acks.push_back({id, worker.m_incarnation, end});
         }
         if (!std::exchange(worker.m_mayHaveUnsentRuns, false)) {
             continue;
@@ -532,7 +532,7 @@
         for (const auto &[name, run] : worker.m_runs) {
             worker.m_mayHaveUnsentRuns = worker.m_mayHaveUnsentRuns || run.m_stage == RunStage::Unsent;
             if (run.m_stage == RunStage::Unsent && included.contains(run.m_task.m_job)) {
-                commit.m_starts.push_back({id, worker.m_record.m_incarnation, name, run.m_run});
+                commit.m_starts.push_back({id, worker.m_incarnation, name, run.m_run});
             }
         }
     }
@@ -621,13 +621,13 @@
     requestArchiving(commit->m_jobs);
     for (const auto &ack : commit->m_acks) {
         auto *const worker = findWorker(ack.m_worker);
-        if (worker != nullptr && worker->m_record.m_incarnation == ack.m_incarnation) {
+        if (worker != nullptr && worker->m_incarnation == ack.m_incarnation) {
             worker->markEndsDurable(ack.m_end);
         }
     }
     for (const auto &start : commit->m_starts) {
         auto *const worker = findWorker(start.m_worker);
-        if (worker == nullptr || worker->m_record.m_incarnation != start.m_incarnation) {
+        if (worker == nullptr || worker->m_incarnation != start.m_incarnation) {
             continue;
         }
         auto *const run = worker->findRun(start.m_task);
--- a/src/fleet/fleetschedulerplacement.cpp
+++ b/src/fleet/fleetschedulerplacement.cpp
@@ -241,7 +241,7 @@
     double capacity = 1.0;
     for (auto &[id, worker] : m_workers) {
         pools.add(worker);
-        capacity += m_evacuation.isClosed(worker) ? 0.0 : static_cast<double>(worker.m_record.m_capacity.m_cpuMillis);
+        capacity += !worker.isDescribed() || m_evacuation.isClosed(worker) ? 0.0 : static_cast<double>(worker.m_record.m_capacity.m_cpuMillis);
     }
     std::vector<PlacementGroup> groups;
     for (auto *const job : m_changes.m_waiting) {
@@ -582,12 +582,12 @@
     const auto id = waiting.id();
     auto &task = *waiting.m_progress;
     if (waiting.m_original != nullptr) {
-        task.assignCopy(run, worker.m_record.m_id, worker.m_record.m_incarnation);
+        task.assignCopy(run, worker.m_record.m_id, worker.m_incarnation);
     } else {
         task.m_phase = TaskPhase::Assigned;
         task.m_run = run;
         task.m_worker = worker.m_record.m_id;
-        task.m_incarnation = worker.m_record.m_incarnation;
+        task.m_incarnation = worker.m_incarnation;
     }
     TaskRun entry;
     entry.m_job = waiting.m_job;
@@ -623,7 +623,7 @@
 auto FleetScheduler::sendStart(FleetWorker &worker, TaskRun &run, TimePoint now) -> void
 {
     const auto lease = mayRenewLease(worker, now) ? worker.m_workerLease.extendLease(m_limits.m_lease, now) : std::nullopt;
-    const bool mayStart = !run.m_isStopRequested && worker.m_isListed && !worker.m_record.m_drainRemaining && !isFinal(run.m_job->progress().m_phase)
+    const bool mayStart = !run.m_isStopRequested && worker.m_isListed && worker.isDescribed() && !worker.isDraining() && !isFinal(run.m_job->progress().m_phase)
         && m_evacuation.mayStart(worker, now);
     if (run.m_stage == RunStage::Unsent && (!lease || !mayStart)) {
         requeueRun(worker, run, !lease ? "no_lease" : "no_longer_wanted");
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -65,12 +65,12 @@
         return nullptr;
     }
     auto *const worker = findWorker(address.m_worker);
-    return worker != nullptr && worker->m_record.m_incarnation == address.m_incarnation ? worker : nullptr;
+    return worker != nullptr && worker->m_incarnation == address.m_incarnation ? worker : nullptr;
 }
 
 auto FleetScheduler::addressOf(const FleetWorker &worker) const -> WorkerAddress
 {
-    return {worker.m_record.m_id, worker.m_record.m_endpoint, worker.m_record.m_incarnation, m_epoch};
+    return {worker.m_record.m_id, worker.m_record.m_endpoint, worker.m_incarnation, m_epoch};
 }
 
 auto FleetScheduler::updateWorkers(std::span<const WorkerRecord> changed, std::span<const std::string> removed, TimePoint now) -> void
@@ -84,24 +84,14 @@
             worker = &m_workers.try_emplace(record.m_id, record, m_limits, inheritedLeaseEndOf(record.m_id)).first->second;
             logEvent(LogLevel::Info, "worker_added", {{"worker", record.m_id}, {"incarnation", record.m_incarnation}, {"workers", m_workers.size()}});
         }
-        const bool wasLeaving = worker->m_record.m_drainRemaining.has_value();
         // Only the worker's own answers tell that an incarnation has ended: an entry may be late, may be of another writer, and wall clocks
         // jump, so that a later incarnation may even have a lower number.
-        const auto incarnation = worker->m_record.m_incarnation;
-        worker->m_record = record;
-        worker->m_record.m_incarnation = incarnation;
-        worker->m_isListed = true;
-        if (!record.m_drainRemaining) {
-            worker->m_drainEndsAt = TimePoint::max();
-        } else if (!wasLeaving) {
-            worker->m_drainEndsAt = now + *record.m_drainRemaining;
-            logEvent(
-                LogLevel::Info, "worker_draining", {{"worker", record.m_id}, {"left_ms", record.m_drainRemaining->count()}, {"runs", worker->m_runs.size()}});
-        }
+        worker->applyEntry(record, now);
     }
     for (const auto &id : removed) {
         if (auto *const worker = findWorker(id); worker != nullptr) {
             worker->m_isListed = false;
+            worker->m_laterEntry.reset();
             logEvent(LogLevel::Info, "worker_unlisted", {{"worker", id}, {"runs", worker->m_runs.size()}});
         }
     }
@@ -128,9 +118,19 @@
     markRunsLost(worker, reason);
     // After a takeover, the other incarnation may hold a lease of the previous owner too.
     FleetWorker next(worker.m_record, m_limits, inheritedLeaseEndOf(worker.m_record.m_id));
-    next.m_record.m_incarnation = incarnation;
+    next.m_incarnation = incarnation;
     next.m_isListed = worker.m_isListed;
     next.m_drainEndsAt = worker.m_drainEndsAt;
+    next.m_laterEntry = std::move(worker.m_laterEntry);
+    next.applyLaterEntry();
+    logEvent(LogLevel::Info,
+             "incarnation_replaced",
+             {{"worker", next.m_record.m_id},
+              {"former", worker.m_incarnation},
+              {"incarnation", incarnation},
+              {"entry_incarnation", next.m_record.m_incarnation},
+              {"reason", reason},
+              {"epoch", m_epoch}});
     worker = std::move(next);
 }
 
@@ -227,17 +227,18 @@
     }
     if (answer.m_outcome == OrderOutcome::OtherIncarnation) {
         // The first report after this is sent at once, and tells the incarnation unless the endpoint belongs to another worker.
-        const bool isRepeated = worker->m_record.m_incarnation == unknownIncarnation;
+        const bool isRepeated = worker->m_incarnation == unknownIncarnation;
         replaceIncarnation(*worker, unknownIncarnation, "other_incarnation");
         worker->m_reportDue = isRepeated ? now + m_limits.m_reportRetryDelay : now;
         return;
     }
     if (answer.m_outcome != OrderOutcome::Accepted) {
+        worker->applyLaterEntry();
         worker->m_reportDue = now + m_limits.m_reportRetryDelay;
         watchStragglers(*worker, now);
         return;
     }
-    if (answer.m_report.m_incarnation != worker->m_record.m_incarnation) {
+    if (answer.m_report.m_incarnation != worker->m_incarnation) {
         // One report is requested at a time, so this one is later than all that were received from the former incarnation.
         replaceIncarnation(*worker, answer.m_report.m_incarnation, "worker_restarted");
         return;
--- a/src/fleet/fleetworker.cpp
+++ b/src/fleet/fleetworker.cpp
@@ -3,6 +3,7 @@
 #include "burdockspur/core/invariant.hpp"
 #include "burdockspur/fleet/fleetjob.hpp"
 #include "burdockspur/fleet/fleetlimits.hpp"
+#include "burdockspur/operations/log.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -31,10 +32,51 @@
 
 FleetWorker::FleetWorker(WorkerRecord record, const FleetLimits &limits, TimePoint inheritedLeaseEnd)
     : m_record(std::move(record))
+    , m_incarnation(m_record.m_incarnation)
     , m_workerLease(limits.m_clockDrift, inheritedLeaseEnd)
 {
 }
 
+auto FleetWorker::applyEntry(const WorkerRecord &entry, TimePoint now) -> void
+{
+    m_isListed = true;
+    // An entry of another incarnation belongs to a restart that is not noticed yet, to a former incarnation, or to another writer. Its number does not
+    // tell which, because wall clocks jump.
+    const bool isForOther = entry.m_incarnation != m_incarnation && isDescribed() && m_isIncarnationConfirmed && m_isAnswering;
+    if (!isForOther) {
+        m_laterEntry.reset();
+        replaceRecord(entry, now);
+        return;
+    }
+    if (!m_laterEntry || m_laterEntry->m_record.m_incarnation != entry.m_incarnation) {
+        logEvent(LogLevel::Info, "worker_entry_deferred", {{"worker", entry.m_id}, {"entry_incarnation", entry.m_incarnation}, {"incarnation", m_incarnation}});
+    }
+    m_laterEntry = LaterEntry{entry, now};
+}
+
+auto FleetWorker::applyLaterEntry() -> void
+{
+    if (const auto entry = std::exchange(m_laterEntry, std::nullopt)) {
+        replaceRecord(entry->m_record, entry->m_receivedAt);
+    }
+}
+
+auto FleetWorker::replaceRecord(const WorkerRecord &record, TimePoint receivedAt) -> void
+{
+    const bool wasDescribed = isDescribed();
+    const bool wasDraining = m_record.m_incarnation == record.m_incarnation && m_record.m_drainRemaining;
+    m_record = record;
+    if (!record.m_drainRemaining) {
+        m_drainEndsAt = TimePoint::max();
+    } else if (!wasDraining) {
+        m_drainEndsAt = receivedAt + *record.m_drainRemaining;
+        logEvent(LogLevel::Info, "worker_draining", {{"worker", record.m_id}, {"left_ms", record.m_drainRemaining->count()}, {"runs", m_runs.size()}});
+    }
+    if (isDescribed() && !wasDescribed) {
+        logEvent(LogLevel::Info, "worker_described", {{"worker", record.m_id}, {"incarnation", m_incarnation}});
+    }
+}
+
 auto FleetWorker::declaredCpuOf(const TaskRun &run) noexcept -> std::int64_t &
 {
     if (run.m_isServing) {
@@ -193,7 +235,7 @@
 
 auto FleetWorker::stopRunsForRemoval(TimePoint now) noexcept -> void
 {
-    if (!m_record.m_drainRemaining) {
+    if (!isDraining()) {
         return;
     }
     for (auto &[name, run] : m_runs) {
@@ -213,6 +255,6 @@
 
 auto FleetWorker::acceptsTasks(const FleetLimits &limits, TimePoint now) const noexcept -> bool
 {
-    return m_isListed && m_hasReported && !m_record.m_drainRemaining && !m_hasUnknownRuns && now - m_lastReportAt <= limits.m_reportMaxAge;
+    return m_isListed && m_hasReported && isDescribed() && !isDraining() && !m_hasUnknownRuns && now - m_lastReportAt <= limits.m_reportMaxAge;
 }
 }
--- a/src/fleet/poolcapacities.cpp
+++ b/src/fleet/poolcapacities.cpp
@@ -20,7 +20,7 @@
 auto PoolCapacities::add(FleetWorker &worker) -> void
 {
     auto &pool = findPool(worker.m_record.m_pool);
-    if (worker.m_isListed && !m_evacuation.isClosed(worker)) {
+    if (worker.m_isListed && worker.isDescribed() && !m_evacuation.isClosed(worker)) {
         pool.m_total += worker.m_record.m_capacity;
         pool.m_unreserved += worker.freeResources();
         ++m_listed;
--- a/src/fleet/stragglers/fleetschedulercopies.cpp
+++ b/src/fleet/stragglers/fleetschedulercopies.cpp
@@ -241,7 +241,7 @@
                 auto *const run = worker == nullptr ? nullptr : worker->findRun(name);
                 // Work of a lower priority does not take room from a copy: it would not have got it before the copied task either.
                 const bool mayYield = waiting > 0 && run != nullptr && run->m_isCopy && !run->m_isStopRequested && run->m_stage != RunStage::Unsent
-                    && backlog.m_policy->m_priority <= copy.m_priority && worker->m_record.m_pool == backlog.m_policy->m_pool
+                    && backlog.m_policy->m_priority <= copy.m_priority && worker->isDescribed() && worker->m_record.m_pool == backlog.m_policy->m_pool
                     && hasLabel(worker->m_record, step.m_requiredLabel);
                 if (!mayYield) {
                     continue;
--- a/tests/fleetschedulerpropertytest.cpp
+++ b/tests/fleetschedulerpropertytest.cpp
@@ -15,7 +15,7 @@
 };
 
 /// Each fault alone, then combined; a scheduler that wrongly relies on an answer, a clock or a lease runs a task twice in one of them.
-const std::array<Scenario, 11> scenarios{{
+const std::array<Scenario, 13> scenarios{{
     {"calm", {}},
     {"answers_lost", {.m_answerLost = 0.1}},
     {"orders_late", {.m_orderLate = 0.1}},
@@ -23,6 +23,9 @@
     {"commits_fail", {.m_commitFails = 0.2, .m_commitLate = 0.2}},
     {"workers_lost", {.m_crashesPerSecond = 0.3, .m_outagesPerSecond = 0.3}},
     {"restarts_unseen", {.m_orderLate = 0.05, .m_takeoversPerSecond = 0.1, .m_hiddenRestartsPerSecond = 0.5, .m_foreignEntriesPerSecond = 0.5}},
+    {"restarts_as_another_kind", {.m_crashesPerSecond = 1.0, .m_hiddenRestartsPerSecond = 0.5, .m_kindChanges = 0.5, .m_evacuationsPerSecond = 0.2}},
+    {"restarts_as_another_kind_beside_takeovers",
+     {.m_orderLate = 0.05, .m_crashesPerSecond = 0.5, .m_takeoversPerSecond = 0.3, .m_hiddenRestartsPerSecond = 0.5, .m_kindChanges = 0.5}},
     {"takeovers", {.m_orderLate = 0.05, .m_takeoversPerSecond = 0.3}},
     {"moves_unanswered", {.m_archiveUnanswered = 0.5, .m_reloadsPerSecond = 1.0}},
     {"takeovers_and_moves", {.m_takeoversPerSecond = 0.5, .m_archiveUnanswered = 0.5, .m_reloadsPerSecond = 1.0}},
@@ -43,7 +46,8 @@
 {
 };
 
-// Guards against tasks that run twice, jobs that never start and workers that get more than their capacity, under random faults.
+// Guards against tasks that run twice, jobs that never start, and workers that get more than their capacity, or tasks for a former kind, under
+// random faults.
 TEST_P(FleetSchedulerProperty, FaultsCauseNoDuplicateRunLostJobOrOverload)
 {
     constexpr std::uint64_t seeds = 25;
--- a/tests/fleetsimulation.cpp
+++ b/tests/fleetsimulation.cpp
@@ -32,8 +32,21 @@
 constexpr Milliseconds checkpointInterval{2'000};
 /// Time from the start of a run of a hopeless step to its failure.
 constexpr Milliseconds timeToFail{320};
+/// Labels and capacities of the kinds that a worker may change to.
+constexpr std::array<std::string_view, 2> kindLabels{"a", "b"};
+constexpr std::array<std::int64_t, 2> kindCpus{workerCpu, 12'000};
 /// Time after which the platform counts a reported end as known.
 constexpr Milliseconds reportedEndDelay{100};
+
+/// @brief Makes a worker one of the other kind, in the next zone.
+auto changeKind(WorkerRecord &record) -> void
+{
+    const std::size_t kind = record.m_labels.front() == kindLabels[0] ? 1 : 0;
+    record.m_labels.front() = kindLabels[kind];
+    record.m_capacity.m_cpuMillis = kindCpus[kind];
+    const auto zone = static_cast<std::size_t>(record.m_zone.back() - '0');
+    record.m_zone.back() = static_cast<char>('0' + (zone + 1) % zoneCount);
+}
 }
 
 FleetSimulation::FleetSimulation(std::uint64_t seed, std::size_t workers, const FleetFaults &faults, const FleetLimits &limits)
@@ -58,6 +71,10 @@
         worker->m_record.m_rack = worker->m_record.m_labels.back();
         worker->m_record.m_capacity = {workerCpu, workerMemory, 0};
         worker->m_record.m_incarnation = incarnationStep + i;
+        if (faults.m_kindChanges > 0 && i % 2 == 1) {
+            changeKind(worker->m_record);
+        }
+        worker->m_entry = worker->m_record;
         worker->m_startedAt = m_now;
         worker->m_clockRate = 0.98 + 0.02 * m_random.unit();
         m_workers.push_back(std::move(worker));
@@ -328,6 +345,11 @@
             }
         }
     }
+    if (m_faults.m_kindChanges > 0) {
+        for (auto &step : job.m_steps) {
+            step.m_requiredLabel = kindLabels[m_restartRandom.below(kindLabels.size())];
+        }
+    }
     if (m_jobRandom.below(10) == 0) {
         makeHopeless(id, m_jobRandom.below(steps));
     }
@@ -479,7 +501,7 @@
     // Jobs that were submitted or cancelled while the lists were read arrive with the feed of changes.
     reloadJobs(owner, Milliseconds(1 + m_archiveRandom.below(8)));
     for (std::size_t i = 0; i < m_workers.size(); ++i) {
-        sendListEntry(i);
+        deliverListEntry(i);
     }
 }
 
@@ -569,10 +591,16 @@
 }
 
 auto FleetSimulation::sendListEntry(std::size_t worker) -> void
+{
+    m_workers[worker]->m_entry = m_workers[worker]->m_record;
+    deliverListEntry(worker);
+}
+
+auto FleetSimulation::deliverListEntry(std::size_t worker) -> void
 {
     schedule(networkDelay(), [this, worker] {
         auto &owner = *m_owners.back();
-        feed(owner, [this, &owner, record = m_workers[worker]->m_record] {
+        feed(owner, [this, &owner, record = m_workers[worker]->m_entry] {
             owner.updateWorkers(std::span(&record, 1), {}, m_now);
         });
     });
@@ -600,15 +628,29 @@
     restart(index, incarnationOf(index) + incarnationStep, Milliseconds(500 + m_random.below(1'000)));
 }
 
+auto FleetSimulation::mayChangeKind(const SimulatedWorker &worker) const -> bool
+{
+    const auto &label = worker.m_record.m_labels.front();
+    const auto others = std::ranges::count_if(m_workers, [&label](const auto &other) {
+        return other->m_record.m_labels.front() == label;
+    });
+    return static_cast<std::size_t>(others - 1) * 5 >= m_workers.size() * 2;
+}
+
 auto FleetSimulation::restart(std::size_t index, std::uint64_t incarnation, Milliseconds entryDelay) -> void
 {
     recordDisruption(entryDelay);
     auto &worker = *m_workers[index];
     auto record = worker.m_record;
+    const auto entry = worker.m_entry;
     record.m_incarnation = incarnation;
+    if (m_faults.m_kindChanges > 0 && m_restartRandom.unit() < m_faults.m_kindChanges && mayChangeKind(worker)) {
+        changeKind(record);
+    }
     const double speed = worker.m_clockRate;
     worker = SimulatedWorker{};
     worker.m_record = record;
+    worker.m_entry = entry;
     worker.m_clockRate = speed;
     worker.m_startedAt = m_now;
     schedule(entryDelay, [this, index] {
@@ -1137,6 +1179,11 @@
             recordViolation("runs_twice", name);
         }
     }
+    const auto &label = m_submittedJobs.at(order.m_task.m_job).m_steps[order.m_task.m_step].m_requiredLabel;
+    if (!label.empty() && std::ranges::find(worker.m_record.m_labels, label) == worker.m_record.m_labels.end()) {
+        recordHistory(name, "requires " + label + ", " + worker.m_record.m_id + " is a " + worker.m_record.m_labels.front());
+        recordViolation("label", name);
+    }
     const auto closed = m_closedZones.zones().find(worker.m_record.m_zone);
     if (closed != m_closedZones.zones().end() && m_now - closed->second > longestEvacuation && !m_isOrderLate) {
         recordHistory(name, closed->first + " is closed for " + std::to_string((m_now - closed->second) / Milliseconds{1}) + " ms");
--- a/tests/fleetsimulation.hpp
+++ b/tests/fleetsimulation.hpp
@@ -48,6 +48,7 @@
     double m_takeoversPerSecond = 0; ///< a new owner takes over
     double m_archiveUnanswered = 0; ///< move of ended jobs is not answered; equally likely carried out, carried out seconds later, or lost
     double m_hiddenRestartsPerSecond = 0; ///< a worker restarts while it is unreachable for up to 2 s; its wall clock may have jumped back
+    double m_kindChanges = 0; ///< share of the restarts after which a worker has another label, capacity and zone; steps may then require a label
     double m_foreignEntriesPerSecond = 0; ///< another writer leaves an entry under a worker's id, as of a later incarnation
     bool m_ordersReachAnyIncarnation = false; ///< an order is carried out by the incarnation that it reaches, not only by the addressed one
     bool m_pacesHaveNoEffect = false; ///< workers accept paces, but do not slow the runs; only with interference
@@ -397,7 +398,12 @@
     auto injectFaults() -> void;
     /// @brief Makes a worker unreachable for up to 2 s, and restarts it meanwhile.
     auto restartUnseen(std::size_t worker) -> void;
+    /// @brief True if two fifths of the workers stay of the kind of a worker without it, so that the jobs of each kind have room.
+    [[nodiscard]] auto mayChangeKind(const SimulatedWorker &worker) const -> bool;
+    /// @brief Lets a worker write its entry, and delivers it.
     auto sendListEntry(std::size_t worker) -> void;
+    /// @brief Delivers the entry that a worker has written last.
+    auto deliverListEntry(std::size_t worker) -> void;
     [[nodiscard]] auto percentOf(const SimulatedRun &run) const -> double;
     /// @brief Latest checkpoint of a run; empty for none.
     [[nodiscard]] auto checkpointOf(const SimulatedRun &run) const -> std::string;
--- a/tests/simulatedworker.hpp
+++ b/tests/simulatedworker.hpp
@@ -35,7 +35,8 @@
 
 /// @brief A worker of a FleetSimulation.
 struct SimulatedWorker {
-    WorkerRecord m_record;
+    WorkerRecord m_record; ///< what the worker is now
+    WorkerRecord m_entry; ///< its entry in the platform's list, which may describe a former incarnation
     TimePoint m_startedAt;
     double m_clockRate = 1.0; ///< seconds of its clock per second
     Epoch m_fencingEpoch = 0;
