Stop the tasks of a worker that was draining before the owner listed it

A new owner that lists a worker which is draining already did not stop its finite tasks before the worker left, so that their work since the last checkpoint was lost.

Cause: the end of the drain was set only when the record changed from not draining to draining. A worker that is created from an entry has the record before it is compared.

Change: the end of the drain is set while it is not known for the incarnation of the entry.

Measured: FleetSchedulerIncarnationTest.IsDrainedByAnEntryThatIsReadFirst fails on the commit before (no stop order) and passes now.

--- a/src/fleet/fleetworker.cpp
+++ b/src/fleet/fleetworker.cpp
@@ -64,7 +64,8 @@
 auto FleetWorker::replaceRecord(const WorkerRecord &record, TimePoint receivedAt) -> void
 {
     const bool wasDescribed = isDescribed();
-    const bool wasDraining = m_record.m_incarnation == record.m_incarnation && m_record.m_drainRemaining;
+    // A new worker already has the record, but not yet the time.
+    const bool wasDraining = m_record.m_incarnation == record.m_incarnation && m_drainEndsAt != TimePoint::max();
     m_record = record;
     if (!record.m_drainRemaining) {
         m_drainEndsAt = TimePoint::max();
--- a/tests/fleetschedulerincarnationtest.cpp
+++ b/tests/fleetschedulerincarnationtest.cpp
@@ -37,6 +37,25 @@
         m_scheduler.begin(epoch, {}, m_now, FleetScheduler::WallTime{});
     }
 
+    /// @brief Begins an ownership whose jobs are still being read.
+    auto prepare() -> void
+    {
+        m_scheduler.prepare(epoch, m_now, FormerOwner{m_now, {}});
+    }
+
+    /// @brief Continues the ownership with a job whose task runs on the worker.
+    auto inherit(std::uint64_t incarnation) -> void
+    {
+        auto job = makeJob({}, 1'000);
+        const TaskId task{job.m_id, 0, 0, 0};
+        JobProgress progress{JobPhase::Running, 1, {}};
+        progress.m_open.push_back({0, {StepProgress{{TaskProgress{TaskPhase::Assigned, 1, 0, "worker", incarnation, ""}}}}});
+        std::vector<StoredJob> stored;
+        stored.push_back({std::move(job), progress, false});
+        m_scheduler.begin(epoch, std::move(stored), m_now, FleetScheduler::WallTime{});
+        m_running.push_back({task, 1, {}, 50.0, 500.0});
+    }
+
     /// @brief Delivers an entry of the platform's list.
     auto list(std::uint64_t incarnation, const Kind &kind) -> void
     {
@@ -70,15 +89,7 @@
     /// @param label required of its worker
     auto submit(std::string_view label, std::int64_t cpuMillis = 1'000) -> void
     {
-        TaskJob job;
-        job.m_id = hexOf(++m_jobs);
-        TaskStep step;
-        step.m_count = 1;
-        step.m_demand = {cpuMillis, 500, 0};
-        step.m_estimate = Milliseconds{60'000};
-        step.m_requiredLabel = label;
-        job.m_steps = {step};
-        m_scheduler.addJob(std::move(job), m_now, FleetScheduler::WallTime{});
+        m_scheduler.addJob(makeJob(label, cpuMillis), m_now, FleetScheduler::WallTime{});
         advance();
     }
 
@@ -116,6 +127,19 @@
     }
 
 private:
+    [[nodiscard]] auto makeJob(std::string_view label, std::int64_t cpuMillis) -> TaskJob
+    {
+        TaskJob job;
+        job.m_id = hexOf(++m_jobs);
+        TaskStep step;
+        step.m_count = 1;
+        step.m_demand = {cpuMillis, 500, 0};
+        step.m_estimate = Milliseconds{60'000};
+        step.m_requiredLabel = label;
+        job.m_steps = {step};
+        return job;
+    }
+
     auto answer(OrderOutcome outcome, std::uint64_t incarnation, std::uint64_t addressed) -> void
     {
         m_answering = outcome == OrderOutcome::Accepted ? incarnation : 0;
@@ -230,6 +254,20 @@
     EXPECT_GE(fleet.stops(), 1U);
 }
 
+// Guards against a successor that does not stop the tasks of a worker that was draining before the takeover: its end was counted only from a
+// change that the successor saw.
+TEST(FleetSchedulerIncarnationTest, IsDrainedByAnEntryThatIsReadFirst)
+{
+    OneWorker fleet;
+    fleet.prepare();
+    fleet.list(present, {.m_drainRemaining = Milliseconds{4'000}});
+    fleet.report(present, present);
+    fleet.inherit(present);
+    EXPECT_EQ(fleet.stops(), 0U);
+    fleet.advance(Milliseconds{4'000});
+    EXPECT_GE(fleet.stops(), 1U);
+}
+
 // Guards against placement by a late entry of a former life, or by one of another writer, while the present life answers.
 TEST(FleetSchedulerIncarnationTest, IsNotDescribedByALaterEntryOfAnother)
 {
