Keep the address at which a worker answers, whatever an entry names

Cause: updateWorkers() moved the orders to the address of every entry. The other worker refuses them (421), and handleAnswer() took a refusal from any address for the end of the incarnation, so its runs were counted as lost while they ran on.

Change: FleetWorker keeps the address at which the incarnation has answered (m_answeredAt, in place of m_isIncarnationConfirmed). Orders go there until the incarnation ends. A refusal from any other address counts as a report without an answer. While the incarnation does not answer, every second report order goes to the address of an entry of another incarnation, without a lease and an acknowledgement, so that any incarnation of the worker answers it and a restart at another address is still found.

Ruled out: refusing entries that lack fields.

Related paths: start orders go only to the address that has answered; stop and pace orders as well; inherited runs of a worker that has not answered this owner keep their lease after a refusal. Not changed: an entry of another writer that names the worker's own incarnation still describes it until its next heartbeat.

Tests: FleetSchedulerIncarnationTest.KeepsItsRunsAndItsAddressWhenAnEntryNamesTheAddressOfAnother fails on the commit before for an entry of the same and of another incarnation.

--- a/include/burdockspur/fleet/fleetworker.hpp
+++ b/include/burdockspur/fleet/fleetworker.hpp
@@ -38,7 +38,9 @@
     std::uint64_t m_incarnation; ///< incarnation that orders address; only the worker's own answers tell that it has ended
     bool m_isListed = false; ///< in the platform's list; an unlisted worker gets no new tasks
     bool m_hasReported = false; ///< has accepted an order of this owner, and therefore rejects those of earlier owners
-    bool m_isIncarnationConfirmed = false; ///< the incarnation has answered this owner; until then it is taken from an entry or a stored task
+    /// Address at which the incarnation has answered this owner, which it keeps until its end. Until then the incarnation and its address are taken from
+    /// an entry or a stored task.
+    std::optional<HttpEndpoint> m_answeredAt;
     bool m_reportInFlight = false;
     /// False after a report order without an accepted answer. Decides whether the lease is renewed; the time of the last report cannot
     /// decide that, because it is also long ago when the owner itself is late.
@@ -70,6 +72,20 @@
         return isDescribed() && m_record.m_drainRemaining.has_value();
     }
 
+    /// @brief Address of the orders to the incarnation.
+    [[nodiscard]] auto endpoint() const noexcept -> const HttpEndpoint &
+    {
+        return m_answeredAt ? *m_answeredAt : m_record.m_endpoint;
+    }
+
+    /// @brief Address of the next report order.
+    ///
+    /// While the incarnation does not answer, every second one goes to the address of an entry of another incarnation, where the worker may be again.
+    [[nodiscard]] auto reportEndpoint() const noexcept -> const HttpEndpoint &
+    {
+        return isDescribed() || m_unansweredReports % 2 == 0 ? endpoint() : m_record.m_endpoint;
+    }
+
     /// @brief Applies an entry of the platform's list; one of another incarnation is deferred while the addressed one answers.
     auto applyEntry(const WorkerRecord &entry, TimePoint now) -> void;
 
--- a/src/fleet/fleetscheduler.cpp
+++ b/src/fleet/fleetscheduler.cpp
@@ -176,7 +176,7 @@
         if (stored.m_incarnation != worker.m_incarnation) {
             // A worker that has answered this owner is in its latest incarnation. Before that, the latest incarnation among the stored tasks
             // counts; an incarnation that is known from the platform's list only does not end another one.
-            const bool isOver = worker.m_isIncarnationConfirmed || (!worker.m_runs.empty() && stored.m_incarnation < worker.m_incarnation);
+            const bool isOver = worker.m_answeredAt || (!worker.m_runs.empty() && stored.m_incarnation < worker.m_incarnation);
             if (isOver) {
                 endTask(job, stored.m_id, stored.m_run, RunEnd::LeaseLapsed, stored.m_checkpoint);
                 continue;
--- a/src/fleet/fleetschedulerworkers.cpp
+++ b/src/fleet/fleetschedulerworkers.cpp
@@ -70,7 +70,7 @@
 
 auto FleetScheduler::addressOf(const FleetWorker &worker) const -> WorkerAddress
 {
-    return {worker.m_record.m_id, worker.m_record.m_endpoint, worker.m_incarnation, m_epoch};
+    return {worker.m_record.m_id, worker.endpoint(), worker.m_incarnation, m_epoch};
 }
 
 auto FleetScheduler::updateWorkers(std::span<const WorkerRecord> changed, std::span<const std::string> removed, TimePoint now) -> void
@@ -184,7 +184,7 @@
 {
     TimePoint next = TimePoint::max();
     for (auto &[id, worker] : m_workers) {
-        if (worker.m_reportInFlight || worker.m_record.m_endpoint.m_port == 0) {
+        if (worker.m_reportInFlight || worker.reportEndpoint().m_port == 0) {
             continue;
         }
         // While the effects of ends are being stored, a report would only list the same ends again.
@@ -196,7 +196,9 @@
         }
         ReportOrder order;
         order.m_address = addressOf(worker);
-        order.m_ackedEnd = worker.m_durableEnd;
+        order.m_address.m_endpoint = worker.reportEndpoint();
+        // An order without an acknowledgement and a lease is answered by any incarnation of the worker.
+        order.m_ackedEnd = order.m_address.m_endpoint == worker.m_answeredAt ? worker.m_durableEnd : 0;
         order.m_wait = waitsForStore || m_isPreparing || !worker.m_hasReported || !worker.m_isAnswering
             ? Milliseconds{0}
             : m_reportPacing.wait(m_limits, PaceController::reportNeedOf(worker), now);
@@ -225,11 +227,11 @@
         resignAfterFencing(*worker);
         return;
     }
-    if (answer.m_outcome == OrderOutcome::OtherIncarnation) {
-        // The first report after this is sent at once, and tells the incarnation unless the endpoint belongs to another worker.
-        const bool isRepeated = worker->m_incarnation == unknownIncarnation;
+    // Such an answer from an address at which the incarnation has never answered tells only that the address belongs to another worker.
+    if (answer.m_outcome == OrderOutcome::OtherIncarnation && answer.m_address.m_endpoint == worker->m_answeredAt) {
+        // The next report is requested at once, and tells the incarnation unless the address belongs to another worker now.
         replaceIncarnation(*worker, unknownIncarnation, "other_incarnation");
-        worker->m_reportDue = isRepeated ? now + m_limits.m_reportRetryDelay : now;
+        worker->m_reportDue = now;
         return;
     }
     if (answer.m_outcome != OrderOutcome::Accepted) {
@@ -243,7 +245,7 @@
         replaceIncarnation(*worker, answer.m_report.m_incarnation, "worker_restarted");
         return;
     }
-    worker->m_isIncarnationConfirmed = true;
+    worker->m_answeredAt = answer.m_address.m_endpoint;
     if (!std::exchange(worker->m_hasReported, true)) {
         m_needsPlacement = true;
     }
@@ -598,7 +600,7 @@
             continue;
         }
         const TimePoint due = run.m_stopSentAt == TimePoint{} ? now : run.m_stopSentAt + m_limits.m_stopRetryInterval;
-        if (now < due || worker.m_record.m_endpoint.m_port == 0) {
+        if (now < due || worker.endpoint().m_port == 0) {
             next = std::min(next, std::max(due, now + m_limits.m_reportRetryDelay));
             continue;
         }
--- a/src/fleet/fleetworker.cpp
+++ b/src/fleet/fleetworker.cpp
@@ -42,7 +42,7 @@
     m_isListed = true;
     // An entry of another incarnation belongs to a restart that is not noticed yet, to a former incarnation, or to another writer. Its number does not
     // tell which, because wall clocks jump.
-    const bool isForOther = entry.m_incarnation != m_incarnation && isDescribed() && m_isIncarnationConfirmed && m_isAnswering;
+    const bool isForOther = entry.m_incarnation != m_incarnation && isDescribed() && m_answeredAt && m_isAnswering;
     if (!isForOther) {
         m_laterEntry.reset();
         replaceRecord(entry, now);
@@ -250,7 +250,7 @@
 auto FleetWorker::hasLapsed(TimePoint now) const noexcept -> bool
 {
     // A worker without an address is in no list, so it is never asked.
-    const bool isSilent = m_record.m_endpoint.m_port == 0 || m_unansweredReports >= silentReports;
+    const bool isSilent = endpoint().m_port == 0 || m_unansweredReports >= silentReports;
     return isSilent && now >= m_workerLease.latestExpiry();
 }
 
--- a/tests/fleetschedulerincarnationtest.cpp
+++ b/tests/fleetschedulerincarnationtest.cpp
@@ -19,15 +19,19 @@
 /// Lower than the former one, because the wall clock of the worker has jumped back.
 constexpr std::uint64_t present = 6'000;
 
+constexpr std::uint16_t ownPort = 1;
+constexpr std::uint16_t portOfAnother = 2;
+
 /// @brief What an entry says of a worker.
 struct Kind {
     std::string m_label = "a";
     std::int64_t m_cpuMillis = 16'000;
     std::string m_zone = "zone-a";
     std::optional<Milliseconds> m_drainRemaining;
+    std::uint16_t m_port = ownPort;
 };
 
-/// @brief An owner with one worker, whose entries and reports the test delivers one by one.
+/// @brief An owner with one worker, whose entries and reports the test delivers one by one; another worker answers at portOfAnother.
 class OneWorker
 {
 public:
@@ -61,7 +65,7 @@
     {
         WorkerRecord record;
         record.m_id = "worker";
-        record.m_endpoint = {"127.0.0.1", 1};
+        record.m_endpoint = {"127.0.0.1", kind.m_port};
         record.m_incarnation = incarnation;
         record.m_labels = {kind.m_label};
         record.m_capacity = {kind.m_cpuMillis, 64'000, 0};
@@ -79,12 +83,24 @@
         answer(OrderOutcome::Accepted, incarnation, addressed);
     }
 
-    /// @brief Lets a report order end without an answer.
+    /// @brief Lets this and the next report orders to the worker end without an answer.
     auto loseReport(std::uint64_t addressed) -> void
     {
         answer(OrderOutcome::NoAnswer, addressed, addressed);
     }
 
+    /// @brief Lets an incarnation answer the report orders from now on.
+    auto answerAgain(std::uint64_t incarnation) -> void
+    {
+        m_answering = incarnation;
+    }
+
+    /// @brief Number of report orders that were sent to a port.
+    [[nodiscard]] auto reportsAt(std::uint16_t port) const -> std::size_t
+    {
+        return static_cast<std::size_t>(std::ranges::count(m_reportPorts, port));
+    }
+
     /// @brief Submits a job of one task.
     /// @param label required of its worker
     auto submit(std::string_view label, std::int64_t cpuMillis = 1'000) -> void
@@ -109,6 +125,12 @@
         return m_starts;
     }
 
+    /// @brief Number of tasks that wait for a worker.
+    [[nodiscard]] auto waiting() const noexcept -> std::size_t
+    {
+        return m_scheduler.waitingCount();
+    }
+
     /// @brief Number of stop orders so far.
     [[nodiscard]] auto stops() const noexcept -> std::size_t
     {
@@ -147,9 +169,19 @@
         advance();
     }
 
+    auto answerOrder(const ReportOrder &order) -> void
+    {
+        m_reportPorts.push_back(order.m_address.m_endpoint.m_port);
+        if (order.m_address.m_endpoint.m_port == portOfAnother) {
+            m_scheduler.handleAnswer(ReportAnswer{order.m_address, OrderOutcome::OtherIncarnation, {}, m_now, m_now}, m_now);
+        } else {
+            deliver(m_answering == 0 ? OrderOutcome::NoAnswer : OrderOutcome::Accepted, m_answering, order.m_address.m_incarnation);
+        }
+    }
+
     auto deliver(OrderOutcome outcome, std::uint64_t incarnation, std::uint64_t addressed) -> void
     {
-        ReportAnswer answer{{"worker", {"127.0.0.1", 1}, addressed, epoch}, outcome, {}, m_now, m_now};
+        ReportAnswer answer{{"worker", {"127.0.0.1", ownPort}, addressed, epoch}, outcome, {}, m_now, m_now};
         answer.m_report.m_incarnation = incarnation;
         answer.m_report.m_clock = std::chrono::duration_cast<Milliseconds>(m_now - TimePoint{});
         answer.m_report.m_running = m_running;
@@ -167,8 +199,8 @@
                 m_scheduler.handleAnswer(StartAnswer{start->m_address, start->m_task, start->m_run, OrderOutcome::Accepted, {}, m_now}, m_now);
             } else if (std::holds_alternative<RunStopOrder>(command)) {
                 ++m_stops;
-            } else if (const auto *const order = std::get_if<ReportOrder>(&command); order != nullptr && m_answering != 0) {
-                deliver(OrderOutcome::Accepted, m_answering, order->m_address.m_incarnation);
+            } else if (const auto *const order = std::get_if<ReportOrder>(&command)) {
+                answerOrder(*order);
             }
         }
     }
@@ -176,6 +208,7 @@
     TimePoint m_now = TimePoint{} + std::chrono::hours(1);
     FleetScheduler m_scheduler;
     std::vector<RunningTask> m_running;
+    std::vector<std::uint16_t> m_reportPorts; ///< of all report orders
     std::uint64_t m_answering = 0; ///< incarnation that answers report orders; 0 for none
     std::uint64_t m_jobs = 0;
     std::size_t m_starts = 0;
@@ -293,3 +326,37 @@
     fleet.report(present, former);
     EXPECT_EQ(fleet.starts(), 1U);
 }
+
+// Guards against a second run beside the first (TWICE): an entry of another writer had the address of another worker, whose refusal counted as the end
+// of the incarnation.
+TEST(FleetSchedulerIncarnationTest, KeepsItsRunsAndItsAddressWhenAnEntryNamesTheAddressOfAnother)
+{
+    for (const auto incarnation : {present, former}) {
+        OneWorker fleet;
+        fleet.list(present, {});
+        fleet.report(present, present);
+        fleet.submit("");
+        ASSERT_EQ(fleet.starts(), 1U);
+        const auto reports = fleet.reportsAt(ownPort);
+        fleet.list(incarnation, {.m_port = portOfAnother});
+        fleet.advance(Milliseconds{500});
+        fleet.loseReport(present);
+        fleet.answerAgain(present);
+        fleet.advance(Milliseconds{10'000});
+        EXPECT_EQ(fleet.waiting(), 0U) << "the run was counted as lost";
+        EXPECT_GT(fleet.reportsAt(ownPort) - reports, 5U) << "the worker is asked at its own address";
+    }
+}
+
+// Guards against a worker that is not found again after it has restarted at another address.
+TEST(FleetSchedulerIncarnationTest, IsFoundAtTheAddressOfItsNextEntry)
+{
+    constexpr std::uint16_t nextPort = 3;
+    OneWorker fleet;
+    fleet.list(former, {});
+    fleet.report(former, former);
+    fleet.list(present, {.m_port = nextPort});
+    fleet.loseReport(former);
+    fleet.advance(Milliseconds{2'000});
+    EXPECT_GT(fleet.reportsAt(nextPort), 0U);
+}
--- a/tests/fleetsimulation.cpp
+++ b/tests/fleetsimulation.cpp
@@ -676,7 +676,8 @@
 {
     recordDisruption(heartbeatInterval);
     auto record = m_workers[worker]->m_record;
-    record.m_incarnation += incarnationStep / 2;
+    record.m_incarnation += m_restartRandom.below(2) == 0 ? incarnationStep / 2 : 0;
+    record.m_endpoint = m_workers[(worker + 1) % m_workers.size()]->m_record.m_endpoint;
     schedule(networkDelay(), [this, record] {
         auto &owner = *m_owners.back();
         feed(owner, [this, &owner, record] {
@@ -1060,6 +1061,10 @@
 auto FleetSimulation::execute(SimulatedWorker &worker, const ReportOrder &order) -> WorkerAnswer
 {
     ReportAnswer answer{order.m_address, OrderOutcome::Accepted, {}, {}, {}};
+    if (order.m_address.m_worker != worker.m_record.m_id) {
+        answer.m_outcome = OrderOutcome::OtherIncarnation;
+        return answer;
+    }
     if (order.m_address.m_epoch < worker.m_fencingEpoch) {
         answer.m_outcome = OrderOutcome::Fenced;
         return answer;
@@ -1106,7 +1111,8 @@
 auto FleetSimulation::execute(SimulatedWorker &worker, const RunStartOrder &order) -> WorkerAnswer
 {
     StartAnswer answer{order.m_address, order.m_task, order.m_run, OrderOutcome::Accepted, clockOf(worker), {}};
-    if (!m_faults.m_ordersReachAnyIncarnation && order.m_address.m_incarnation != worker.m_record.m_incarnation) {
+    const bool isAddressed = m_faults.m_ordersReachAnyIncarnation || order.m_address.m_incarnation == worker.m_record.m_incarnation;
+    if (order.m_address.m_worker != worker.m_record.m_id || !isAddressed) {
         answer.m_outcome = OrderOutcome::OtherIncarnation;
         return answer;
     }
--- a/tests/fleetsimulation.hpp
+++ b/tests/fleetsimulation.hpp
@@ -49,7 +49,8 @@
     double m_archiveUnanswered = 0; ///< move of ended jobs is not answered; equally likely carried out, carried out seconds later, or lost
     double m_hiddenRestartsPerSecond = 0; ///< a worker restarts while it is unreachable for up to 2 s; its wall clock may have jumped back
     double m_kindChanges = 0; ///< share of the restarts after which a worker has another label, capacity and zone; steps may then require a label
-    double m_foreignEntriesPerSecond = 0; ///< another writer leaves an entry under a worker's id, as of a later incarnation
+    double m_foreignEntriesPerSecond =
+        0; ///< another writer leaves an entry under a worker's id with the address of another one, at times as of a later incarnation
     bool m_ordersReachAnyIncarnation = false; ///< an order is carried out by the incarnation that it reaches, not only by the addressed one
     bool m_pacesHaveNoEffect = false; ///< workers accept paces, but do not slow the runs; only with interference
     double m_evacuationsPerSecond = 0; ///< the operator closes a zone for up to 8 s
@@ -103,7 +104,7 @@
     /// @param entryDelay time until its entry in the platform's list is delivered
     auto restart(std::size_t worker, std::uint64_t incarnation, Milliseconds entryDelay) -> void;
 
-    /// @brief Delivers an entry of another writer, under the id and with the address of a worker, but as of a later incarnation.
+    /// @brief Delivers an entry of another writer, under the id of a worker, with the address of another one, and at times as of a later incarnation.
     auto sendForeignEntry(std::size_t worker) -> void;
 
     [[nodiscard]] auto incarnationOf(std::size_t worker) const -> std::uint64_t;
