--- a/tests/fleetschedulerincarnationtest.cpp
+++ b/tests/fleetschedulerincarnationtest.cpp
@@ -225,7 +225,7 @@
 }
 }
 
-// Guards against a start by the labels of a life that has ended (ROUTE): the entry was kept for the next incarnation.
+// Guards against a start by the labels of an incarnation that has ended (ROUTE): the entry was kept for the next incarnation.
 TEST(FleetSchedulerIncarnationTest, GetsTasksOnlyByItsOwnLabels)
 {
     OneWorker fleet;
@@ -237,7 +237,7 @@
     EXPECT_EQ(fleet.starts(), 1U) << "the job that requires b";
 }
 
-// Guards against starts beyond the capacity of a smaller machine (LIMIT), by the capacity of the life before.
+// Guards against starts beyond the capacity of a smaller machine (LIMIT), by the capacity of the former incarnation.
 TEST(FleetSchedulerIncarnationTest, GetsTasksOnlyWithinItsOwnCapacity)
 {
     OneWorker fleet;
@@ -249,7 +249,7 @@
     EXPECT_EQ(fleet.starts(), 1U);
 }
 
-// Guards against a start in a closed zone, by the zone of the life before.
+// Guards against a start in a closed zone, by the zone of the former incarnation.
 TEST(FleetSchedulerIncarnationTest, GetsNoTasksInAClosedZoneThatItHasMovedTo)
 {
     OneWorker fleet;
@@ -260,7 +260,7 @@
     EXPECT_EQ(fleet.starts(), 0U);
 }
 
-// Guards against a worker that is left idle, or whose tasks are stopped, because the life before was draining.
+// Guards against a worker that is left idle, or whose tasks are stopped, because the former incarnation was draining.
 TEST(FleetSchedulerIncarnationTest, IsNotDrainedByTheEntryOfTheFormerOne)
 {
     OneWorker fleet;
@@ -273,7 +273,7 @@
     EXPECT_EQ(fleet.stops(), 0U);
 }
 
-// Guards against the end of a former drain for the next one: the tasks of the present life were not stopped before it leaves.
+// Guards against the end of a former drain for the next one: the tasks of the present incarnation were not stopped before it leaves.
 TEST(FleetSchedulerIncarnationTest, IsDrainedByItsOwnEntry)
 {
     OneWorker fleet;
@@ -301,7 +301,7 @@
     EXPECT_GE(fleet.stops(), 1U);
 }
 
-// Guards against placement by a late entry of a former life, or by one of another writer, while the present life answers.
+// Guards against placement by a late entry of a former incarnation, or by one of another writer, while the present one answers.
 TEST(FleetSchedulerIncarnationTest, IsNotDescribedByALaterEntryOfAnother)
 {
     OneWorker fleet;
@@ -314,7 +314,7 @@
     EXPECT_EQ(fleet.starts(), 1U) << "what the present incarnation has registered holds";
 }
 
-// Guards against a new life that waits for a further entry although its own was read before it answered.
+// Guards against a new incarnation that waits for a further entry although its own was read before it answered.
 TEST(FleetSchedulerIncarnationTest, IsDescribedByAnEntryThatCameBeforeItAnswered)
 {
     OneWorker fleet;
